Lay out the package, its settings models and the peer transport

Cause: an empty repository; every later part needs the same message codec, settings models, refusal model and transport to meet at.

Conclusion: the seams are the ports of the request path, the peers protocol and the message registry.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# Two commands are all a newcomer needs: `make demo` and `make check`.
+# Each target sets up its own virtual environment first.
+
+PYTHON ?= python3.11
+VENV ?= $(CURDIR)/.venv
+BIN := $(VENV)/bin
+DEPLOYMENT ?= mueso
+SEED ?= 1
+SECONDS ?= 20
+STAMP := $(VENV)/installed-$(shell cat requirements.txt pyproject.toml \
+	| sha256sum | cut -c1-16)
+
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+
+.PHONY: setup check format lint imports test demo model soak bench capacity
+
+setup: $(STAMP)
+
+$(STAMP):
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--requirement requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--no-build-isolation --no-deps --editable .
+	touch $@
+
+check: lint imports test
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix-only --quiet .
+	$(BIN)/ruff format --quiet .
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8
+
+imports: $(STAMP)
+	$(BIN)/lint-imports --no-cache
+
+test: $(STAMP)
+	$(BIN)/python -m pytest tests
+
+demo: $(STAMP)
+	$(BIN)/python -m benchmarks.demo --deployment $(DEPLOYMENT)
+
+model: $(STAMP)
+	$(BIN)/python -m benchmarks.model
+
+soak: $(STAMP)
+	$(BIN)/python -m benchmarks.soak --seed $(SEED) --seconds $(SECONDS)
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.bench --deployment $(DEPLOYMENT)
+
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
--- /dev/null
+++ b/src/skylarkpitch/__init__.py
@@ -0,0 +1,1 @@
+"""Global traffic steering between callers and upstreams."""
--- /dev/null
+++ b/src/skylarkpitch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration and key state."""
--- /dev/null
+++ b/src/skylarkpitch/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated, durable log of control commands."""
--- /dev/null
+++ b/src/skylarkpitch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The skylarkd daemon and its roles."""
--- /dev/null
+++ b/src/skylarkpitch/dissemination/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of the replicated state to every host."""
--- /dev/null
+++ b/src/skylarkpitch/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts of organisations over the whole fleet."""
--- /dev/null
+++ b/src/skylarkpitch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts, upstreams, their leases and slots."""
--- /dev/null
+++ b/src/skylarkpitch/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the processes of the system."""
--- /dev/null
+++ b/src/skylarkpitch/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and histograms."""
--- /dev/null
+++ b/src/skylarkpitch/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line and the HTTP API behind it."""
--- /dev/null
+++ b/src/skylarkpitch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated message transport between hosts."""
--- /dev/null
+++ b/src/skylarkpitch/peers/directory.py
@@ -0,0 +1,108 @@
+"""Describe the hosts of the system and how they are reached."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from skylarkpitch.settings import daemon as daemon_settings
+
+__all__ = ['Directory', 'Host', 'from_settings']
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Host:
+    """One host of the system; addresses are ``ip:port``."""
+
+    name: str
+    region: str
+    failure_domain: str
+    roles: tuple[str, ...]
+    peers_address: str
+    callers_address: str | None
+    relay_address: str | None
+    public_key: str
+
+
+class Directory:
+    """Hold the hosts that a process knows, itself included."""
+
+    def __init__(self, *, own: str, hosts: Iterable[Host]) -> None:
+        self._own = own
+        self._hosts = {host.name: host for host in hosts}
+        self._by_key = {h.public_key: h.name for h in self._hosts.values()}
+
+    @property
+    def own(self) -> Host:
+        """Return the host that this process runs on."""
+        return self._hosts[self._own]
+
+    def get(self, name: str) -> Host | None:
+        """Return the host called ``name``, if it is known."""
+        return self._hosts.get(name)
+
+    def name_of_key(self, public_key: str) -> str | None:
+        """Return the name of the host that holds a public key."""
+        return self._by_key.get(public_key)
+
+    def all(self) -> tuple[Host, ...]:
+        """Return every host, sorted by name."""
+        return tuple(self._hosts[name] for name in sorted(self._hosts))
+
+    def with_role(self, role: str) -> tuple[Host, ...]:
+        """Return the hosts that carry a role, sorted by name."""
+        return tuple(host for host in self.all() if role in host.roles)
+
+    def in_failure_domain(
+        self, failure_domain: str, *, role: str = 'entry'
+    ) -> tuple[Host, ...]:
+        """Return the hosts of a failure domain that carry a role."""
+        return tuple(
+            host
+            for host in self.with_role(role)
+            if host.failure_domain == failure_domain
+        )
+
+    def in_region(
+        self, region: str, *, role: str = 'entry'
+    ) -> tuple[Host, ...]:
+        """Return the hosts of a region that carry a role."""
+        return tuple(
+            host for host in self.with_role(role) if host.region == region
+        )
+
+
+def _host_port(address: daemon_settings.Address | None) -> str | None:
+    return None if address is None else address.host_port
+
+
+def from_settings(
+    settings: daemon_settings.DaemonSettings, *, public_key: str
+) -> Directory:
+    """Return the directory that a settings file describes.
+
+    ``public_key`` is the process's own, in Z85.
+    """
+    own = Host(
+        name=settings.host,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        roles=settings.roles,
+        peers_address=settings.peers_address.host_port,
+        callers_address=_host_port(settings.callers_address),
+        relay_address=_host_port(settings.relay_address),
+        public_key=public_key,
+    )
+    others = [
+        Host(
+            name=peer.host,
+            region=peer.region,
+            failure_domain=peer.failure_domain,
+            roles=peer.roles,
+            peers_address=peer.peers.host_port,
+            callers_address=_host_port(peer.callers),
+            relay_address=_host_port(peer.relay),
+            public_key=peer.public_key,
+        )
+        for peer in settings.peers
+        if peer.host != settings.host
+    ]
+    return Directory(own=settings.host, hosts=[own, *others])
--- /dev/null
+++ b/src/skylarkpitch/peers/network.py
@@ -0,0 +1,286 @@
+"""Send and answer typed messages between hosts over ZeroMQ.
+
+Each host binds one ROUTER socket and connects one DEALER socket to every
+peer that it talks to. CURVE authenticates both ends; a key that the
+directory lacks is refused. A message is never queued for a peer that is not
+connected, so that no peer acts on a message from before a long partition.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+from typing import Any
+from typing import Protocol
+
+import mode
+import structlog
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+
+from skylarkpitch import errors
+from skylarkpitch.messages import codec
+from skylarkpitch.peers import directory as directories
+from skylarkpitch import sentinels
+
+__all__ = ['Handler', 'PeerNetwork', 'Peers']
+
+HEARTBEAT_INTERVAL_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+SEND_QUEUE_MESSAGES = 2000
+MAX_CONCURRENT_HANDLERS = 2000
+MAX_FRAME_BYTES = codec.MAX_BODY_BYTES
+
+Handler = Callable[[str, Any], Awaitable[object | None]]
+
+_log = structlog.get_logger(__name__)
+
+
+class Peers(Protocol):
+    """What the rest of the program needs of the transport."""
+
+    @property
+    def directory(self) -> directories.Directory:
+        """Return the hosts that are known."""
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Call ``handler(sender, message)`` for each message of a type."""
+
+    def send(self, host: str, message: object) -> bool:
+        """Send without waiting for an answer; tell whether it was queued."""
+
+    async def ask(
+        self, host: str, message: object, *, timeout_s: float
+    ) -> Any | sentinels.Absent:
+        """Send and return the answer, or an ``Absent`` with the reason."""
+
+
+class _Connection:
+    """Own one DEALER socket and the answers awaited on it."""
+
+    def __init__(self, *, socket: zmq.asyncio.Socket) -> None:
+        self._socket = socket
+        self._awaited: dict[bytes, asyncio.Future[Any]] = {}
+        self._numbers = itertools.count(1)
+        self._reader = asyncio.create_task(self._read())
+
+    def send(self, message: object, *, number: bytes = b'') -> bool:
+        try:
+            self._socket._shadow_sock.send_multipart(
+                [number, *codec.encode(message)], zmq.NOBLOCK
+            )
+        except zmq.Again:
+            return False
+        return True
+
+    async def ask(
+        self, message: object, *, timeout_s: float
+    ) -> Any | sentinels.Absent:
+        number = next(self._numbers).to_bytes(8, 'big')
+        future = asyncio.get_running_loop().create_future()
+        self._awaited[number] = future
+        try:
+            if not self.send(message, number=number):
+                return sentinels.Absent('peer_not_connected')
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            return sentinels.Absent('peer_timeout')
+        finally:
+            del self._awaited[number]
+
+    async def close(self) -> None:
+        self._reader.cancel()
+        await asyncio.gather(self._reader, return_exceptions=True)
+        self._socket.close(linger=0)
+
+    async def _read(self) -> None:
+        while True:
+            frames = await self._socket.recv_multipart()
+            if len(frames) == 3:
+                self._settle(*frames)
+
+    def _settle(self, number: bytes, kind: bytes, body: bytes) -> None:
+        future = self._awaited.get(number)
+        if future is None or future.done():
+            return
+        if not kind:
+            future.set_result(sentinels.Absent('peer_refused'))
+            return
+        try:
+            future.set_result(codec.decode(kind, body))
+        except errors.MessageError as error:
+            _log.warning('message_malformed', error=str(error))
+            future.set_result(sentinels.Absent('message_malformed'))
+
+
+class PeerNetwork(mode.Service):
+    """Carry messages between this host and its peers."""
+
+    def __init__(
+        self,
+        *,
+        directory: directories.Directory,
+        secret_key: str,
+        on_malformed: Callable[[], None] = lambda: None,
+        **options: Any,
+    ) -> None:
+        self.directory = directory
+        self._secret_key = secret_key
+        self._on_malformed = on_malformed
+        self._handlers: dict[type, Handler] = {}
+        self._connections: dict[str, _Connection] = {}
+        self._running: set[asyncio.Task[None]] = set()
+        super().__init__(**options)
+
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Call ``handler(sender, message)`` for each message of a type.
+
+        What the handler returns is the answer to :meth:`ask`; ``None``
+        refuses to answer.
+        """
+        self._handlers[message_type] = handler
+
+    def send(self, host: str, message: object) -> bool:
+        """Send without waiting; return False if the peer is unreachable."""
+        connection = self._connection(host)
+        return connection is not None and connection.send(message)
+
+    async def ask(
+        self, host: str, message: object, *, timeout_s: float
+    ) -> Any | sentinels.Absent:
+        """Send and return the answer.
+
+        Returns an ``Absent`` with reason ``peer_unknown``,
+        ``peer_not_connected``, ``peer_timeout``, ``peer_refused`` or
+        ``message_malformed``. After ``peer_timeout`` the peer may have
+        acted on the message.
+        """
+        connection = self._connection(host)
+        if connection is None:
+            return sentinels.Absent('peer_unknown', host)
+        return await connection.ask(message, timeout_s=timeout_s)
+
+    async def on_start(self) -> None:
+        """Bind the socket and accept the keys of the directory."""
+        self._context = zmq.asyncio.Context()
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
+            self._context
+        )
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(credentials_provider=self)
+        self._router = self._socket(zmq.ROUTER)
+        self._router.curve_server = True
+        self._router.zap_domain = b'peers'
+        address = self.directory.own.peers_address
+        try:
+            self._router.bind(f'tcp://{address}')
+        except zmq.ZMQError as error:
+            raise errors.SettingsError(
+                f'peers_address {address} cannot be bound ({error}); give a '
+                'free address of this host'
+            ) from error
+        for host in self.directory.all():
+            self._connection(host.name)
+
+    async def on_stop(self) -> None:
+        """Close all sockets; messages not yet sent are dropped."""
+        for task in self._running:
+            task.cancel()
+        for connection in self._connections.values():
+            await connection.close()
+        self._router.close(linger=0)
+        self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tell the authenticator whether a public key is a known peer's."""
+        return self._sender_of(zmq.utils.z85.encode(key).decode()) is not None
+
+    @mode.Service.task
+    async def _serve(self) -> None:
+        while not self.should_stop:
+            frames = await self._router.recv_multipart(copy=False)
+            if len(self._running) >= MAX_CONCURRENT_HANDLERS:
+                continue
+            task = asyncio.create_task(self._answer(frames))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _answer(self, frames: list[zmq.Frame]) -> None:
+        if len(frames) != 4:
+            self._malformed('a message has four frames')
+            return
+        sender = self._sender_of(frames[3].get('User-Id'))
+        identity, number, kind, body = (frame.bytes for frame in frames)
+        try:
+            message = codec.decode(kind, body)
+            handler = self._handlers[type(message)]
+        except errors.MessageError as error:
+            self._malformed(str(error))
+            return
+        except KeyError:
+            self._malformed(f'kind {kind!r} is not handled by this role')
+            return
+        answer = await self._call(handler, sender, message)
+        if number:
+            parts = (b'', b'') if answer is None else codec.encode(answer)
+            await self._reply([identity, number, *parts])
+
+    async def _call(
+        self, handler: Handler, sender: str | None, message: object
+    ) -> object | None:
+        try:
+            return await handler(sender or '', message)
+        except errors.SkylarkError as error:
+            _log.warning(
+                'message_refused',
+                sender=sender,
+                kind=codec.kind_of(message),
+                reason=error.reason,
+                error=str(error),
+            )
+        except Exception:
+            _log.exception(
+                'message_failed', sender=sender, kind=codec.kind_of(message)
+            )
+        return None
+
+    async def _reply(self, parts: list[bytes]) -> None:
+        try:
+            await self._router.send_multipart(parts, zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            _log.info('answer_dropped', error=str(error))
+
+    def _malformed(self, why: str) -> None:
+        self._on_malformed()
+        _log.warning('message_malformed', error=why)
+
+    def _sender_of(self, public_key: str) -> str | None:
+        return self.directory.name_of_key(public_key)
+
+    def _socket(self, kind: int) -> zmq.asyncio.Socket:
+        socket = self._context.socket(kind)
+        socket.curve_secretkey = self._secret_key.encode()
+        socket.curve_publickey = self.directory.own.public_key.encode()
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, 100)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+        return socket
+
+    def _connection(self, name: str) -> _Connection | None:
+        if name in self._connections:
+            return self._connections[name]
+        host = self.directory.get(name)
+        if host is None:
+            return None
+        socket = self._socket(zmq.DEALER)
+        socket.curve_serverkey = host.public_key.encode()
+        socket.connect(f'tcp://{host.peers_address}')
+        self._connections[name] = _Connection(socket=socket)
+        return self._connections[name]
--- /dev/null
+++ b/src/skylarkpitch/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Path of a caller's request through an entry host."""
--- /dev/null
+++ b/src/skylarkpitch/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Validated settings of a daemon and of a deployment."""
--- /dev/null
+++ b/src/skylarkpitch/settings/deployment.py
@@ -0,0 +1,284 @@
+"""Models of a deployment: the base file, its overlays and their merge.
+
+The base is a whole document. An overlay is a JSON merge patch (RFC 7396)
+for one site. :func:`merge_site` applies it, and :func:`validate_site` turns
+the merged document into the data class that the rest of the program uses.
+
+Sections that every host must see alike, such as the rate of an
+organisation, may stand in the base only.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+import pydantic
+
+from skylarkpitch import errors
+from skylarkpitch.settings import daemon as daemon_settings
+
+__all__ = [
+    'FLEET_WIDE_SECTIONS',
+    'FailureDomain',
+    'Link',
+    'Organisation',
+    'Policy',
+    'Region',
+    'Route',
+    'Service',
+    'SiteConfig',
+    'merge_patch',
+    'merge_site',
+    'validate_site',
+]
+
+FLEET_WIDE_SECTIONS = ('organisations', 'regions', 'links', 'policy')
+
+_NAME = r'^[a-z0-9][a-z0-9-]{0,62}$'
+_Name = pydantic.constr(pattern=_NAME)
+_Method = pydantic.constr(pattern=r'^[A-Z]{3,10}$')
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class _RouteModel(_Model):
+    prefix: str = pydantic.Field(pattern=r'^/[^\s?#]*$', max_length=200)
+    methods: tuple[_Method, ...] = ('GET', 'HEAD')
+    open: bool = False
+    idempotent: bool | None = None
+    request_class: _Name = 'default'
+
+
+class _ServiceModel(_Model):
+    routes: tuple[_RouteModel, ...] = pydantic.Field(min_length=1)
+    deadline_s: float = pydantic.Field(default=10.0, gt=0, le=300)
+    queue_s: float = pydantic.Field(default=1.0, ge=0, le=60)
+    queue_length: int = pydantic.Field(default=200, ge=0, le=100_000)
+    retry_ratio: float = pydantic.Field(default=0.1, ge=0, le=1)
+    ramp_s: float = pydantic.Field(default=5.0, ge=0, le=600)
+
+
+class _OrganisationModel(_Model):
+    rate_per_s: float = pydantic.Field(gt=0, le=1e7)
+    burst: float = pydantic.Field(ge=1, le=1e8)
+    weight: float = pydantic.Field(default=1.0, gt=0, le=1000)
+
+
+class _FailureDomainModel(_Model):
+    max_share_percent: float = pydantic.Field(default=100.0, ge=0, le=100)
+
+
+class _RegionModel(_Model):
+    max_share_percent: float = pydantic.Field(default=100.0, ge=0, le=100)
+    failure_domains: dict[_Name, _FailureDomainModel] = pydantic.Field(
+        min_length=1
+    )
+
+
+class _LinkModel(_Model):
+    between: tuple[_Name, _Name]
+    mbit_per_s: float = pydantic.Field(gt=0)
+    one_way_ms: float = pydantic.Field(default=0.0, ge=0)
+
+
+class _PolicyModel(_Model):
+    key_lease_s: float = pydantic.Field(default=5.0, ge=1, le=86_400)
+    clock_drift_percent: float = pydantic.Field(default=1.0, ge=0, le=10)
+    shift_percent_per_s: float = pydantic.Field(default=5.0, gt=0, le=100)
+    lookup_lifetime_s: float = pydantic.Field(default=5.0, ge=0.5, le=300)
+    lookup_hosts: int = pydantic.Field(default=3, ge=1, le=16)
+    upstream_lease_s: float = pydantic.Field(default=3.0, ge=0.5, le=60)
+    limit_lease_s: float = pydantic.Field(default=2.0, ge=0.2, le=60)
+    credit_lease_s: float = pydantic.Field(default=2.0, ge=0.2, le=60)
+    ledger_retention_s: float = pydantic.Field(
+        default=86_400.0, ge=60, le=2_592_000
+    )
+    crash_quarantine_s: float = pydantic.Field(default=300.0, ge=1, le=86_400)
+    cut_off_serving: bool = False
+
+
+class _SiteModel(_Model):
+    services: dict[_Name, _ServiceModel] = pydantic.Field(min_length=1)
+    organisations: dict[_Name, _OrganisationModel]
+    regions: dict[_Name, _RegionModel] = pydantic.Field(min_length=1)
+    links: tuple[_LinkModel, ...] = ()
+    policy: _PolicyModel = _PolicyModel()
+
+    @pydantic.model_validator(mode='after')
+    def _check_names(self) -> '_SiteModel':
+        for link in self.links:
+            for name in link.between:
+                if name not in self.regions:
+                    raise ValueError(
+                        f'links names region {name!r}, which regions lacks; '
+                        'add the region or correct the link'
+                    )
+        domains = [
+            name for r in self.regions.values() for name in r.failure_domains
+        ]
+        for name in domains:
+            if domains.count(name) > 1:
+                raise ValueError(
+                    f'failure domain {name!r} stands in two regions; keep it '
+                    'in one'
+                )
+        return self
+
+    @pydantic.model_validator(mode='after')
+    def _check_shares(self) -> '_SiteModel':
+        total = sum(r.max_share_percent for r in self.regions.values())
+        if total < 100:
+            raise ValueError(
+                f'max_share_percent of all regions sums to {total:g}, so '
+                'traffic would have no place to go; raise it to at least 100'
+            )
+        return self
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Rule for the requests whose path starts with ``prefix``."""
+
+    prefix: str
+    methods: tuple[str, ...]
+    open: bool
+    idempotent: bool | None
+    request_class: str
+
+    def is_idempotent(self, method: str) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.idempotent is not None:
+            return self.idempotent
+        return method in ('GET', 'HEAD')
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """Routes and bounds of one service."""
+
+    routes: tuple[Route, ...]
+    deadline_s: float
+    queue_s: float
+    queue_length: int
+    retry_ratio: float
+    ramp_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Organisation:
+    """Rate, burst and weight of one organisation over the whole fleet."""
+
+    rate_per_s: float
+    burst: float
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FailureDomain:
+    """Largest share of a service's traffic that the domain may take."""
+
+    max_share_percent: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Region:
+    """Failure domains of a region and its largest share of traffic."""
+
+    max_share_percent: float
+    failure_domains: dict[str, FailureDomain]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Link:
+    """Capacity each way between two regions, shared by all traffic."""
+
+    between: tuple[str, str]
+    mbit_per_s: float
+    one_way_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """Leases, lifetimes and rates of change that hold fleet-wide."""
+
+    key_lease_s: float
+    clock_drift_percent: float
+    shift_percent_per_s: float
+    lookup_lifetime_s: float
+    lookup_hosts: int
+    upstream_lease_s: float
+    limit_lease_s: float
+    credit_lease_s: float
+    ledger_retention_s: float
+    crash_quarantine_s: float
+    cut_off_serving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SiteConfig:
+    """Merged configuration of one site."""
+
+    services: dict[str, Service]
+    organisations: dict[str, Organisation]
+    regions: dict[str, Region]
+    links: tuple[Link, ...]
+    policy: Policy
+
+    def region_of(self, failure_domain: str) -> str | None:
+        """Return the region that holds a failure domain, if any does."""
+        for name, region in self.regions.items():
+            if failure_domain in region.failure_domains:
+                return name
+        return None
+
+
+def merge_patch(target: Any, patch: Any) -> Any:
+    """Return ``target`` with a JSON merge patch applied (RFC 7396).
+
+    Neither argument is changed.
+    """
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(target) if isinstance(target, dict) else {}
+    for name, value in patch.items():
+        if value is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = merge_patch(merged.get(name), value)
+    return merged
+
+
+def merge_site(base: dict[str, Any], overlay: dict[str, Any]) -> Any:
+    """Return the document of one site: its overlay applied to the base."""
+    return merge_patch(base, overlay)
+
+
+def validate_site(
+    base: dict[str, Any], overlay: dict[str, Any], *, site: str
+) -> SiteConfig:
+    """Return the checked configuration of ``site``.
+
+    Raises ``ValidationError`` that lists every mistake with its field, its
+    value and what is expected, or the fleet-wide section that the overlay
+    must leave alone.
+    """
+    if not isinstance(overlay, dict):
+        raise errors.ValidationError(
+            f'overlay of site {site!r} is not a JSON object; write one'
+        )
+    for section in FLEET_WIDE_SECTIONS:
+        if section in overlay:
+            raise errors.ValidationError(
+                f'overlay of site {site!r} changes {section!r}, which holds '
+                'for the whole fleet; change it in the base'
+            )
+    try:
+        model = _SiteModel.model_validate(merge_site(base, overlay))
+    except pydantic.ValidationError as error:
+        mistakes = '; '.join(daemon_settings.validation_lines(error))
+        raise errors.ValidationError(
+            f'site {site!r}: {mistakes}. Correct each field and push again'
+        ) from error
+    return msgspec.convert(model.model_dump(), SiteConfig)
--- /dev/null
+++ b/src/skylarkpitch/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of entry hosts, failure domains and regions."""
