--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, model checks, soak runs and measurements."""
--- /dev/null
+++ b/benchmarks/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols."""
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,33 @@
+"""Run every randomised run in turn from one seed.
+
+The last line is one JSON object: run name to its counts. Exits 1 when a run
+saw a violation.
+"""
+
+import importlib
+import json
+import pkgutil
+import sys
+
+import click
+
+from benchmarks import soaks
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True)
+@click.option('--seconds', default=20.0, show_default=True)
+def main(seed: int, seconds: float) -> None:
+    """Divide SECONDS between the runs and report their counts."""
+    names = [module.name for module in pkgutil.iter_modules(soaks.__path__)]
+    report = {}
+    for name in names:
+        run = importlib.import_module(f'benchmarks.soaks.{name}').run
+        report[name] = run(seed=seed, seconds=seconds / len(names))
+        print(f'{name}: {report[name]}', flush=True)
+    print(json.dumps(report))
+    sys.exit(int(any(item['violations'] for item in report.values())))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/soaks/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised runs over the deciding cores."""
