--- /dev/null
+++ b/src/skylarkpitch/messages/hosts.py
@@ -0,0 +1,13 @@
+"""Messages about the life cycle of entry hosts."""
+
+from skylarkpitch.messages import codec
+
+__all__ = ['HostBeat']
+
+
+@codec.message('hosts.beat')
+class HostBeat:
+    """Heartbeat of an entry host; ``room`` counts its free slots."""
+
+    life_cycle: str
+    room: float = 0.0
--- /dev/null
+++ b/src/skylarkpitch/observability/logs.py
@@ -0,0 +1,64 @@
+"""Write logs as one line of key=value pairs for each event."""
+
+import logging
+import sys
+from typing import Any
+
+import structlog
+
+__all__ = ['configure']
+
+
+def _name_event(
+    _logger: Any, _method: str, event: dict[str, Any]
+) -> dict[str, Any]:
+    # Messages of libraries are sentences; an event is one word.
+    if ' ' in str(event.get('event', '')):
+        event['message'] = event['event']
+        event['event'] = 'library_message'
+    return event
+
+
+_SHARED = (
+    structlog.contextvars.merge_contextvars,
+    structlog.stdlib.add_log_level,
+    structlog.stdlib.add_logger_name,
+    structlog.processors.TimeStamper(fmt='iso', utc=True, key='at'),
+    _name_event,
+    structlog.processors.format_exc_info,
+)
+
+
+def configure(*, host: str, level: str) -> None:
+    """Send all logs of the process to standard error.
+
+    ``level`` is ``debug``, ``info``, ``warning`` or ``error``; ``host``
+    stands on every line.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=list(_SHARED),
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                structlog.processors.LogfmtRenderer(
+                    key_order=['at', 'level', 'event'],
+                    drop_missing=True,
+                ),
+            ],
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    logging.getLogger('mode').setLevel(logging.WARNING)
+    structlog.configure(
+        processors=[
+            structlog.stdlib.filter_by_level,
+            *_SHARED,
+            structlog.stdlib.ProcessorFormatter.wrap_for_formatter,
+        ],
+        logger_factory=structlog.stdlib.LoggerFactory(),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(host=host)
--- /dev/null
+++ b/src/skylarkpitch/peers/rendezvous.py
@@ -0,0 +1,30 @@
+"""Rank hosts for a key by rendezvous hashing.
+
+Highest random weight hashing, by Thaler and Ravishankar, "Using name-based
+mappings to increase hit rates" (IEEE/ACM Transactions on Networking, 1998):
+every process ranks the same hosts alike without talking, and a host that
+goes or comes moves only the keys that it ranked first for.
+"""
+
+from collections.abc import Iterable
+import hashlib
+
+__all__ = ['first', 'rank']
+
+
+def _weight(key: str, name: str) -> bytes:
+    return hashlib.blake2b(
+        f'{key}\0{name}'.encode(), digest_size=8, usedforsecurity=False
+    ).digest()
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names, best first for ``key``; ties go by name."""
+    return sorted(names, key=lambda name: (_weight(key, name), name))
+
+
+def first(key: str, names: Iterable[str]) -> str | None:
+    """Return the best name for ``key``, or None when there is none."""
+    return min(
+        names, key=lambda name: (_weight(key, name), name), default=None
+    )
