--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,285 @@
+"""Start and end the processes of a whole deployment on loopback."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from benchmarks import shapes
+from skylarkpitch.operators import client as clients
+from skylarkpitch.operators import provision
+
+__all__ = ['Fleet', 'free_ports']
+
+LOOPBACK = '127.0.0.1'
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.1
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the operating system has free right now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for item in sockets:
+            item.bind((LOOPBACK, 0))
+        return [item.getsockname()[1] for item in sockets]
+
+
+def _address(port: int) -> dict:
+    return {'ip': LOOPBACK, 'port': port}
+
+
+class Fleet:
+    """Own the processes of one deployment."""
+
+    def __init__(
+        self,
+        *,
+        shape: shapes.Shape,
+        folder: pathlib.Path,
+        latency: bool = True,
+        log_level: str = 'info',
+    ) -> None:
+        self.shape = shape
+        self.folder = folder
+        self.base = shapes.load_base(shape)
+        self.region_of = {
+            domain: region
+            for region, item in self.base['regions'].items()
+            for domain in item['failure_domains']
+        }
+        self.hosts = self._host_entries()
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.upstreams: dict[str, subprocess.Popen] = {}
+        self._latency = latency
+        self._log_level = log_level
+        self._forwarder: subprocess.Popen | None = None
+
+    def _host_entries(self) -> list[dict]:
+        entries = []
+        with_control = {
+            next(iter(item['failure_domains']))
+            for item in self.base['regions'].values()
+        }
+        for domain, count in self.shape.entry_hosts.items():
+            for number in range(1, count + 1):
+                roles = ['entry']
+                if domain in with_control and number == 1:
+                    roles.append('control')
+                entries.append(
+                    {
+                        'host': f'{domain}-{number}',
+                        'region': self.region_of[domain],
+                        'failure_domain': domain,
+                        'roles': roles,
+                    }
+                )
+        ports = free_ports(4 * len(entries))
+        for entry in entries:
+            entry['peers'] = _address(ports.pop())
+            entry['callers'] = _address(ports.pop())
+            entry['relay'] = _address(ports.pop())
+            if 'control' in entry['roles']:
+                entry['operators'] = _address(ports.pop())
+        return entries
+
+    def provision(self) -> None:
+        """Write settings and keys; start the stand-in network."""
+        if self._latency:
+            self._add_routes()
+        inventory = provision.Inventory.model_validate(
+            {'hosts': self.hosts, 'log_level': self._log_level}
+        )
+        self.settings = provision.provision(inventory, self.folder / 'hosts')
+
+    def _add_routes(self) -> None:
+        wanted = [
+            (domain, entry, kind)
+            for domain in self.shape.entry_hosts
+            for entry in self.hosts
+            for kind in ('peers', 'relay')
+            if entry['failure_domain'] != domain
+        ]
+        routes = [
+            {
+                'port': entry[kind]['port'],
+                'delay_s': shapes.one_way_s(
+                    self.shape,
+                    self.region_of,
+                    domain,
+                    entry['failure_domain'],
+                ),
+            }
+            for domain, entry, kind in wanted
+        ]
+        self._forwarder = subprocess.Popen(
+            [sys.executable, '-m', 'tests.stand_ins.forwarder'],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self._forwarder.stdin.write(json.dumps(routes))
+        self._forwarder.stdin.close()
+        ports = json.loads(self._forwarder.stdout.readline())
+        for (domain, entry, kind), port in zip(wanted, ports, strict=True):
+            by_domain = entry.setdefault('routes', {}).setdefault(domain, {})
+            by_domain[kind] = _address(port)
+
+    def start_host(self, name: str) -> None:
+        """Start the daemon of one host; its log goes to a file."""
+        with open(self.folder / f'{name}.log', 'a') as log:
+            self.processes[name] = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'skylarkpitch.daemon',
+                    '--settings',
+                    str(self.settings[name]),
+                ],
+                stdout=log,
+                stderr=log,
+            )
+
+    def start(self) -> None:
+        """Start every daemon."""
+        for entry in self.hosts:
+            self.start_host(entry['host'])
+
+    def start_upstreams(self, **plan_fields: object) -> None:
+        """Start the stand-in upstreams, one process a failure domain."""
+        plans: dict[str, list[dict]] = {d: [] for d in self.shape.entry_hosts}
+        domains = list(plans)
+        for service, count in self.shape.upstreams.items():
+            for number in range(count):
+                domain = domains[number % len(domains)]
+                plans[domain].append(
+                    {
+                        'name': f'{service}-{domain}-{number}',
+                        'service': service,
+                        'slots': self.shape.slots,
+                        'connections': self.shape.connections,
+                        **plan_fields,
+                    }
+                )
+        token = (self.folder / 'hosts' / 'announce.token').read_text()
+        for domain, domain_plans in plans.items():
+            path = self.folder / f'upstreams-{domain}.json'
+            path.write_text(
+                json.dumps(
+                    {
+                        'entries': self.caller_urls(domain),
+                        'token': token,
+                        'plans': domain_plans,
+                    }
+                )
+            )
+            log = open(self.folder / f'upstreams-{domain}.log', 'a')
+            self.upstreams[domain] = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'tests.stand_ins.upstream',
+                    '--plan',
+                    str(path),
+                ],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
+            log.close()
+
+    def caller_urls(self, failure_domain: str | None = None) -> list[str]:
+        """Return the callers' URLs of the hosts, of one domain if named."""
+        return [
+            f'http://{LOOPBACK}:{entry["callers"]["port"]}'
+            for entry in self.hosts
+            if failure_domain in (None, entry['failure_domain'])
+        ]
+
+    def control_urls(self) -> tuple[str, ...]:
+        """Return the operators' URLs of the control hosts."""
+        return tuple(
+            f'http://{LOOPBACK}:{entry["operators"]["port"]}'
+            for entry in self.hosts
+            if 'operators' in entry
+        )
+
+    def client(self, *, timeout_s: float = 15.0) -> clients.Client:
+        """Return a client for the operators' API."""
+        token = (self.folder / 'hosts' / 'operator.token').read_text()
+        return clients.Client(
+            urls=self.control_urls(), token=token, timeout_s=timeout_s
+        )
+
+    def client_hosts(self) -> list[dict]:
+        """Return what each entry host last told of itself."""
+        return self.client().get('/operators/v1/hosts')['hosts']
+
+    def tool(self, *arguments: str) -> dict:
+        """Run the command-line tool and return its JSON answer."""
+        environment = {
+            **os.environ,
+            'SKYLARK_CONTROL': ' '.join(self.control_urls()),
+            'SKYLARK_TOKEN_FILE': str(
+                self.folder / 'hosts' / 'operator.token'
+            ),
+        }
+        done = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'skylarkpitch.operators',
+                *arguments,
+                '--output',
+                'json',
+            ],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        if done.returncode != 0:
+            raise RuntimeError(
+                f'skylark {" ".join(arguments)} ended with '
+                f'{done.returncode}: {done.stderr.strip()}'
+            )
+        return json.loads(done.stdout)
+
+    def stop_upstreams(self) -> list[dict]:
+        """End the stand-in upstreams and return their counts."""
+        counts = []
+        for process in self.upstreams.values():
+            process.send_signal(signal.SIGTERM)
+        for process in self.upstreams.values():
+            output, _ = process.communicate(timeout=STOP_TIMEOUT_S)
+            counts.extend(json.loads(output.strip().splitlines()[-1]))
+        self.upstreams.clear()
+        return counts
+
+    def close(self) -> None:
+        """End every process that this object started, by its id."""
+        started = [*self.processes.values(), *self.upstreams.values()]
+        if self._forwarder is not None:
+            started.append(self._forwarder)
+        for process in started:
+            if process.poll() is None:
+                process.kill()
+        for process in started:
+            process.wait(timeout=STOP_TIMEOUT_S)
+            for stream in (process.stdin, process.stdout):
+                if stream is not None and not stream.closed:
+                    stream.close()
+
+    def wait(self, what: str, condition, *, timeout_s: float = 20.0) -> float:
+        """Wait until ``condition()`` holds; return the seconds it took."""
+        started_s = time.monotonic()
+        while time.monotonic() - started_s < timeout_s:
+            if condition():
+                return time.monotonic() - started_s
+            time.sleep(POLL_S)
+        raise RuntimeError(f'{what} did not happen within {timeout_s:g} s')
--- /dev/null
+++ b/src/skylarkpitch/operators/context.py
@@ -0,0 +1,80 @@
+"""Hold what every command of the tool needs."""
+
+import dataclasses
+import getpass
+import os
+import pathlib
+import uuid
+
+import click
+
+from skylarkpitch import errors
+from skylarkpitch.operators import client as clients
+
+__all__ = ['Context', 'new_operation_id', 'operation_option', 'pass_context']
+
+operation_option = click.option(
+    '--operation-id',
+    default=None,
+    help='Id of the change; repeat it to send a change again safely.',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Context:
+    """Where the control hosts are and how to prove oneself to them."""
+
+    urls: tuple[str, ...]
+    token_file: pathlib.Path | None
+    timeout_s: float
+
+    def client(self) -> clients.Client:
+        """Return a client for the control hosts.
+
+        Raises ``SettingsError`` when addresses or token are missing.
+        """
+        if not self.urls:
+            raise errors.SettingsError(
+                'no control host is named; pass --control URL or set '
+                'SKYLARK_CONTROL'
+            )
+        return clients.Client(
+            urls=self.urls, token=self._token(), timeout_s=self.timeout_s
+        )
+
+    def _token(self) -> str:
+        if self.token_file is None:
+            raise errors.SettingsError(
+                'no operator token is named; pass --token-file FILE or set '
+                'SKYLARK_TOKEN_FILE'
+            )
+        try:
+            return self.token_file.read_text().strip()
+        except OSError as error:
+            raise errors.SettingsError(
+                f'token file {self.token_file} cannot be read '
+                f'({error.strerror}); name a readable file'
+            ) from error
+
+    def change(self, operation_id: str | None, **fields: object) -> dict:
+        """Return the body of a change with its id and its operator."""
+        return {
+            'operation_id': operation_id or new_operation_id(),
+            'operator': _operator(),
+            **fields,
+        }
+
+
+def new_operation_id() -> str:
+    """Return a fresh id for a change."""
+    return uuid.uuid4().hex
+
+
+def _operator() -> str:
+    try:
+        return os.environ.get('SKYLARK_OPERATOR') or getpass.getuser()
+    except (KeyError, OSError):
+        return 'unknown'
+
+
+pass_context = click.make_pass_decorator(Context)
--- /dev/null
+++ b/src/skylarkpitch/operators/models.py
@@ -0,0 +1,76 @@
+"""Models of the bodies that operators send."""
+
+from typing import Any
+
+import pydantic
+
+__all__ = [
+    'DrainBody',
+    'IssueBody',
+    'MemberBody',
+    'OverlayBody',
+    'PushBody',
+    'StopHostBody',
+    'WithdrawBody',
+]
+
+
+class _Change(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    operation_id: str = pydantic.Field(min_length=1, max_length=64)
+    operator: str = pydantic.Field(default='unknown', max_length=64)
+
+
+class PushBody(_Change):
+    """Replace the base and every overlay."""
+
+    against_version: int = pydantic.Field(ge=0)
+    base: dict[str, Any]
+    overlays: dict[str, dict[str, Any]]
+
+
+class OverlayBody(_Change):
+    """Replace the overlay of one site."""
+
+    against_version: int = pydantic.Field(ge=0)
+    site: str
+    overlay: dict[str, Any]
+
+
+class IssueBody(_Change):
+    """Make a key valid; the secret itself stays with the operator."""
+
+    key_id: str = pydantic.Field(min_length=1, max_length=64)
+    organisation: str
+    salt: str
+    secret_hash: str
+
+
+class WithdrawBody(_Change):
+    """Make a key invalid."""
+
+    key_id: str
+
+
+class DrainBody(_Change):
+    """Start or end the drain of an upstream."""
+
+    upstream: str
+    draining: bool = True
+
+
+class StopHostBody(_Change):
+    """Ask an entry host to stop, or let it serve again."""
+
+    host: str
+    leaving: bool = True
+
+
+class MemberBody(pydantic.BaseModel):
+    """Add or remove a member of the replicated log."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    host: str
+    remove: bool = False
--- a/src/skylarkpitch/peers/network.py
+++ b/src/skylarkpitch/peers/network.py
@@ -30,6 +30,7 @@
 HEARTBEAT_TIMEOUT_MS = 3000
 SEND_QUEUE_MESSAGES = 2000
 MAX_CONCURRENT_HANDLERS = 2000
+ZAP_DOMAIN = 'peers'
 MAX_FRAME_BYTES = codec.MAX_BODY_BYTES
 
 Handler = Callable[[str, Any], Awaitable[object | None]]
@@ -168,10 +169,12 @@
             self._context
         )
         self._authenticator.start()
-        self._authenticator.configure_curve_callback(credentials_provider=self)
+        self._authenticator.configure_curve_callback(
+            domain=ZAP_DOMAIN, credentials_provider=self
+        )
         self._router = self._socket(zmq.ROUTER)
         self._router.curve_server = True
-        self._router.zap_domain = b'peers'
+        self._router.zap_domain = ZAP_DOMAIN.encode()
         address = self.directory.own.peers_address
         try:
             self._router.bind(f'tcp://{address}')
@@ -194,8 +197,8 @@
         self._context.destroy(linger=0)
 
     def callback(self, domain: str, key: bytes) -> bool:
-        """Tell the authenticator whether a public key is a known peer's."""
-        return self._sender_of(zmq.utils.z85.encode(key).decode()) is not None
+        """Tell the authenticator whether a known peer holds a key in Z85."""
+        return self._sender_of(key.decode()) is not None
 
     @mode.Service.task
     async def _serve(self) -> None:
