Replicate control commands through a log of our own

Cause: configuration and keys must survive the loss of hosts and disks, and no outside store is there.

Identities are host/incarnation, drawn when a data folder is first used, so a host with a wiped disk is nobody's voter. A cluster is founded by one host, and only when every control host it knows belongs to none.

Ruled out: votes under host names with a durable 'has voted' flag (a wiped disk loses the flag too).

--- /dev/null
+++ b/src/skylarkpitch/consensus/core.py
@@ -0,0 +1,351 @@
+"""Decide as one member of the replicated log.
+
+The algorithm is Raft with pre-vote, check-quorum and single-member changes.
+:class:`Core` takes messages and the present time, and gives messages and
+writes; it does no I/O. A caller loops: hand in what happened, then act on
+:meth:`Core.take_output` until that is empty.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+
+from skylarkpitch.consensus import election
+from skylarkpitch.consensus import entries as entry_logs
+from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.consensus import membership
+from skylarkpitch.consensus import reads
+from skylarkpitch.consensus import replication
+from skylarkpitch.consensus import state as states
+from skylarkpitch import errors
+from skylarkpitch.messages import consensus as messages
+
+__all__ = ['Core', 'Recovered']
+
+
+class Recovered:
+    """What a member finds in its data folder at start."""
+
+    def __init__(
+        self,
+        *,
+        cluster: str = '',
+        founders: tuple[str, ...] = (),
+        hard_state: states.HardState | None = None,
+        snapshot: messages.SnapshotInfo | None = None,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: Iterable[messages.Entry] = (),
+    ) -> None:
+        self.cluster = cluster
+        self.founders = founders
+        self.hard_state = hard_state or states.HardState()
+        self.snapshot = snapshot
+        self.base_index = base_index
+        self.base_term = base_term
+        self.entries = tuple(entries)
+
+
+class Core:
+    """One member of the replicated log."""
+
+    def __init__(
+        self,
+        *,
+        identity: str,
+        recovered: Recovered,
+        rng: random.Random,
+        now_s: float,
+        timing: states.Timing | None = None,
+    ) -> None:
+        self._state = states.State(
+            identity=identity, rng=rng, timing=timing or states.Timing()
+        )
+        self._load(recovered, now_s)
+        self._handlers: dict[type, Callable[..., None]] = {
+            messages.VoteAsk: election.answer_vote,
+            messages.VoteAnswer: election.on_vote_answer,
+            messages.AppendAsk: self._on_append,
+            messages.SnapshotChunk: self._on_chunk,
+            messages.AppendAnswer: self._as_leader(
+                replication.on_append_answer
+            ),
+            messages.SnapshotAnswer: self._as_leader(
+                replication.on_snapshot_answer
+            ),
+            messages.Transfer: self._on_transfer,
+        }
+
+    def _load(self, recovered: Recovered, now_s: float) -> None:
+        state = self._state
+        state.cluster = recovered.cluster
+        state.founders = recovered.founders
+        state.term = recovered.hard_state.term
+        state.vote = recovered.hard_state.vote
+        state.log = entry_logs.EntryLog(
+            base_index=recovered.base_index, base_term=recovered.base_term
+        )
+        state.snapshot = recovered.snapshot
+        if recovered.snapshot is not None:
+            info = recovered.snapshot
+            state.member_history = [(info.members_index, info.members)]
+        for entry in recovered.entries:
+            self._load_entry(entry)
+        snapshot_index = recovered.snapshot.index if recovered.snapshot else 0
+        state.commit_index = max(
+            snapshot_index,
+            min(recovered.hard_state.commit_index, state.log.last_index),
+        )
+        state.stable_index = state.log.last_index
+        state.changed_from = None
+        if state.cluster:
+            state.role = states.Role.FOLLOWER
+        state.restart_election_timer(now_s)
+
+    def _load_entry(self, entry: messages.Entry) -> None:
+        state = self._state
+        state.log.append(entry)
+        is_members = entry.kind is messages.EntryKind.MEMBERS
+        if is_members and entry.index > state.members_index:
+            decoded = member_sets.decode(entry.data)
+            state.member_history.append((entry.index, decoded))
+
+    @property
+    def state(self) -> states.State:
+        """Return the state, to be read only."""
+        return self._state
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this member leads in its term."""
+        return self._state.role is states.Role.LEADER
+
+    def found(self, founders: tuple[str, ...], *, now_s: float) -> None:
+        """Begin the log of a cluster with its founding voters.
+
+        Every founder writes the same first entry, which is committed from
+        the start.
+        """
+        state = self._state
+        if state.cluster:
+            raise errors.InvariantError(
+                f'{state.identity} belongs to a cluster and can found no '
+                'other; report this as a fault of the program'
+            )
+        self._join(member_sets.cluster_of(founders), now_s)
+        state.founders = founders
+        state.enter_term(1)
+        data = member_sets.encode(messages.Members(voters=founders))
+        state.append(messages.EntryKind.MEMBERS, data)
+        state.commit_index = 1
+
+    def _join(self, cluster: str, now_s: float) -> None:
+        state = self._state
+        state.cluster = cluster
+        state.cluster_changed = True
+        state.role = states.Role.FOLLOWER
+        state.restart_election_timer(now_s)
+
+    def receive(self, message: object, *, now_s: float) -> None:
+        """Take a message of another member."""
+        state = self._state
+        if message.to != state.identity:
+            state.count('messages_to_other_identity')
+            return
+        if not state.cluster and self._may_join(message):
+            self._join(message.cluster, now_s)
+        if message.cluster != state.cluster or not state.cluster:
+            state.count('messages_of_other_cluster')
+            return
+        self._handlers[type(message)](state, message, now_s=now_s)
+        self._advance(now_s)
+
+    @staticmethod
+    def _may_join(message: object) -> bool:
+        joining = (messages.AppendAsk, messages.SnapshotChunk)
+        return isinstance(message, joining) and bool(message.cluster)
+
+    def _on_append(
+        self,
+        state: states.State,
+        ask: messages.AppendAsk,
+        *,
+        now_s: float,
+    ) -> None:
+        if self._follows(ask, now_s):
+            replication.answer_append(state, ask, now_s=now_s)
+
+    def _on_chunk(
+        self,
+        state: states.State,
+        chunk: messages.SnapshotChunk,
+        *,
+        now_s: float,
+    ) -> None:
+        if self._follows(chunk, now_s):
+            replication.answer_snapshot(state, chunk, now_s=now_s)
+
+    def _follows(
+        self,
+        ask: messages.AppendAsk | messages.SnapshotChunk,
+        now_s: float,
+    ) -> bool:
+        state = self._state
+        if ask.term < state.term:
+            replication.answer(state, ask, accepted=False, index=0)
+            return False
+        if ask.term == state.term and state.role is states.Role.LEADER:
+            raise errors.InvariantError(
+                f'{ask.sender} and {state.identity} both lead term '
+                f'{state.term}; stop both and keep their data folders'
+            )
+        if (ask.term, ask.sender) != (state.term, state.leader):
+            election.follow(
+                state, term=ask.term, leader=ask.sender, now_s=now_s
+            )
+        state.leader_heard_s = now_s
+        state.restart_election_timer(now_s)
+        return True
+
+    def _as_leader(self, handler: Callable[..., None]) -> Callable[..., None]:
+        def checked(
+            state: states.State, message: object, *, now_s: float
+        ) -> None:
+            if message.term > state.term:
+                election.follow(
+                    state, term=message.term, leader=None, now_s=now_s
+                )
+            elif message.term == state.term and self.is_leader:
+                handler(state, message, now_s=now_s)
+
+        return checked
+
+    def _on_transfer(
+        self,
+        state: states.State,
+        message: messages.Transfer,
+        *,
+        now_s: float,
+    ) -> None:
+        from_leader = message.sender == state.leader
+        if message.term == state.term and from_leader and state.is_voter:
+            election.hold_election(state, now_s=now_s, transfer=True)
+
+    def tick(self, *, now_s: float) -> None:
+        """Act on the timers that are due."""
+        state = self._state
+        election.on_tick(state, now_s=now_s)
+        if self.is_leader:
+            membership.on_tick(state, now_s=now_s)
+        if self.is_leader and now_s >= state.heartbeat_due_s:
+            replication.broadcast(state, now_s=now_s)
+        self._advance(now_s)
+
+    def next_due_s(self) -> float:
+        """Return when :meth:`tick` is to be called next."""
+        if self.is_leader:
+            return self._state.heartbeat_due_s
+        return self._state.election_due_s
+
+    def persisted(self, *, now_s: float) -> None:
+        """Take note that the last output's write is durable."""
+        state = self._state
+        state.stable_index = state.log.last_index
+        election.on_persisted(state, now_s=now_s)
+        if self.is_leader:
+            replication.settle_commit(state, now_s=now_s)
+        self._advance(now_s)
+
+    def _advance(self, now_s: float) -> None:
+        if self.is_leader:
+            reads.start_round(self._state, now_s=now_s)
+            reads.settle(self._state)
+
+    def propose(self, command: bytes) -> int:
+        """Append a command and return its index.
+
+        Raises ``NotLeaderError``. Call :meth:`send_proposed` after one or
+        several.
+        """
+        self._check_leads()
+        return self._state.append(messages.EntryKind.COMMAND, command)
+
+    def send_proposed(self, *, now_s: float) -> None:
+        """Send what was proposed to the members that follow closely."""
+        replication.send_entries(self._state, now_s=now_s)
+
+    def add_learner(self, identity: str, *, now_s: float) -> int:
+        """Add a member; see :func:`membership.add_learner`."""
+        self._check_leads()
+        return membership.add_learner(self._state, identity, now_s=now_s)
+
+    def remove(self, identity: str, *, now_s: float) -> int:
+        """Remove a member; see :func:`membership.remove`."""
+        self._check_leads()
+        return membership.remove(self._state, identity, now_s=now_s)
+
+    def ask(self, token: object, *, now_s: float) -> None:
+        """Ask the quorum whether the committed state is current.
+
+        The token comes back from :meth:`take_confirmed`. Raises
+        ``NotLeaderError``.
+        """
+        self._check_leads()
+        reads.ask(self._state, token)
+        self._advance(now_s)
+
+    def take_confirmed(self) -> list[states.Read]:
+        """Return the questions that were answered."""
+        confirmed = list(self._state.confirmed)
+        self._state.confirmed.clear()
+        return confirmed
+
+    def hand_over(self) -> bool:
+        """Ask the voter that holds most to take over; tell if one can."""
+        state = self._state
+        if not self.is_leader:
+            return False
+        complete = [
+            voter
+            for voter in state.other_voters()
+            if voter in state.progress
+            and state.progress[voter].match_index == state.log.last_index
+        ]
+        if not complete:
+            return False
+        best = max(complete, key=lambda i: state.progress[i].contact_s)
+        state.before.append(messages.Transfer(**state.header(best)))
+        return True
+
+    def _check_leads(self) -> None:
+        state = self._state
+        if self.is_leader:
+            return
+        leader = member_sets.host_of(state.leader) if state.leader else None
+        raise errors.NotLeaderError(
+            f'{state.identity} does not lead the replicated log; ask '
+            f'{leader or "another control host, or wait for an election"}',
+            leader=leader,
+        )
+
+    def committed_after(self, index: int) -> tuple[messages.Entry, ...]:
+        """Return the committed entries behind ``index``."""
+        state = self._state
+        return state.log.after(index, up_to=state.commit_index)
+
+    def members_at(self, index: int) -> tuple[int, messages.Members]:
+        """Return the members that were set at or before an index."""
+        history = self._state.member_history
+        return [item for item in history if item[0] <= index][-1]
+
+    def compact(self, info: messages.SnapshotInfo, *, keep: int) -> None:
+        """Let a snapshot replace the log, but for the last entries in it."""
+        state = self._state
+        state.snapshot = info
+        state.log.compact(max(state.log.base_index, info.index - keep))
+        kept = [i for i in state.member_history if i[0] > info.index]
+        state.member_history = [(info.members_index, info.members), *kept]
+
+    def take_output(self) -> states.Output:
+        """Return what is to be done now."""
+        return self._state.take_output()
--- /dev/null
+++ b/src/skylarkpitch/consensus/engine.py
@@ -0,0 +1,236 @@
+"""Drive a member's core, journal and state machine, one step at a time."""
+
+import asyncio
+from collections.abc import Callable
+import concurrent.futures
+import dataclasses
+import random
+
+import structlog
+
+from skylarkpitch.consensus import core as cores
+from skylarkpitch.consensus import folder as folders
+from skylarkpitch.consensus import journal as journals
+from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.consensus import ports
+from skylarkpitch.consensus import snapshots as snapshot_files
+from skylarkpitch.consensus import state as states
+from skylarkpitch.consensus import waiting as waiters
+from skylarkpitch import errors
+from skylarkpitch.messages import consensus as messages
+
+__all__ = ['Engine', 'Limits']
+
+APPLY_SLICE_ENTRIES = 500
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """When a snapshot is taken, and how many entries stay before it."""
+
+    snapshot_entries: int = 1000
+    snapshot_bytes: int = 32 * 1024 * 1024
+    kept_entries: int = 500
+
+
+class Engine:
+    """One member: its core and what the core's output is done to.
+
+    Syncs run on one thread and snapshots are saved on another, so that
+    neither holds up the event loop. No two steps may run at once.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: folders.Folder,
+        state_machine: ports.StateMachine,
+        send: Callable[[str, object], object],
+        clock: Callable[[], float],
+        on_applied: Callable[[], None],
+        limits: Limits,
+    ) -> None:
+        self._folder = folder
+        self._machine = state_machine
+        self._send = send
+        self._clock = clock
+        self._on_applied = on_applied
+        self._limits = limits
+        self._syncing = concurrent.futures.ThreadPoolExecutor(1)
+        self._saving = concurrent.futures.ThreadPoolExecutor(1)
+        self._saved: asyncio.Future[None] | None = None
+        self._saved_info: messages.SnapshotInfo | None = None
+        self.waiting = waiters.Waiting()
+        self.applied_index = 0
+        self.snapshot_index = 0
+
+    def open(
+        self, *, host: str, rng: random.Random, timing: states.Timing
+    ) -> None:
+        """Read the data folder. Raises ``JournalError``."""
+        self._folder.open()
+        self.journal, recovered, data = journals.open_journal(
+            folder=self._folder, host=host
+        )
+        self.core = cores.Core(
+            identity=self.journal.identity,
+            recovered=recovered,
+            rng=rng,
+            now_s=self._clock(),
+            timing=timing,
+        )
+        if recovered.snapshot is not None:
+            self._restore(recovered.snapshot, data)
+        _log.info(
+            'journal_opened',
+            identity=self.journal.identity,
+            cluster=recovered.cluster,
+            term=recovered.hard_state.term,
+            entries=len(recovered.entries),
+            snapshot_index=self.snapshot_index,
+        )
+
+    def close(self) -> None:
+        """Wait for the threads and close the data folder."""
+        self._syncing.shutdown(wait=True)
+        self._saving.shutdown(wait=True)
+        self._folder.close()
+
+    async def step(self, inbox: list[Callable[[float], None]]) -> None:
+        """Do everything in the inbox and everything that follows from it.
+
+        Raises ``JournalError`` and ``InvariantError``; the member takes no
+        further step after either.
+        """
+        now_s = self._clock()
+        for item in inbox:
+            item(now_s)
+        if now_s >= self.core.next_due_s():
+            self.core.tick(now_s=now_s)
+        self.core.send_proposed(now_s=now_s)
+        while output := self.core.take_output():
+            await self._act(output)
+        await self._apply()
+        self._settle()
+        await self._compact()
+
+    async def _act(self, output: states.Output) -> None:
+        self._send_all(output.before)
+        if output.write is not None:
+            await self._on_thread(self.journal.write, output.write)
+            if output.write.snapshot is not None:
+                self._restore(
+                    output.write.snapshot, output.write.snapshot_data
+                )
+            self.core.persisted(now_s=self._clock())
+        self._send_all(output.after)
+
+    def _send_all(self, items: tuple[object, ...]) -> None:
+        for item in items:
+            if isinstance(item, messages.SnapshotChunk):
+                item = self._filled(item)
+            self._send(member_sets.host_of(item.to), item)
+
+    def _filled(self, chunk: messages.SnapshotChunk) -> messages.SnapshotChunk:
+        part = self.journal.snapshots.part(
+            chunk.info.index,
+            chunk.offset_bytes,
+            snapshot_files.CHUNK_BYTES,
+        )
+        return dataclasses.replace(chunk, data=part)
+
+    def _restore(self, info: messages.SnapshotInfo, data: bytes) -> None:
+        self._machine.restore(data)
+        self.applied_index = info.index
+        self.snapshot_index = info.index
+
+    async def _apply(self) -> None:
+        entries = self.core.committed_after(self.applied_index)
+        for number, entry in enumerate(entries, start=1):
+            result = self._result_of(entry)
+            self.applied_index = entry.index
+            self.waiting.settle(entry.index, term=entry.term, result=result)
+            if number % APPLY_SLICE_ENTRIES == 0:
+                await asyncio.sleep(0)
+        if entries:
+            self._on_applied()
+
+    def _result_of(self, entry: messages.Entry) -> object | Exception:
+        if entry.kind is not messages.EntryKind.COMMAND:
+            return None
+        try:
+            return self._machine.apply(entry.index, entry.data)
+        except errors.SkylarkError as error:
+            return error
+
+    def _settle(self) -> None:
+        state = self.core.state
+        self.waiting.keep_term(state.term if self.core.is_leader else None)
+        for read in self.core.take_confirmed():
+            if not read.token.done():
+                read.token.set_result(read.sent_s)
+        asked = {read.token for read in state.reads}
+        leader = member_sets.host_of(state.leader) if state.leader else None
+        self.waiting.keep_reads(asked, leader=leader)
+
+    async def _compact(self) -> None:
+        if self._saved is not None:
+            if self._saved.done():
+                await self._rebase()
+            return
+        journal = self.journal
+        entries = self.applied_index - self.snapshot_index
+        grown_bytes = journal.size_bytes - journal.base_bytes
+        if entries < self._limits.snapshot_entries and not (
+            entries and grown_bytes >= self._limits.snapshot_bytes
+        ):
+            return
+        self._start_saving()
+
+    def _start_saving(self) -> None:
+        members_index, members = self.core.members_at(self.applied_index)
+        data = self._machine.snapshot()
+        self._saved_info = snapshot_files.describe(
+            index=self.applied_index,
+            term=self.core.state.log.term_at(self.applied_index),
+            members=members,
+            members_index=members_index,
+            data=data,
+        )
+        self._saved = asyncio.get_running_loop().run_in_executor(
+            self._saving, self.journal.snapshots.save, self._saved_info, data
+        )
+
+    async def _rebase(self) -> None:
+        saved, info = self._saved, self._saved_info
+        self._saved = None
+        saved.result()
+        if info.index <= self.snapshot_index:
+            return
+        self.core.compact(info, keep=self._limits.kept_entries)
+        self.snapshot_index = info.index
+        state = self.core.state
+        await self._on_thread(
+            self.journal.rebase,
+            states.Rebase(
+                base_index=state.log.base_index,
+                base_term=state.log.base_term,
+                snapshot_index=info.index,
+                hard_state=state.hard_state(),
+                entries=state.log.after(state.log.base_index),
+            ),
+        )
+        _log.info(
+            'log_compacted',
+            snapshot_index=info.index,
+            base_index=state.log.base_index,
+            snapshot_bytes=info.size_bytes,
+        )
+
+    async def _on_thread(
+        self, function: Callable[..., None], argument: object
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._syncing, function, argument)
--- /dev/null
+++ b/src/skylarkpitch/consensus/entries.py
@@ -0,0 +1,90 @@
+"""Hold the part of the log that no snapshot has replaced."""
+
+from collections.abc import Iterable
+
+from skylarkpitch import errors
+from skylarkpitch.messages import consensus as messages
+
+__all__ = ['EntryLog']
+
+
+class EntryLog:
+    """Entries after ``base_index``, in memory."""
+
+    def __init__(
+        self,
+        *,
+        base_index: int = 0,
+        base_term: int = 0,
+        entries: Iterable[messages.Entry] = (),
+    ) -> None:
+        self.base_index = base_index
+        self.base_term = base_term
+        self._entries = list(entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def last(self) -> tuple[int, int]:
+        """Return term and index of the last entry, as votes compare them."""
+        return self.last_term, self.last_index
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None when it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if not self.base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.base_index - 1].term
+
+    def after(
+        self, index: int, *, up_to: int | None = None
+    ) -> tuple[messages.Entry, ...]:
+        """Return the entries behind ``index``, up to one inclusive."""
+        if index < self.base_index:
+            raise errors.InvariantError(
+                f'entry {index + 1} was replaced by a snapshot; send that'
+            )
+        stop = self.last_index if up_to is None else up_to
+        start = index - self.base_index
+        return tuple(self._entries[start : stop - self.base_index])
+
+    def append(self, entry: messages.Entry) -> None:
+        """Add an entry at the end."""
+        if entry.index != self.last_index + 1:
+            raise errors.InvariantError(
+                f'entry {entry.index} does not follow {self.last_index}; '
+                'report this as a fault of the program'
+            )
+        self._entries.append(entry)
+
+    def truncate(self, index: int) -> None:
+        """Drop every entry behind ``index``."""
+        del self._entries[max(0, index - self.base_index) :]
+
+    def compact(self, index: int) -> None:
+        """Drop the entries up to ``index``, which a snapshot replaces."""
+        if index <= self.base_index:
+            return
+        term = self.term_at(index)
+        if term is None:
+            raise errors.InvariantError(
+                f'entry {index} is not held; compact up to a held entry'
+            )
+        del self._entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def reset(self, *, index: int, term: int) -> None:
+        """Replace everything by a snapshot that ends with an entry."""
+        self._entries.clear()
+        self.base_index = index
+        self.base_term = term
--- /dev/null
+++ b/src/skylarkpitch/consensus/faults.py
@@ -0,0 +1,76 @@
+"""Tell faults of the data folder apart, each with its remedy."""
+
+from skylarkpitch import errors
+
+__all__ = [
+    'DiskFailedError',
+    'DiskFullError',
+    'FolderLockedError',
+    'JournalCorruptError',
+    'JournalMissingError',
+    'NewerFormatError',
+    'OtherHostError',
+    'ReadOnlyError',
+    'SnapshotCorruptError',
+    'SnapshotMissingError',
+]
+
+
+class DiskFullError(errors.JournalError):
+    """No space is left for the journal."""
+
+    reason = 'disk_full'
+
+
+class ReadOnlyError(errors.JournalError):
+    """The data folder cannot be written to."""
+
+    reason = 'disk_read_only'
+
+
+class DiskFailedError(errors.JournalError):
+    """The disk reported an error; nothing unsynced can be trusted."""
+
+    reason = 'disk_failed'
+
+
+class FolderLockedError(errors.JournalError):
+    """Another process uses the data folder."""
+
+    reason = 'folder_locked'
+
+
+class JournalCorruptError(errors.JournalError):
+    """A record that was synced has changed."""
+
+    reason = 'journal_corrupt'
+
+
+class JournalMissingError(errors.JournalError):
+    """There are snapshots but no journal."""
+
+    reason = 'journal_missing'
+
+
+class SnapshotMissingError(errors.JournalError):
+    """The journal builds on a snapshot that is not there."""
+
+    reason = 'snapshot_missing'
+
+
+class SnapshotCorruptError(errors.JournalError):
+    """A snapshot has changed since it was synced."""
+
+    reason = 'snapshot_corrupt'
+
+
+class NewerFormatError(errors.JournalError):
+    """A file was written by a newer release."""
+
+    reason = 'format_newer'
+
+
+class OtherHostError(errors.JournalError):
+    """The data folder belongs to another host."""
+
+    reason = 'other_host'
--- /dev/null
+++ b/src/skylarkpitch/consensus/folder.py
@@ -0,0 +1,209 @@
+"""Read and write the files of one data folder.
+
+Files have mode 0600 and the folder 0700. A file that is replaced is written
+under a temporary name, synced and renamed, and the folder is synced; so it
+holds the old content or the new, whole. Errors of the operating system
+become a ``JournalError`` that names the remedy.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import errno
+import fcntl
+import os
+import pathlib
+from typing import Protocol
+
+from skylarkpitch.consensus import faults
+from skylarkpitch import errors
+
+__all__ = ['DataFolder', 'Folder']
+
+FILE_MODE = 0o600
+FOLDER_MODE = 0o700
+LOCK_NAME = 'lock'
+TEMPORARY_SUFFIX = '.tmp'
+
+FULL_ERRNOS = frozenset((errno.ENOSPC, errno.EDQUOT, errno.EFBIG))
+READ_ONLY_ERRNOS = frozenset((errno.EROFS, errno.EACCES, errno.EPERM))
+
+
+class Folder(Protocol):
+    """What the journal and the snapshots need of a disk."""
+
+    path: pathlib.Path
+
+    def open(self) -> None:
+        """Make the folder and lock it for this process."""
+
+    def names(self) -> list[str]:
+        """Return the names of the files, sorted."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file; None when there is none."""
+
+    def read_part(self, name: str, offset: int, size: int) -> bytes | None:
+        """Return a part of a file; None when there is no such file."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file and make that durable."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file, durably, by one with this content."""
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut a file off, durably."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file if it is there."""
+
+    def close(self) -> None:
+        """Close the files and unlock the folder."""
+
+
+class DataFolder:
+    """A data folder on a disk."""
+
+    def __init__(self, *, path: pathlib.Path) -> None:
+        self.path = path
+        self._appending: dict[str, int] = {}
+        self._lock_fd: int | None = None
+
+    def open(self) -> None:
+        """Make the folder, lock it and clear away unfinished files.
+
+        Raises ``FolderLockedError`` when another process uses it.
+        """
+        with self._explained(self.path):
+            self.path.mkdir(FOLDER_MODE, parents=True, exist_ok=True)
+            self.path.chmod(FOLDER_MODE)
+            self._lock_fd = self._open(LOCK_NAME, os.O_RDWR | os.O_CREAT)
+        try:
+            fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            self.close()
+            raise faults.FolderLockedError(
+                f'{self.path} is used by another process; stop that one or '
+                'give this host a data folder of its own'
+            ) from error
+        for name in self.names():
+            if name.endswith(TEMPORARY_SUFFIX):
+                self.remove(name)
+
+    def names(self) -> list[str]:
+        """Return the names of the files, sorted."""
+        with self._explained(self.path):
+            return sorted(item.name for item in self.path.iterdir())
+
+    def read(self, name: str) -> bytes | None:
+        """Return the content of a file; None when there is none."""
+        with self._explained(self.path / name):
+            try:
+                return (self.path / name).read_bytes()
+            except FileNotFoundError:
+                return None
+
+    def read_part(self, name: str, offset: int, size: int) -> bytes | None:
+        """Return a part of a file; None when there is no such file."""
+        with self._explained(self.path / name):
+            try:
+                fd = os.open(self.path / name, os.O_RDONLY | os.O_CLOEXEC)
+            except FileNotFoundError:
+                return None
+            try:
+                return os.pread(fd, size, offset)
+            finally:
+                os.close(fd)
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file and sync it."""
+        with self._explained(self.path / name):
+            if name not in self._appending:
+                self._appending[name] = self._open(
+                    name, os.O_WRONLY | os.O_APPEND
+                )
+            fd = self._appending[name]
+            _write_all(fd, data)
+            os.fdatasync(fd)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replace a file by one with this content."""
+        temporary = name + TEMPORARY_SUFFIX
+        with self._explained(self.path / name):
+            flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+            fd = self._open(temporary, flags)
+            try:
+                _write_all(fd, data)
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+            (self.path / temporary).rename(self.path / name)
+            self._sync_folder()
+        if name in self._appending:
+            os.close(self._appending.pop(name))
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut a file off and sync it."""
+        with self._explained(self.path / name):
+            fd = self._open(name, os.O_WRONLY)
+            try:
+                os.ftruncate(fd, size_bytes)
+                os.fsync(fd)
+            finally:
+                os.close(fd)
+
+    def remove(self, name: str) -> None:
+        """Remove a file if it is there."""
+        with self._explained(self.path / name):
+            (self.path / name).unlink(missing_ok=True)
+
+    def close(self) -> None:
+        """Close the files and unlock the folder."""
+        for fd in self._appending.values():
+            os.close(fd)
+        self._appending.clear()
+        if self._lock_fd is not None:
+            os.close(self._lock_fd)
+            self._lock_fd = None
+
+    def _open(self, name: str, flags: int) -> int:
+        return os.open(self.path / name, flags | os.O_CLOEXEC, FILE_MODE)
+
+    def _sync_folder(self) -> None:
+        fd = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    @contextlib.contextmanager
+    def _explained(self, path: pathlib.Path) -> Iterator[None]:
+        try:
+            yield
+        except OSError as error:
+            raise explain(error, path) from error
+
+
+def _write_all(fd: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
+
+
+def explain(error: OSError, path: pathlib.Path) -> errors.JournalError:
+    """Return the ``JournalError`` for an error of the operating system."""
+    if error.errno in FULL_ERRNOS:
+        return faults.DiskFullError(
+            f'{path} cannot be written: no space is left; free some space '
+            'on its disk and restart this host'
+        )
+    if error.errno in READ_ONLY_ERRNOS:
+        return faults.ReadOnlyError(
+            f'{path} cannot be written or read ({error.strerror}); mount '
+            'its disk for writing, give the folder to the user that runs '
+            'the daemon, and restart this host'
+        )
+    return faults.DiskFailedError(
+        f'{path}: {error.strerror or error}; replace the disk, give this '
+        'host an empty data folder and add it again as a member'
+    )
--- /dev/null
+++ b/src/skylarkpitch/consensus/membership.py
@@ -0,0 +1,106 @@
+"""Change the member set, one member at a time.
+
+A host joins as a learner and counts in no quorum until it holds everything
+that is committed; then the leader makes it a voter. A change waits for the
+one before it, and for a committed entry of the leader's own term.
+"""
+
+from skylarkpitch.consensus import election
+from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.consensus import replication
+from skylarkpitch.consensus import rules
+from skylarkpitch.consensus import state as states
+from skylarkpitch.messages import consensus as messages
+
+__all__ = ['add_learner', 'on_tick', 'remove']
+
+
+def add_learner(state: states.State, identity: str, *, now_s: float) -> int:
+    """Add an identity as learner and return the entry's index.
+
+    Raises ``MemberChangeError``.
+    """
+    _check_ready(state)
+    changed = member_sets.with_learner(state.members, identity)
+    return _propose(state, changed, now_s)
+
+
+def remove(state: states.State, identity: str, *, now_s: float) -> int:
+    """Remove an identity and return the entry's index.
+
+    Raises ``MemberChangeError``, also when the voters that would be left
+    have no quorum that answers.
+    """
+    _check_ready(state)
+    changed = member_sets.without(state.members, identity)
+    if not _quorum_answers(state, changed, now_s):
+        raise member_sets.MemberChangeError(
+            f'without {identity} no quorum of the voters left would answer; '
+            'bring the other voters back first'
+        )
+    return _propose(state, changed, now_s)
+
+
+def on_tick(state: states.State, *, now_s: float) -> None:
+    """Promote a learner that caught up; leave once removed."""
+    if not _is_ready(state):
+        return
+    if not state.is_voter:
+        election.follow(state, term=state.term, leader=None, now_s=now_s)
+        return
+    for learner in state.members.learners:
+        if _caught_up(state, learner, now_s):
+            _promote(state, learner, now_s)
+            return
+
+
+def _promote(state: states.State, learner: str, now_s: float) -> None:
+    lost = member_sets.others_of_host(state.members, learner)
+    if lost:
+        changed = member_sets.without(state.members, lost[0])
+    else:
+        changed = member_sets.with_voter(state.members, learner)
+    if _quorum_answers(state, changed, now_s):
+        _propose(state, changed, now_s)
+
+
+def _caught_up(state: states.State, learner: str, now_s: float) -> bool:
+    item = state.progress.get(learner)
+    if item is None or item.match_index < state.commit_index:
+        return False
+    return now_s - item.contact_s < state.timing.election_min_s
+
+
+def _quorum_answers(
+    state: states.State, members: messages.Members, now_s: float
+) -> bool:
+    answering = {
+        name
+        for name, item in state.progress.items()
+        if now_s - item.contact_s < state.timing.election_min_s
+    }
+    answering.add(state.identity)
+    return rules.has_quorum(answering, members.voters)
+
+
+def _is_ready(state: states.State) -> bool:
+    own_term = state.log.term_at(state.commit_index) == state.term
+    return own_term and state.members_index <= state.commit_index
+
+
+def _check_ready(state: states.State) -> None:
+    if not _is_ready(state):
+        raise member_sets.MemberChangeError(
+            'another change of members or an election is still being '
+            'committed; try again in a second'
+        )
+
+
+def _propose(
+    state: states.State, members: messages.Members, now_s: float
+) -> int:
+    data = member_sets.encode(members)
+    index = state.append(messages.EntryKind.MEMBERS, data)
+    state.count('member_changes')
+    replication.broadcast(state, now_s=now_s)
+    return index
--- /dev/null
+++ b/src/skylarkpitch/consensus/service.py
@@ -0,0 +1,393 @@
+"""Run a member of the replicated log as a service.
+
+One task owns the core, the journal and the state machine. What arrives is
+put in its inbox; a step takes all of it, so that one sync covers every entry
+that came in while the previous sync ran. Syncs run on a thread of their own.
+"""
+
+import asyncio
+from collections.abc import Callable
+import functools
+import pathlib
+import random
+import time
+from typing import Any
+
+import mode
+import structlog
+
+from skylarkpitch.consensus import engine as engines
+from skylarkpitch.consensus import folder as folders
+from skylarkpitch.consensus import founding
+from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.consensus import ports
+from skylarkpitch.consensus import state as states
+from skylarkpitch import errors
+from skylarkpitch.messages import consensus as messages
+from skylarkpitch.peers import network
+from skylarkpitch import sentinels
+
+__all__ = ['ReplicatedLog']
+
+MAX_COMMAND_BYTES = 16 * 1024 * 1024
+MAX_INBOX_ITEMS = 20_000
+FOUNDING_INTERVAL_S = 0.2
+INTRODUCTION_TIMEOUT_S = 1.0
+
+MEMBER_MESSAGES = (
+    messages.VoteAsk,
+    messages.VoteAnswer,
+    messages.AppendAsk,
+    messages.AppendAnswer,
+    messages.SnapshotChunk,
+    messages.SnapshotAnswer,
+    messages.Transfer,
+)
+
+_log = structlog.get_logger(__name__)
+
+
+class ReplicatedLog(mode.Service):
+    """One member of the replicated log; a :class:`ports.ControlLog`.
+
+    ``voters`` are the hosts that found the cluster at its first start;
+    later the member set is that of the log. After a fault of the data
+    folder the member takes part in nothing until the process restarts.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: network.Peers,
+        state_machine: ports.StateMachine,
+        data_folder: pathlib.Path,
+        voters: tuple[str, ...],
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+        on_applied: Callable[[], None] = lambda: None,
+        timing: states.Timing | None = None,
+        limits: engines.Limits | None = None,
+        folder: folders.Folder | None = None,
+        **options: Any,
+    ) -> None:
+        self._peers = peers
+        self._voters = voters
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._timing = timing or states.Timing()
+        self._inbox: list[Callable[[float], None]] = []
+        self._inbox_drops = 0
+        self._failure: errors.SkylarkError | None = None
+        self._engine = engines.Engine(
+            folder=folder or folders.DataFolder(path=data_folder),
+            state_machine=state_machine,
+            send=peers.send,
+            clock=clock,
+            on_applied=on_applied,
+            limits=limits or engines.Limits(),
+        )
+        super().__init__(**options)
+
+    async def on_start(self) -> None:
+        """Read the data folder. Raises ``JournalError``."""
+        self._wake = asyncio.Event()
+        self._engine.open(
+            host=self._peers.directory.own.name,
+            rng=self._rng,
+            timing=self._timing,
+        )
+        self._core = self._engine.core
+        for kind in MEMBER_MESSAGES:
+            self._peers.handle(kind, self._on_message)
+        self._peers.handle(messages.IntroductionAsk, self._on_introduction)
+        self._introduce()
+        self._wake.set()
+
+    async def on_stop(self) -> None:
+        """Give up the callers that wait."""
+        self._engine.waiting.abandon()
+
+    async def on_shutdown(self) -> None:
+        """Close the data folder, which no task uses any longer."""
+        self._engine.close()
+
+    async def submit(self, command: bytes, *, timeout_s: float) -> object:
+        """Commit a command and return the state machine's result.
+
+        Raises ``NotLeaderError`` when it was certainly not taken,
+        ``UncertainError`` when it may have been, and what the state machine
+        raises.
+        """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise errors.ValidationError(
+                f'a change of {len(command)} bytes is over the limit of '
+                f'{MAX_COMMAND_BYTES}; divide it'
+            )
+        self._check_works()
+
+        def propose(now_s: float) -> int:
+            return self._core.propose(command)
+
+        return await self._append(propose, timeout_s=timeout_s)
+
+    async def confirm(self, *, timeout_s: float) -> float | sentinels.Absent:
+        """Prove that the applied state is current.
+
+        Returns the monotonic time, in seconds, at which the question went
+        to the quorum. ``Absent`` reasons: ``not_leader``, ``no_quorum`` and
+        ``journal_failed``.
+        """
+        if self._failure is not None:
+            return sentinels.Absent('journal_failed', self._failure.reason)
+        future = asyncio.get_running_loop().create_future()
+        self._put(functools.partial(self._ask, future))
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            return sentinels.Absent('no_quorum')
+
+    def status(self) -> ports.LogStatus:
+        """Return what this member knows of the log.
+
+        Members are identities, the leader is a host name. The role is
+        ``failed`` after a fault of the data folder.
+        """
+        state = self._core.state
+        role = state.role.value if self._failure is None else 'failed'
+        return ports.LogStatus(
+            member=state.identity,
+            role=role,
+            term=state.term,
+            leader=self._leader(),
+            commit_index=state.commit_index,
+            applied_index=self._engine.applied_index,
+            voters=state.members.voters,
+            learners=state.members.learners,
+        )
+
+    def counters(self) -> dict[str, float]:
+        """Return counts since start, and present indexes."""
+        state = self._core.state
+        return {
+            **state.counts,
+            'term': state.term,
+            'commit_index': state.commit_index,
+            'applied_index': self._engine.applied_index,
+            'journal_bytes': self._engine.journal.size_bytes,
+            'journal_syncs': self._engine.journal.syncs,
+            'inbox_drops': self._inbox_drops,
+            'failed': float(self._failure is not None),
+            'leads': float(self._failure is None and self._core.is_leader),
+        }
+
+    async def add_member(self, host: str, *, timeout_s: float = 5.0) -> str:
+        """Add a host as a learner and return its identity.
+
+        The leader makes it a voter, in place of any other incarnation of
+        the host, once it has caught up. Raises ``MemberChangeError``,
+        ``NotLeaderError`` or ``UncertainError``.
+        """
+        self._check_works()
+        ask = messages.IntroductionAsk(identity=self._engine.journal.identity)
+        answer = await self._introduction_of(host, ask)
+        if sentinels.is_absent(answer):
+            raise member_sets.MemberChangeError(
+                f'{host} does not answer ({answer}); start it with the '
+                'control role first'
+            )
+        cluster = self._core.state.cluster
+        if answer.cluster not in ('', cluster):
+            raise member_sets.MemberChangeError(
+                f'{host} belongs to another cluster; empty its data folder '
+                'and restart it first'
+            )
+
+        def add(now_s: float) -> int:
+            return self._core.add_learner(answer.identity, now_s=now_s)
+
+        await self._append(add, timeout_s=timeout_s)
+        return answer.identity
+
+    async def remove_member(self, host: str, *, timeout_s: float = 5.0) -> str:
+        """Remove a host, or one identity of it, and return the identity.
+
+        Raises ``MemberChangeError``, ``NotLeaderError`` or
+        ``UncertainError``.
+        """
+        self._check_works()
+        members = self._core.state.members
+        identity = member_sets.find(members, host)
+
+        def remove(now_s: float) -> int:
+            return self._core.remove(identity, now_s=now_s)
+
+        await self._append(remove, timeout_s=timeout_s)
+        return identity
+
+    async def resign(self, *, timeout_s: float = 1.0) -> bool:
+        """Hand the lead to another voter before a planned stop.
+
+        Tells whether this member leads no longer when it returns.
+        """
+        self._put(lambda now_s: self._core.hand_over())
+        deadline_s = self._clock() + timeout_s
+        while self._core.is_leader and self._clock() < deadline_s:
+            await asyncio.sleep(self._timing.heartbeat_s / 10)
+        return not self._core.is_leader
+
+    async def _append(
+        self, propose: Callable[[float], int], *, timeout_s: float
+    ) -> object:
+        future = asyncio.get_running_loop().create_future()
+        self._put(functools.partial(self._propose, propose, future))
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            raise errors.UncertainError(
+                f'no quorum answered within {timeout_s} s; ask again with '
+                'the same operation id'
+            ) from error
+
+    def _propose(
+        self,
+        propose: Callable[[float], int],
+        future: asyncio.Future,
+        now_s: float,
+    ) -> None:
+        if future.done():
+            return
+        try:
+            index = propose(now_s)
+        except errors.SkylarkError as error:
+            future.set_exception(error)
+            return
+        term = self._core.state.term
+        self._engine.waiting.add_proposal(index, term=term, future=future)
+
+    def _ask(self, future: asyncio.Future, now_s: float) -> None:
+        if future.done():
+            return
+        self._engine.waiting.add_read(future)
+        try:
+            self._core.ask(future, now_s=now_s)
+        except errors.NotLeaderError as error:
+            future.set_result(
+                sentinels.Absent('not_leader', error.leader or '')
+            )
+
+    def _put(self, item: Callable[[float], None]) -> None:
+        if self._failure is None:
+            self._inbox.append(item)
+            self._wake.set()
+
+    async def _on_message(self, sender: str, message: Any) -> None:
+        if member_sets.host_of(message.sender) != sender:
+            self._core.state.count('messages_of_wrong_sender')
+            return
+        if len(self._inbox) >= MAX_INBOX_ITEMS:
+            self._inbox_drops += 1
+            return
+        self._put(lambda now_s: self._core.receive(message, now_s=now_s))
+
+    async def _on_introduction(
+        self, sender: str, ask: messages.IntroductionAsk
+    ) -> messages.Introduction:
+        return self._introduction
+
+    def _introduce(self) -> None:
+        state = self._core.state
+        self._introduction = messages.Introduction(
+            identity=state.identity,
+            cluster=state.cluster,
+            founders=state.founders,
+            voters=self._voters,
+        )
+
+    async def _introduction_of(
+        self, host: str, ask: messages.IntroductionAsk
+    ) -> messages.Introduction | sentinels.Absent:
+        answer = await self._peers.ask(
+            host, ask, timeout_s=INTRODUCTION_TIMEOUT_S
+        )
+        if sentinels.is_absent(answer):
+            return answer
+        if member_sets.host_of(answer.identity) != host:
+            return sentinels.Absent('identity_of_other_host', answer.identity)
+        return answer
+
+    @mode.Service.task
+    async def _found(self) -> None:
+        """Look for founders, or found the cluster, at the first start."""
+        told = None
+        while not self.should_stop and not self._core.state.cluster:
+            found = await self._look_for_founders()
+            if not sentinels.is_absent(found):
+                self._put(functools.partial(self._join_founders, found))
+            elif found != told:
+                told = found
+                _log.info('waiting_to_join', reason=str(found))
+            await self.sleep(FOUNDING_INTERVAL_S)
+
+    def _join_founders(self, found: tuple[str, ...], now_s: float) -> None:
+        if not self._core.state.cluster:
+            self._core.found(found, now_s=now_s)
+
+    async def _look_for_founders(
+        self,
+    ) -> tuple[str, ...] | sentinels.Absent:
+        own = self._peers.directory.own.name
+        control = {h.name for h in self._peers.directory.with_role('control')}
+        hosts = sorted((control | set(self._voters)) - {own})
+        ask = messages.IntroductionAsk(identity=self._engine.journal.identity)
+        answers = await asyncio.gather(
+            *(self._introduction_of(host, ask) for host in hosts)
+        )
+        return founding.decide(
+            identity=self._engine.journal.identity,
+            voters=self._voters,
+            control_hosts=hosts,
+            answers={
+                host: answer
+                for host, answer in zip(hosts, answers, strict=True)
+                if not sentinels.is_absent(answer)
+            },
+        )
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self._sleep_until_due()
+            inbox, self._inbox = self._inbox, []
+            try:
+                await self._engine.step(inbox)
+            except (errors.JournalError, errors.InvariantError) as error:
+                self._fail(error)
+                return
+            self._introduce()
+
+    async def _sleep_until_due(self) -> None:
+        loop = asyncio.get_running_loop()
+        delay_s = max(0.0, self._core.next_due_s() - self._clock())
+        timer = loop.call_later(delay_s, self._wake.set)
+        await self._wake.wait()
+        timer.cancel()
+        self._wake.clear()
+
+    def _fail(self, error: errors.SkylarkError) -> None:
+        """Take part in nothing any more; the disk may have lost writes."""
+        self._failure = error
+        self._engine.waiting.abandon()
+        _log.error('log_failed', reason=error.reason, error=str(error))
+
+    def _check_works(self) -> None:
+        if self._failure is not None:
+            raise errors.NotLeaderError(
+                f'this control host has stopped taking part: {self._failure}',
+                leader=None,
+            )
+
+    def _leader(self) -> str | None:
+        leader = self._core.state.leader
+        if leader is None or self._failure is not None:
+            return None
+        return member_sets.host_of(leader)
--- /dev/null
+++ b/src/skylarkpitch/consensus/snapshots.py
@@ -0,0 +1,139 @@
+"""Keep snapshots of the state machine in the data folder.
+
+A file is a line with the format version, then one line of JSON that
+describes the snapshot, then the state. The journal names the one snapshot it
+builds on; any other is left over from a crash.
+"""
+
+import zlib
+
+import msgspec
+
+from skylarkpitch.consensus import faults
+from skylarkpitch.consensus import folder as folders
+from skylarkpitch.messages import consensus as messages
+
+__all__ = ['CHUNK_BYTES', 'Snapshots', 'describe', 'name_of']
+
+PREFIX = 'snapshot-'
+CHUNK_BYTES = 1024 * 1024
+FORMAT_VERSION = 1
+FORMAT_WORD = b'skylarkpitch-snapshot'
+
+_decoder = msgspec.json.Decoder(messages.SnapshotInfo)
+
+
+def name_of(index: int) -> str:
+    """Return the file name of the snapshot that ends with an entry."""
+    return f'{PREFIX}{index:020d}'
+
+
+def describe(
+    *,
+    index: int,
+    term: int,
+    members: messages.Members,
+    members_index: int,
+    data: bytes,
+) -> messages.SnapshotInfo:
+    """Return the description of a snapshot of a state."""
+    return messages.SnapshotInfo(
+        index=index,
+        term=term,
+        members=members,
+        members_index=members_index,
+        size_bytes=len(data),
+        checksum=zlib.crc32(data),
+    )
+
+
+class Snapshots:
+    """The snapshots of one data folder."""
+
+    def __init__(self, *, folder: folders.Folder) -> None:
+        self._folder = folder
+        self._data_offsets: dict[int, int] = {}
+
+    def exist(self) -> bool:
+        """Tell whether there is any snapshot."""
+        return any(name.startswith(PREFIX) for name in self._folder.names())
+
+    def save(self, info: messages.SnapshotInfo, data: bytes) -> None:
+        """Keep a snapshot; it is durable on return."""
+        front = _front(info)
+        self._data_offsets[info.index] = len(front)
+        self._folder.replace(name_of(info.index), front + data)
+
+    def load(self, index: int) -> tuple[messages.SnapshotInfo, bytes]:
+        """Return a snapshot.
+
+        Raises ``SnapshotMissingError``, ``SnapshotCorruptError`` or
+        ``NewerFormatError``.
+        """
+        name = name_of(index)
+        content = self._folder.read(name)
+        if content is None:
+            raise faults.SnapshotMissingError(
+                f'{self._folder.path / name} is missing and the journal '
+                'builds on it; empty the data folder and add this host '
+                'again as a member'
+            )
+        self._check_format(content, name)
+        info, data = self._parse(content, name)
+        self._data_offsets[index] = len(content) - len(data)
+        return info, data
+
+    def part(self, index: int, offset: int, size: int) -> bytes:
+        """Return a part of a state; empty when the snapshot is gone."""
+        front = self._data_offsets.get(index)
+        if front is None:
+            return b''
+        name = name_of(index)
+        return self._folder.read_part(name, front + offset, size) or b''
+
+    def keep_only(self, index: int) -> None:
+        """Remove every snapshot but one."""
+        for name in self._folder.names():
+            if name.startswith(PREFIX) and name != name_of(index):
+                self._folder.remove(name)
+
+    def _check_format(self, content: bytes, name: str) -> None:
+        line = content.partition(b'\n')[0]
+        word, _, version = line.partition(b' ')
+        if word != FORMAT_WORD or not version.isdigit():
+            raise self._corrupt(name)
+        if int(version) > FORMAT_VERSION:
+            raise faults.NewerFormatError(
+                f'{self._folder.path / name} has format {int(version)} and '
+                f'this release reads up to {FORMAT_VERSION}; run the newer '
+                'release on this host'
+            )
+
+    def _parse(
+        self, content: bytes, name: str
+    ) -> tuple[messages.SnapshotInfo, bytes]:
+        _, described, data = content.split(b'\n', 2)
+        check, _, text = described.partition(b' ')
+        if check != b'%08x' % zlib.crc32(text):
+            raise self._corrupt(name)
+        info = _decoder.decode(text)
+        if len(data) != info.size_bytes or zlib.crc32(data) != info.checksum:
+            raise self._corrupt(name)
+        return info, data
+
+    def _corrupt(self, name: str) -> faults.SnapshotCorruptError:
+        return faults.SnapshotCorruptError(
+            f'{self._folder.path / name} has changed since it was written; '
+            'check the disk, empty the data folder and add this host again '
+            'as a member'
+        )
+
+
+def _front(info: messages.SnapshotInfo) -> bytes:
+    text = msgspec.json.encode(info)
+    return b'%s %d\n%08x %s\n' % (
+        FORMAT_WORD,
+        FORMAT_VERSION,
+        zlib.crc32(text),
+        text,
+    )
--- /dev/null
+++ b/tests/stand_ins/log_cluster.py
@@ -0,0 +1,92 @@
+"""Members of one replicated log within one test, over fake peers."""
+
+import asyncio
+import random
+
+from skylarkpitch.consensus import service
+from skylarkpitch.consensus import state as states
+from skylarkpitch import errors
+from tests.stand_ins import counting_machine
+from tests.stand_ins import fake_peers
+
+TIMING = states.Timing(
+    heartbeat_s=0.01, election_min_s=0.06, election_max_s=0.12
+)
+
+
+class LogCluster:
+    """Start, stop and wipe members by host name."""
+
+    def __init__(self, *, folder, voters, others=(), limits=None, seed=1):
+        self.voters = tuple(voters)
+        self.folder = folder
+        self.network = fake_peers.FakeNetwork(
+            hosts=[
+                fake_peers.host(name, roles=('control',))
+                for name in (*voters, *others)
+            ]
+        )
+        self.logs = {}
+        self.machines = {}
+        self._limits = limits
+        self._rng = random.Random(seed)
+
+    async def start(self, *names):
+        for name in names or self.voters:
+            self.machines[name] = counting_machine.CountingMachine()
+            self.logs[name] = service.ReplicatedLog(
+                peers=self.network.join(name),
+                state_machine=self.machines[name],
+                data_folder=self.folder / name,
+                voters=self.voters,
+                rng=random.Random(self._rng.random()),
+                timing=TIMING,
+                limits=self._limits,
+            )
+            await self.logs[name].start()
+
+    async def stop(self, *names):
+        for name in names or tuple(self.logs):
+            await self.logs.pop(name).stop()
+
+    def wipe(self, name):
+        for item in (self.folder / name).iterdir():
+            item.unlink()
+
+    def isolate(self, name):
+        for other in self.network.hosts:
+            if other.name != name:
+                self.network.cut(name, other.name)
+
+    async def until(self, condition, timeout_s=5):
+        """Wait until a condition holds; fail after a generous bound."""
+        async with asyncio.timeout(timeout_s):
+            while not (result := condition()):
+                await asyncio.sleep(0.005)
+        return result
+
+    def leader(self, *, among=None):
+        for name in among or self.logs:
+            if self.logs[name].status().role == 'leader':
+                return name
+        return None
+
+    async def elected(self, *, among=None):
+        """Wait until a leader has confirmed its lead, and return it."""
+        while True:
+            name = await self.until(lambda: self.leader(among=among))
+            if await self.logs[name].confirm(timeout_s=1):
+                return name
+
+    async def submit(self, *commands, among=None):
+        """Send commands to the leader until each is certainly taken."""
+        for command in commands:
+            await self._submit(command.encode(), among)
+
+    async def _submit(self, command, among):
+        while True:
+            name = await self.elected(among=among)
+            try:
+                return await self.logs[name].submit(command, timeout_s=1)
+            except errors.NotLeaderError:
+                continue
