Own upstreams and find room for calls over all hosts

Cause: the request path needs a slot before it sends a byte, and no two hosts may hand out the slots of one upstream.

Membership: an upstream announces to one entry host of its failure domain, which owns it for a lease. The lease counts from the moment at which the echo that the announcement brings back was issued, not from the receipt: an announcement read late by a stopped process would otherwise extend the lease past the moment at which the upstream has moved on.

Steering: local slots first, then one-time tickets of other hosts, nearest domain first, with the share of each domain, the growth of calls from other regions and the bytes over region links bounded at the host that decides; waiting calls are served by start-time fair queueing.

Ruled out: trusting an upstream's word about the work that runs on it (it may lag); a central counter for shares and link bytes (a partition would leave it behind).

--- /dev/null
+++ b/src/skylarkpitch/membership/announcer.py
@@ -0,0 +1,88 @@
+"""Decide to which entry host an upstream announces itself next.
+
+This is the upstream's half of the ownership protocol: one host at a time,
+and the echo of the newest answer only. A program that announces an upstream
+keeps one :class:`Announcer`, sends what it says, and hands it each answer.
+"""
+
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+__all__ = ['Announcer', 'Attempt']
+
+FIRST_RETRY_S = 0.2
+ATTEMPTS_BEFORE_CHANGE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """One announcement: the base URL to send it to and the claim in it."""
+
+    url: str
+    previous_owner: str | None
+    previous_owner_age_s: float
+    echo: str
+
+
+class Announcer:
+    """Hold what an upstream must remember between announcements."""
+
+    def __init__(self, *, urls: Sequence[str], now_s: float) -> None:
+        self._urls = list(urls)
+        self._position = 0
+        self._echo = ''
+        self._echo_owner: str | None = None
+        self._previous_owner: str | None = None
+        self._previous_s = now_s
+        self._failures = 0
+        self.next_s = now_s
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the host being announced to."""
+        return self._urls[self._position]
+
+    def attempt(self, *, now_s: float) -> Attempt:
+        """Return the announcement to send now."""
+        if self._echo:
+            self._previous_owner = self._echo_owner
+            self._previous_s = now_s
+        self.next_s = now_s + FIRST_RETRY_S
+        return Attempt(
+            url=self.url,
+            previous_owner=self._previous_owner,
+            previous_owner_age_s=now_s - self._previous_s,
+            echo=self._echo,
+        )
+
+    def answered(self, answer: dict[str, Any], *, now_s: float) -> None:
+        """Take an answer with status 200."""
+        self._failures = 0
+        self.next_s = now_s + answer['announce_every_s']
+        self._echo = answer['echo']
+        self._echo_owner = answer['host']
+        if answer['announce_to']:
+            self._change(answer['announce_to'])
+
+    def refused(self, retry_after_s: float, *, now_s: float) -> None:
+        """Take a refusal; the same host is asked again."""
+        self._failures = 0
+        self._echo = ''
+        self.next_s = now_s + retry_after_s
+
+    def failed(self, *, now_s: float) -> None:
+        """Take it that no answer came; another host follows soon."""
+        self._failures += 1
+        self.next_s = now_s + FIRST_RETRY_S
+        if self._failures >= ATTEMPTS_BEFORE_CHANGE:
+            following = (self._position + 1) % len(self._urls)
+            self._change(self._urls[following])
+
+    def _change(self, url: str) -> None:
+        if url not in self._urls:
+            self._urls.append(url)
+        if url != self.url:
+            self._echo = ''
+        self._position = self._urls.index(url)
+        self._failures = 0
--- /dev/null
+++ b/src/skylarkpitch/membership/live_hosts.py
@@ -0,0 +1,89 @@
+"""Tell which entry hosts of the own failure domain live."""
+
+from collections.abc import Iterable
+import dataclasses
+import hashlib
+
+__all__ = ['LiveHosts', 'rendezvous']
+
+SILENT_AFTER_S = 2.0
+SETTLED_AFTER_S = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    since_s: float
+    last_s: float
+    stopping: bool
+    slots: dict[str, int]
+
+
+def rendezvous(hosts: Iterable[str], key: str) -> str | None:
+    """Return the host with the highest hash for ``key``.
+
+    Highest random weight hashing: Thaler and Ravishankar, "Using
+    Name-Based Mappings to Increase Hit Rates", 1998.
+    """
+    return max(
+        hosts,
+        key=lambda host: hashlib.blake2b(f'{host}|{key}'.encode()).digest(),
+        default=None,
+    )
+
+
+class LiveHosts:
+    """Remember when each host was last heard and what it said."""
+
+    def __init__(self, *, own: str) -> None:
+        self._own = own
+        self._heard: dict[str, _Heard] = {}
+        self.stopping = False
+
+    def heard(
+        self,
+        host: str,
+        *,
+        stopping: bool,
+        slots: dict[str, int],
+        now_s: float,
+    ) -> None:
+        """Take a sign of life."""
+        known = self._heard.get(host)
+        if known is None or now_s - known.last_s > SILENT_AFTER_S:
+            self._heard[host] = _Heard(now_s, now_s, stopping, slots)
+            return
+        known.last_s = now_s
+        known.stopping = stopping
+        known.slots = slots
+
+    def live(self, *, now_s: float) -> tuple[str, ...]:
+        """Return the hosts heard lately, stopping ones included."""
+        return tuple(
+            host
+            for host, heard in sorted(self._heard.items())
+            if now_s - heard.last_s <= SILENT_AFTER_S
+        )
+
+    def preferred(self, upstream: str, *, now_s: float) -> str | None:
+        """Return the host that should own an upstream, if any can."""
+        hosts = [
+            host
+            for host in self.live(now_s=now_s)
+            if not self._heard[host].stopping
+        ]
+        if not self.stopping:
+            hosts.append(self._own)
+        return rendezvous(hosts, upstream)
+
+    def is_settled(self, host: str, *, now_s: float) -> bool:
+        """Tell whether a host has lived long enough to take over."""
+        heard = self._heard.get(host)
+        return heard is not None and now_s - heard.since_s >= SETTLED_AFTER_S
+
+    def slots(self, *, now_s: float) -> dict[str, int]:
+        """Return the slots that the other live hosts own, by service."""
+        total: dict[str, int] = {}
+        for host in self.live(now_s=now_s):
+            for service, count in self._heard[host].slots.items():
+                total[service] = total.get(service, 0) + count
+        return total
--- /dev/null
+++ b/src/skylarkpitch/membership/ownership.py
@@ -0,0 +1,200 @@
+"""Decide which host may hand out the slots of an upstream.
+
+The upstream is the arbiter: it announces to one entry host at a time, and
+that host owns it for a lease. Each answer carries an echo, a value that the
+next announcement brings back. The lease counts from the moment at which the
+echo was issued, so an announcement that was delayed on its way, or read late
+by a process that was stopped, never proves more than it should.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from skylarkpitch import sentinels
+
+__all__ = [
+    'Claim',
+    'Lease',
+    'Ownership',
+    'Verdict',
+    'judge_claim',
+    'waiting_s',
+]
+
+ECHOES_KEPT = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Lease:
+    """Right to hand out the slots of one upstream until ``until_s``."""
+
+    instance: str
+    url: str
+    epoch: int
+    until_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Echo:
+    value: str
+    instance: str
+    url: str
+    issued_s: float
+
+
+class Ownership:
+    """Hold the leases of one host and the echoes it has issued."""
+
+    def __init__(self) -> None:
+        self._leases: dict[str, Lease] = {}
+        self._echoes: dict[str, tuple[_Echo, ...]] = {}
+        self._epoch = 0
+
+    def issue(
+        self, name: str, *, instance: str, url: str, value: str, now_s: float
+    ) -> None:
+        """Remember an echo that the answer being sent now carries."""
+        kept = self._echoes.get(name, ())[1 - ECHOES_KEPT :]
+        self._echoes[name] = (*kept, _Echo(value, instance, url, now_s))
+
+    def renew(
+        self,
+        name: str,
+        *,
+        instance: str,
+        url: str,
+        echo: str,
+        now_s: float,
+        lease_s: float,
+    ) -> Lease | sentinels.Absent:
+        """Extend or gain the lease that an echo proves.
+
+        Returns ``Absent`` with reason ``echo_unknown`` or
+        ``echo_expired``; the lease is then as it was.
+        """
+        found = self._find(name, instance=instance, echo=echo)
+        if found is None:
+            return sentinels.Absent('echo_unknown')
+        until_s = found.issued_s + lease_s
+        if until_s <= now_s:
+            return sentinels.Absent('echo_expired')
+        held = self.lease(name, now_s=now_s)
+        if held is None or held.instance != instance:
+            self._epoch += 1
+            epoch = self._epoch
+        else:
+            epoch = held.epoch
+            until_s = max(until_s, held.until_s)
+        lease = Lease(instance=instance, url=url, epoch=epoch, until_s=until_s)
+        self._leases[name] = lease
+        return lease
+
+    def release(self, name: str) -> None:
+        """Give up the lease; earlier echoes prove nothing any more."""
+        self._leases.pop(name, None)
+        self._echoes.pop(name, None)
+
+    def lease(self, name: str, *, now_s: float) -> Lease | None:
+        """Return the lease of ``name`` if it has not run out."""
+        held = self._leases.get(name)
+        if held is None or held.until_s <= now_s:
+            return None
+        return held
+
+    def promised_url(
+        self, name: str, *, now_s: float, lease_s: float
+    ) -> str | None:
+        """Return the address that may gain the lease by its next echo."""
+        echoes = self._echoes.get(name)
+        if not echoes or echoes[-1].issued_s + lease_s <= now_s:
+            return None
+        return echoes[-1].url
+
+    def name_of_url(self, url: str, *, now_s: float) -> str | None:
+        """Return the upstream that is owned under an address, if any."""
+        for name, lease in self._leases.items():
+            if lease.url == url and lease.until_s > now_s:
+                return name
+        return None
+
+    def forget_lapsed(self, *, now_s: float, lease_s: float) -> None:
+        """Drop leases and echoes that are of no use any more."""
+        for name in list(self._leases):
+            if self._leases[name].until_s <= now_s:
+                del self._leases[name]
+        for name in list(self._echoes):
+            if self._echoes[name][-1].issued_s + lease_s <= now_s:
+                del self._echoes[name]
+
+    def _find(self, name: str, *, instance: str, echo: str) -> _Echo | None:
+        for item in self._echoes.get(name, ()):
+            if item.value == echo and item.instance == instance:
+                return item
+        return None
+
+
+def waiting_s(*, lease_s: float, drift: float) -> float:
+    """Return how long an upstream must wait before it changes hosts.
+
+    The owner counts ``lease_s`` on a clock that may run slow by ``drift``
+    and the upstream counts its wait on one that may run fast by as much.
+    """
+    return lease_s * (1 + drift) / (1 - drift)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """What an upstream says about its earlier owner.
+
+    ``previous_owner`` is empty for an upstream that has announced to no
+    host since its process began ``previous_owner_age_s`` ago. Otherwise the
+    age counts from its last attempt to announce to that host.
+    """
+
+    own_host: str
+    previous_owner: str
+    previous_owner_age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """Whether a host may own an upstream.
+
+    With ``retry_after_s`` above 0 it must refuse. With ``unknown_work``
+    every slot may be busy with work that nobody can count.
+    """
+
+    retry_after_s: float = 0.0
+    unknown_work: bool = False
+
+
+def judge_claim(
+    claim: Claim,
+    *,
+    answers: dict[str, tuple[bool, float]],
+    silent: Iterable[str],
+    remembered: bool,
+    wait_s: float,
+    longest_work_s: float,
+) -> Verdict:
+    """Decide on the first announcement of an upstream to this host.
+
+    ``answers`` holds what the domain's other hosts said once asked to
+    release the upstream: whether they know it, and the age of their
+    process. ``silent`` hosts did not answer. ``remembered`` tells that this
+    host's own memory reaches back to its earlier work for the upstream.
+    """
+    left_s = wait_s - claim.previous_owner_age_s
+    if not claim.previous_owner:
+        if left_s > 0 and tuple(silent):
+            return Verdict(retry_after_s=left_s)
+        return Verdict()
+    if claim.previous_owner == claim.own_host:
+        return Verdict(unknown_work=not remembered)
+    if claim.previous_owner not in answers:
+        if left_s > 0:
+            return Verdict(retry_after_s=left_s)
+        return Verdict(unknown_work=True)
+    known, up_for_s = answers[claim.previous_owner]
+    reach_s = claim.previous_owner_age_s + wait_s + longest_work_s
+    return Verdict(unknown_work=not known and up_for_s <= reach_s)
--- /dev/null
+++ b/src/skylarkpitch/membership/service.py
@@ -0,0 +1,408 @@
+"""Take the announcements of upstreams and hand out their slots."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import hashlib
+import hmac
+import random
+import time
+from typing import Any
+
+from aiohttp import web
+import mode
+import structlog
+
+from skylarkpitch import errors
+from skylarkpitch.membership import announcements
+from skylarkpitch.membership import live_hosts
+from skylarkpitch.membership import owner as owners
+from skylarkpitch.membership import pool as pools
+from skylarkpitch.messages import membership as messages
+from skylarkpitch.peers import network
+from skylarkpitch import ports
+from skylarkpitch import sentinels
+from skylarkpitch.settings import deployment
+
+__all__ = ['LocalSlot', 'UpstreamMembership', 'UpstreamStatus']
+
+TOKEN_HEADER = 'Skylark-Announce-Token'
+MAX_BODY_BYTES = 16_384
+HELLO_INTERVAL_S = 0.5
+HELLO_TIMEOUT_S = 0.4
+RELEASE_TIMEOUT_S = 0.5
+TICK_S = 0.1
+DEFAULT_LEASE_S = 3.0
+DEFAULT_WORK_S = 300.0
+DEFAULT_DRIFT = 0.01
+HOLD_WEIGHT = 0.05
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamStatus:
+    """One upstream as the operators see it."""
+
+    name: str
+    service: str
+    state: str
+    slots: int
+    used: int
+    connections: int
+    owner: str
+
+
+class LocalSlot:
+    """One slot of an upstream that this host owns."""
+
+    def __init__(
+        self,
+        *,
+        held: pools.Held,
+        taken_s: float,
+        finish: Callable[[pools.Held, ports.Exchange, float], None],
+    ) -> None:
+        self.upstream = held.upstream.name
+        self.url = held.upstream.url
+        self.headers: dict[str, str] = {}
+        self._held = held
+        self._taken_s = taken_s
+        self._finish = finish
+
+    def finish(self, exchange: ports.Exchange, *, latency_s: float) -> None:
+        """Give the slot back and tell how the exchange ended."""
+        self._finish(self._held, exchange, self._taken_s)
+
+
+class UpstreamMembership(mode.Service):
+    """Own upstreams of the failure domain together with its other hosts."""
+
+    def __init__(
+        self,
+        *,
+        peers: network.Peers,
+        site_config: Callable[[], deployment.SiteConfig | sentinels.Absent],
+        drains: Callable[[], frozenset[str]],
+        announce_token_hash: str | None,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random,
+        announce_scheme: str = 'http',
+        **options: Any,
+    ) -> None:
+        own = peers.directory.own
+        self.pool = pools.Pool(rng=rng)
+        self.hosts = live_hosts.LiveHosts(own=own.name)
+        self.on_room: Callable[[str], None] = lambda service: None
+        self._peers = peers
+        self._site_config = site_config
+        self._token_hash = announce_token_hash
+        self._clock = clock
+        self._scheme = announce_scheme
+        self._others = tuple(
+            host.name
+            for host in peers.directory.in_failure_domain(own.failure_domain)
+            if host.name != own.name
+        )
+        self._holds_s: dict[str, float] = {}
+        self._owner = owners.Owner(
+            own=own.name,
+            hosts=self.hosts,
+            pool=self.pool,
+            drained=drains,
+            url_of=self._url_of,
+            ask_others=self._ask_others,
+            clock=clock,
+            rng=rng,
+        )
+        self._counts = dict.fromkeys(
+            ('announced', 'refused', 'unauthenticated', 'left', 'overload'), 0
+        )
+        peers.handle(messages.Hello, self._hello)
+        peers.handle(messages.Release, self._release)
+        peers.handle(messages.Leave, self._left)
+        super().__init__(**options)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that upstreams call."""
+        prefix = '/skylark/v1/upstreams'
+        return [
+            web.post(f'{prefix}/announce', self._announce),
+            web.post(f'{prefix}/leave', self._leave),
+        ]
+
+    def upstreams(self) -> list[UpstreamStatus]:
+        """Return the upstreams that this host owns, sorted by name."""
+        return [
+            UpstreamStatus(
+                name=item.name,
+                service=item.service,
+                state=item.state,
+                slots=item.slots.ceiling,
+                used=item.slots.in_use,
+                connections=item.slots.report.connections,
+                owner=self._peers.directory.own.name,
+            )
+            for item in self.pool.all()
+        ]
+
+    def counters(self) -> dict[str, float]:
+        """Return counts and the drain times of the last 100 drains."""
+        drains_s = [drain.took_s for drain in self.pool.drains]
+        upstreams = self.pool.all()
+        return {
+            **self._counts,
+            'upstreams': len(upstreams),
+            'slots': sum(u.slots.ceiling for u in upstreams),
+            'slots_in_use': sum(u.slots.in_use for u in upstreams),
+            'drains': len(drains_s),
+            'drain_last_s': drains_s[-1] if drains_s else 0.0,
+            'drain_longest_s': max(drains_s, default=0.0),
+        }
+
+    def domain_slots(self) -> dict[str, int]:
+        """Return the slots that the failure domain owns, by service."""
+        now_s = self._clock()
+        total = self.hosts.slots(now_s=now_s)
+        for service, count in self.pool.owned_slots(now_s=now_s).items():
+            total[service] = total.get(service, 0) + count
+        return total
+
+    def take(
+        self,
+        service: str,
+        *,
+        deadline_s: float,
+        exclude: frozenset[str] = frozenset(),
+        reserved: bool = False,
+    ) -> LocalSlot | sentinels.Absent:
+        """Take a slot of an upstream that this host owns."""
+        now_s = self._clock()
+        held = self.pool.take(
+            service,
+            now_s=now_s,
+            until_s=min(deadline_s, now_s + self._work_s(service)),
+            exclude=exclude,
+            reserved=reserved,
+        )
+        if not held:
+            return held
+        if held.upstream.slots.in_use > held.upstream.slots.ceiling:
+            self._counts['overload'] += 1
+        return LocalSlot(held=held, taken_s=now_s, finish=self._finish)
+
+    def hold_s(self, service: str) -> float | None:
+        """Return how long a call holds a slot, if any has ended here."""
+        return self._holds_s.get(service)
+
+    async def hand_over(self, *, timeout_s: float) -> bool:
+        """Send every upstream to another owner; running work goes on.
+
+        Returns False when some were still owned after ``timeout_s``.
+        """
+        self.hosts.stopping = True
+        ends_s = self._clock() + timeout_s
+        while self.pool.owned_slots(now_s=self._clock()):
+            if self._clock() >= ends_s:
+                return False
+            await asyncio.sleep(TICK_S)
+        return True
+
+    async def greet_others(self) -> None:
+        """Tell the domain's other hosts that this one lives."""
+        await asyncio.gather(*(self._greet(host) for host in self._others))
+
+    @mode.Service.timer(HELLO_INTERVAL_S)
+    async def _say_hello(self) -> None:
+        await self.greet_others()
+
+    @mode.Service.timer(TICK_S)
+    async def _tick(self) -> None:
+        self._owner.tick(terms=self._terms(None))
+        for service in self.pool.services():
+            self.on_room(service)
+
+    async def _greet(self, host: str) -> None:
+        answer = await self._peers.ask(
+            host,
+            messages.Hello(**self._own_state()),
+            timeout_s=HELLO_TIMEOUT_S,
+        )
+        if isinstance(answer, messages.HelloHeard):
+            self._heard(host, answer)
+
+    async def _hello(
+        self, sender: str, message: messages.Hello
+    ) -> messages.HelloHeard | None:
+        if sender not in self._others:
+            return None
+        self._heard(sender, message)
+        return messages.HelloHeard(**self._own_state())
+
+    def _heard(
+        self, host: str, message: messages.Hello | messages.HelloHeard
+    ) -> None:
+        self.hosts.heard(
+            host,
+            stopping=message.stopping,
+            slots=message.slots,
+            now_s=self._clock(),
+        )
+
+    def _own_state(self) -> dict[str, Any]:
+        return {
+            'stopping': self.hosts.stopping,
+            'slots': self.pool.owned_slots(now_s=self._clock()),
+        }
+
+    async def _release(
+        self, sender: str, message: messages.Release
+    ) -> messages.Released | None:
+        if sender not in self._others:
+            return None
+        return self._owner.asked_to_release(
+            message, lease_s=self._terms(None).lease_s
+        )
+
+    async def _left(
+        self, sender: str, message: messages.Leave
+    ) -> messages.Left | None:
+        if sender not in self._others:
+            return None
+        owned = self._owner.left(message.name, message.instance)
+        return messages.Left(owned=owned)
+
+    async def _ask_others(
+        self, message: messages.Release | messages.Leave
+    ) -> dict[str, messages.Released | None]:
+        answers = await asyncio.gather(
+            *(
+                self._peers.ask(host, message, timeout_s=RELEASE_TIMEOUT_S)
+                for host in self._others
+            )
+        )
+        return {
+            host: answer if isinstance(answer, messages.Released) else None
+            for host, answer in zip(self._others, answers, strict=True)
+        }
+
+    def _finish(
+        self, held: pools.Held, exchange: ports.Exchange, taken_s: float
+    ) -> None:
+        now_s = self._clock()
+        service = held.upstream.service
+        self.pool.finish(held, exchange, now_s=now_s)
+        if exchange is ports.Exchange.ANSWERED:
+            took_s = now_s - taken_s
+            mean_s = self._holds_s.setdefault(service, took_s)
+            self._holds_s[service] += (took_s - mean_s) * HOLD_WEIGHT
+        self.on_room(service)
+
+    def _url_of(self, host: str) -> str | None:
+        found = self._peers.directory.get(host)
+        if found is None or found.callers_address is None:
+            return None
+        return f'{self._scheme}://{found.callers_address}'
+
+    def _work_s(self, service: str) -> float:
+        config = self._site_config()
+        if not config or service not in config.services:
+            return DEFAULT_WORK_S
+        return config.services[service].deadline_s
+
+    def _terms(self, service: str | None) -> owners.Terms:
+        config = self._site_config()
+        if not config:
+            return owners.Terms(
+                lease_s=DEFAULT_LEASE_S,
+                drift=DEFAULT_DRIFT,
+                ramp_s=0.0,
+                longest_work_s=DEFAULT_WORK_S,
+            )
+        found = config.services.get(service or '')
+        return owners.Terms(
+            lease_s=config.policy.upstream_lease_s,
+            drift=config.policy.clock_drift_percent / 100,
+            ramp_s=0.0 if found is None else found.ramp_s,
+            longest_work_s=max(
+                item.deadline_s for item in config.services.values()
+            ),
+        )
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        item = await self._read(request, announcements.Announcement)
+        if isinstance(item, web.Response):
+            return item
+        config = self._site_config()
+        if not config:
+            return self._refuse(
+                503, 'state_stale', 'announce again in a second', 1.0
+            )
+        if item.service not in config.services:
+            return self._refuse(
+                400,
+                'service_unknown',
+                f'add service {item.service!r} to the base file or correct '
+                'the announcement',
+                5.0,
+            )
+        answer = await self._owner.announced(item, self._terms(item.service))
+        if isinstance(answer, owners.Refused):
+            return self._refuse(
+                answer.status,
+                answer.reason,
+                answer.remedy,
+                answer.retry_after_s,
+            )
+        self._counts['announced'] += 1
+        self.on_room(item.service)
+        return web.json_response(answer.model_dump())
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        item = await self._read(request, announcements.Leave)
+        if isinstance(item, web.Response):
+            return item
+        owned = self._owner.left(item.name, item.instance)
+        if not owned:
+            await self._ask_others(
+                messages.Leave(name=item.name, instance=item.instance)
+            )
+        self._counts['left'] += 1
+        _log.info('upstream_left', upstream=item.name, owned=owned)
+        return web.json_response({'left': True})
+
+    async def _read(self, request: web.Request, model: type) -> Any:
+        token = request.headers.get(TOKEN_HEADER, '').encode()
+        expected = self._token_hash or ''
+        given = hashlib.sha256(token).hexdigest()
+        if not expected or not hmac.compare_digest(given, expected):
+            self._counts['unauthenticated'] += 1
+            return self._refuse(
+                403,
+                'announce_token_wrong',
+                f'send the deployment token in {TOKEN_HEADER}, and set '
+                'announce_token_hash to its sha256 in the settings',
+                5.0,
+            )
+        try:
+            if (request.content_length or MAX_BODY_BYTES) >= MAX_BODY_BYTES:
+                raise errors.ValidationError(
+                    f'send Content-Length, less than {MAX_BODY_BYTES} bytes'
+                )
+            return announcements.parse(model, await request.json())
+        except (ValueError, RecursionError, errors.ValidationError) as error:
+            return self._refuse(400, 'announcement_invalid', str(error), 5.0)
+
+    def _refuse(
+        self, status: int, reason: str, remedy: str, retry_after_s: float
+    ) -> web.Response:
+        self._counts['refused'] += 1
+        _log.info('announcement_refused', reason=reason, status=status)
+        return web.json_response(
+            {
+                'reason': reason,
+                'remedy': remedy,
+                'retry_after_s': retry_after_s,
+            },
+            status=status,
+        )
--- /dev/null
+++ b/src/skylarkpitch/messages/membership.py
@@ -0,0 +1,65 @@
+"""Messages between the entry hosts of one failure domain."""
+
+from skylarkpitch.messages import codec
+
+__all__ = ['Hello', 'HelloHeard', 'Leave', 'Left', 'Release', 'Released']
+
+
+@codec.message('membership.hello')
+class Hello:
+    """Tell a host of the own failure domain that the sender lives.
+
+    ``slots`` counts the slots that the sender owns, by service.
+    """
+
+    stopping: bool
+    slots: dict[str, int]
+
+
+@codec.message('membership.hello_heard')
+class HelloHeard:
+    """Answer a :class:`Hello` with the same about the receiver."""
+
+    stopping: bool
+    slots: dict[str, int]
+
+
+@codec.message('membership.leave')
+class Leave:
+    """Pass on that a process of an upstream wants nothing new."""
+
+    name: str
+    instance: str
+
+
+@codec.message('membership.left')
+class Left:
+    """Tell whether the sender owned the upstream that leaves."""
+
+    owned: bool
+
+
+@codec.message('membership.release')
+class Release:
+    """Ask a host to give up an upstream that announces to the sender."""
+
+    name: str
+    instance: str
+    url: str
+
+
+@codec.message('membership.released')
+class Released:
+    """Tell that the sender hands out no slot of an upstream any more.
+
+    ``known`` is False when the sender has no memory of the upstream;
+    ``taken`` tells that it owns another upstream of that name or address
+    and gives nothing up. ``running`` slots are busy for at most
+    ``busy_for_s`` seconds. ``up_for_s`` is the age of the sender's process.
+    """
+
+    known: bool
+    taken: bool
+    running: int
+    busy_for_s: float
+    up_for_s: float
--- /dev/null
+++ b/src/skylarkpitch/steering/room.py
@@ -0,0 +1,387 @@
+"""Find a slot for each call: local first, then of other hosts."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+import secrets
+import time
+from typing import Any
+
+import mode
+import structlog
+
+from skylarkpitch import errors
+from skylarkpitch.membership import service as membership_service
+from skylarkpitch.messages import steering as messages
+from skylarkpitch.peers import directory as directories
+from skylarkpitch.peers import network
+from skylarkpitch import ports
+from skylarkpitch import sentinels
+from skylarkpitch.settings import deployment
+from skylarkpitch.steering import borrower as borrowers
+from skylarkpitch.steering import lender as lenders
+from skylarkpitch.steering import shares
+from skylarkpitch.steering import waiting_line
+
+__all__ = ['FleetRoom', 'LentSlot']
+
+BORROW_PAUSE_S = 0.02
+EXPIRE_S = 0.05
+SHORTEST_HOLD_S = 0.001
+SURVEY_S = 0.2
+
+_log = structlog.get_logger(__name__)
+
+
+class LentSlot:
+    """One slot that a redeemed ticket stood for."""
+
+    def __init__(self, *, slot: ports.Slot, ended: Callable[[], None]) -> None:
+        self.upstream = slot.upstream
+        self.url = slot.url
+        self.headers = slot.headers
+        self._slot = slot
+        self._ended = ended
+
+    def finish(self, exchange: ports.Exchange, *, latency_s: float) -> None:
+        """Give the slot back and tell how the exchange ended."""
+        self._ended()
+        self._slot.finish(exchange, latency_s=latency_s)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Wanted:
+    body_bytes: int
+    deadline_s: float
+    exclude: frozenset[str]
+    future: asyncio.Future
+
+
+class FleetRoom(mode.Service):
+    """Implement ``ports.Room`` over all hosts of the fleet."""
+
+    def __init__(
+        self,
+        *,
+        peers: network.Peers,
+        membership: membership_service.UpstreamMembership,
+        site_config: Callable[[], deployment.SiteConfig | sentinels.Absent],
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random,
+        new_ticket: Callable[[], str] = lambda: secrets.token_hex(16),
+        **options: Any,
+    ) -> None:
+        self._peers = peers
+        self._membership = membership
+        self._site_config = site_config
+        self._clock = clock
+        self._fleet = shares.FleetSlots()
+        self._lender = lenders.Lender(
+            place=_place(peers),
+            pool=membership.pool,
+            fleet=self._fleet,
+            new_ticket=new_ticket,
+        )
+        self._borrower = borrowers.Borrower(
+            peers=peers, fleet=self._fleet, clock=clock, rng=rng
+        )
+        self._lines: dict[str, waiting_line.WaitingLine] = {}
+        self._borrowing: dict[str, asyncio.Task[None]] = {}
+        self._counts = dict.fromkeys(
+            (
+                'taken_local',
+                'taken_remote',
+                'refused',
+                'refused_early',
+                'redeemed',
+                'tickets_unknown',
+                'cap_breaches',
+            ),
+            0,
+        )
+        membership.on_room = self._dispatch
+        peers.handle(messages.TicketRequest, self._lend)
+        peers.handle(messages.TicketReturn, self._returned)
+        super().__init__(**options)
+
+    async def take(
+        self,
+        *,
+        service: str,
+        caller: ports.Caller,
+        request_class: str,
+        body_bytes: int,
+        deadline_s: float,
+        exclude: frozenset[str],
+    ) -> ports.Slot | sentinels.Absent:
+        """Return a slot, or ``Absent`` with reason ``no_room``.
+
+        Waits in a bounded queue until the deadline or ``queue_s``; refuses
+        at once when the expected wait is longer than that.
+        """
+        config = self._site_config()
+        if not config or service not in config.services:
+            return sentinels.Absent('no_room', 'service unknown here')
+        self._borrower.configure(config)
+        line = self._line(service)
+        wanted = _Wanted(
+            body_bytes,
+            deadline_s,
+            exclude,
+            asyncio.get_running_loop().create_future(),
+        )
+        if not len(line.queue):
+            slot = self._take_now(service, wanted, config)
+            if slot is not None:
+                self._keep_tickets(service)
+                return slot
+        waiter = line.join(
+            flow=(caller.organisation or '', request_class),
+            weight=caller.weight,
+            item=wanted,
+            bounds=config.services[service],
+            deadline_s=deadline_s,
+            served_per_s=self._served_per_s(service),
+            now_s=self._clock(),
+        )
+        if not waiter:
+            self._counts['refused_early'] += 1
+            return waiter
+        self._keep_tickets(service)
+        return await self._wait(line, waiter, wanted.future)
+
+    def redeem(
+        self, ticket: str, *, now_s: float, deadline_s: float | None = None
+    ) -> ports.Slot | sentinels.Absent:
+        """Return the slot that a ticket stands for, once.
+
+        Returns ``Absent`` with reason ``ticket_unknown`` for a ticket that
+        is not out, or ``no_room`` when the upstreams behind it are gone;
+        nothing has run then.
+        """
+        lent = self._lender.redeem(ticket, now_s=now_s)
+        if not lent:
+            self._counts['tickets_unknown'] += 1
+            return lent
+        slot = self._membership.take(
+            lent.service,
+            deadline_s=now_s + 3600 if deadline_s is None else deadline_s,
+            reserved=True,
+        )
+        if not slot:
+            return slot
+        self._counts['redeemed'] += 1
+        self._lender.began(lent)
+        return LentSlot(slot=slot, ended=lambda: self._lender.ended(lent))
+
+    def stop_granting(self) -> None:
+        """Hand out no ticket any more; those handed out are honoured."""
+        self._lender.open = False
+
+    def counters(self) -> dict[str, float]:
+        """Return counts; overload and cap_breaches must stay 0."""
+        now_s = self._clock()
+        pool = self._membership.pool
+        services = pool.services()
+        outstanding = sum(
+            self._lender.office.outstanding(name) for name in services
+        )
+        return {
+            **self._counts,
+            **self._borrower.counts,
+            'overload': self._membership.counters()['overload'],
+            'running': sum(pool.in_use(name) for name in services),
+            'waiting': sum(len(x.queue) for x in self._lines.values()),
+            'room': sum(pool.free(name, now_s=now_s) for name in services),
+            'tickets_out': outstanding,
+        }
+
+    async def on_stop(self) -> None:
+        """Refuse the calls that wait."""
+        for task in self._borrowing.values():
+            task.cancel()
+
+    @mode.Service.timer(EXPIRE_S)
+    async def _expire(self) -> None:
+        for service in self._lender.expire(now_s=self._clock()):
+            self._dispatch(service)
+        self._borrower.give_back_idle()
+
+    @mode.Service.timer(SURVEY_S)
+    async def _survey(self) -> None:
+        await self._borrower.survey()
+
+    def _take_now(
+        self, service: str, wanted: _Wanted, config: deployment.SiteConfig
+    ) -> ports.Slot | None:
+        now_s = self._clock()
+        if self._lender.share_room(service, config=config, now_s=now_s) > 0:
+            slot = self._membership.take(
+                service, deadline_s=wanted.deadline_s, exclude=wanted.exclude
+            )
+            if slot:
+                self._counts['taken_local'] += 1
+                return slot
+        slot = self._borrower.take(
+            service, body_bytes=wanted.body_bytes, exclude=wanted.exclude
+        )
+        if slot is not None:
+            self._counts['taken_remote'] += 1
+        return slot
+
+    async def _wait(
+        self,
+        line: waiting_line.WaitingLine,
+        waiter: waiting_line.Waiter,
+        future: asyncio.Future,
+    ) -> ports.Slot | sentinels.Absent:
+        timeout_s = max(0.0, waiter.until_s - self._clock())
+        timer = asyncio.get_running_loop().call_later(
+            timeout_s, _refuse, future
+        )
+        try:
+            answer = await future
+        except asyncio.CancelledError:
+            _give_back(future)
+            raise
+        finally:
+            timer.cancel()
+            line.leave(waiter)
+        if not answer:
+            self._counts['refused'] += 1
+        return answer
+
+    def _dispatch(self, service: str) -> None:
+        line = self._lines.get(service)
+        config = self._site_config()
+        if line is None or not config:
+            return
+        while len(line.queue):
+            if not line.serve(
+                lambda wanted: self._offer(service, wanted, config)
+            ):
+                return
+
+    def _offer(
+        self, service: str, wanted: _Wanted, config: deployment.SiteConfig
+    ) -> bool:
+        if wanted.future.done():
+            return True
+        slot = self._take_now(service, wanted, config)
+        if slot is None:
+            return False
+        wanted.future.set_result(slot)
+        return True
+
+    def _keep_tickets(self, service: str) -> None:
+        running = self._borrowing.get(service)
+        if running is not None and not running.done():
+            return
+        waiting = len(self._line(service).queue)
+        if waiting or self._borrower.needs_more(service):
+            self._borrowing[service] = asyncio.create_task(
+                self._borrow(service)
+            )
+
+    async def _borrow(self, service: str) -> None:
+        line = self._line(service)
+        while len(line.queue) or self._borrower.needs_more(service):
+            waiting = len(line.queue)
+            got = await self._borrower.borrow(service, waiting=waiting)
+            self._dispatch(service)
+            if not got:
+                await asyncio.sleep(BORROW_PAUSE_S)
+
+    async def _lend(
+        self, sender: str, message: messages.TicketRequest
+    ) -> messages.TicketGrant | None:
+        config = self._site_config()
+        host = self._peers.directory.get(sender)
+        if not config or host is None:
+            return None
+        now_s = self._clock()
+        return messages.TicketGrant(
+            tickets=self._granted(message, host, config, now_s),
+            expires_in_s=config.policy.credit_lease_s,
+            domain_slots=self._membership.domain_slots(),
+        )
+
+    def _granted(
+        self,
+        message: messages.TicketRequest,
+        host: directories.Host,
+        config: deployment.SiteConfig,
+        now_s: float,
+    ) -> tuple[str, ...]:
+        line = self._lines.get(message.service)
+        if message.wanted < 1 or (line is not None and len(line.queue)):
+            return ()
+        try:
+            return self._lender.grant(
+                message.service,
+                borrower=lenders.Borrower(
+                    host=host.name,
+                    region=host.region,
+                    failure_domain=host.failure_domain,
+                ),
+                wanted=message.wanted,
+                config=config,
+                now_s=now_s,
+            )
+        except errors.InvariantError as error:
+            self._counts['cap_breaches'] += 1
+            _log.error('cap_breach', error=str(error))
+            return ()
+
+    async def _returned(
+        self, sender: str, message: messages.TicketReturn
+    ) -> None:
+        services = self._lender.returned(message.tickets, borrower=sender)
+        for service in services:
+            self._dispatch(service)
+
+    def _line(self, service: str) -> waiting_line.WaitingLine:
+        if service not in self._lines:
+            self._lines[service] = waiting_line.WaitingLine(drop=_put_out)
+        return self._lines[service]
+
+    def _served_per_s(self, service: str) -> float | None:
+        hold_s = self._membership.hold_s(service)
+        if hold_s is None:
+            return None
+        running = self._membership.pool.in_use(service)
+        running += self._borrower.running(service)
+        return running / max(hold_s, SHORTEST_HOLD_S)
+
+
+def _refuse(future: asyncio.Future) -> None:
+    if not future.done():
+        future.set_result(
+            sentinels.Absent('no_room', 'none came free in time')
+        )
+
+
+def _put_out(wanted: _Wanted) -> None:
+    if not wanted.future.done():
+        wanted.future.set_result(
+            sentinels.Absent('no_room', 'others have waited for less')
+        )
+
+
+def _give_back(future: asyncio.Future) -> None:
+    if future.done() and not future.cancelled():
+        slot = future.result()
+        if slot:
+            slot.finish(ports.Exchange.NOT_SENT, latency_s=0.0)
+
+
+def _place(peers: network.Peers) -> lenders.Place:
+    directory = peers.directory
+    own = directory.own
+    return lenders.Place(
+        region=own.region,
+        failure_domain=own.failure_domain,
+        domain_hosts=len(directory.in_failure_domain(own.failure_domain)),
+        region_hosts=len(directory.in_region(own.region)),
+    )
--- /dev/null
+++ b/src/skylarkpitch/steering/shift.py
@@ -0,0 +1,77 @@
+"""Bound how fast calls of other regions may grow in number here.
+
+Caches for the callers of another region are cold, so the number of its
+calls that run at once grows by a bounded rate over the recent peak.
+"""
+
+from skylarkpitch import errors
+
+__all__ = ['ShiftRamp', 'host_rate_per_s']
+
+PEAK_BUCKET_S = 5.0
+BURST_S = 0.2
+
+
+def host_rate_per_s(
+    *, shift_percent_per_s: float, fleet_slots: int, region_hosts: int
+) -> float:
+    """Return the growth, in calls a second, that one lender may allow.
+
+    Summed over the region's hosts this is the configured percentage of the
+    fleet's slots a second.
+    """
+    per_s = shift_percent_per_s / 100 * fleet_slots
+    return per_s / max(1, region_hosts)
+
+
+class ShiftRamp:
+    """Allow a level to grow by at most a rate over its recent peak.
+
+    Within any one second the peak grows by at most the rate, or by one
+    call where that is more. The peak is the highest level of the last 5 to
+    10 seconds.
+    """
+
+    def __init__(self, *, now_s: float) -> None:
+        self._peaks = [0, 0]
+        self._bucket_s = now_s
+        self._tokens = 0.0
+        self._filled_s = now_s
+        self._burst = 1.0
+
+    def room(self, level: int, *, rate_per_s: float, now_s: float) -> int:
+        """Return by how many calls the level may grow now."""
+        self._roll(level, now_s)
+        self._fill(rate_per_s, now_s)
+        return max(0, max(self._peaks) - level) + int(self._tokens)
+
+    def grow(self, level: int) -> None:
+        """Take it that the level has grown, within :meth:`room`.
+
+        Raises ``InvariantError`` when it has grown past that.
+        """
+        above = level - max(self._peaks)
+        if above <= 0:
+            return
+        if above > self._tokens + 1e-9:
+            raise errors.InvariantError(
+                f'calls of other regions grew to {level}, {above} over the '
+                'recent peak and past the cap; report this as a defect'
+            )
+        self._tokens -= above
+        self._peaks[0] = level
+
+    def _roll(self, level: int, now_s: float) -> None:
+        age_s = now_s - self._bucket_s
+        if age_s < PEAK_BUCKET_S:
+            return
+        kept = self._peaks[0] if age_s < 2 * PEAK_BUCKET_S else level
+        self._peaks = [level, kept]
+        self._bucket_s = now_s
+
+    def _fill(self, rate_per_s: float, now_s: float) -> None:
+        self._burst = max(1.0, rate_per_s * BURST_S)
+        refill_per_s = max(rate_per_s - self._burst, rate_per_s * BURST_S)
+        gained = (now_s - self._filled_s) * refill_per_s
+        self._tokens = min(self._burst, self._tokens + max(0.0, gained))
+        self._filled_s = now_s
