Carry requests end to end, and claim operations by majority

The request path admits a call, reads its body within bounds, spends the rate, claims an operation that must run at most once, takes a slot and runs one exchange. The ledger's registers, its claimer, and the copying after a restart or a change of members are pure; mode services wrap them.

Policy gains ledger_opened_at_s: the wall-clock time up to which operators vouch that no caller's own id will be sent again; without it a ledger that starts without memory refuses such ids for the retention.

--- a/src/skylarkpitch/ports.py
+++ b/src/skylarkpitch/ports.py
@@ -106,11 +106,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Recorded:
-    """The operation ran before; this is its whole answer."""
+    """The operation ran before; this is its answer.
+
+    ``whole`` is False when the body was too large to keep.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    whole: bool = True
 
 
 class Ledger(Protocol):
@@ -128,7 +132,8 @@
 
         Waits while another holder runs the operation. ``Absent`` reasons:
         ``id_reused``, ``id_expired``, ``outcome_unknown``,
-        ``ledger_unreachable``, ``deadline_exceeded``.
+        ``ledger_unreachable``, ``still_running``, ``deadline_exceeded``,
+        ``request_malformed``.
         """
 
     def record(self, claimed: Claimed, answer: Recorded) -> Awaitable[None]:
--- /dev/null
+++ b/src/skylarkpitch/requests/headers.py
@@ -0,0 +1,117 @@
+"""Choose which headers pass between callers and upstreams.
+
+Hop-by-hop headers (RFC 9110, 7.6.1), those that ``Connection`` names, and
+every ``Skylark-`` header stay behind in both directions; the headers that
+the system itself promises are added afterwards.
+"""
+
+from collections.abc import Iterable
+
+import multidict
+
+from skylarkpitch import sentinels
+
+__all__ = [
+    'CONTENT_LENGTH',
+    'DEADLINE_HEADER',
+    'ID_HEADER',
+    'KEY_HEADER',
+    'ORGANISATION_HEADER',
+    'REPLAYED_HEADER',
+    'TARGET_HEADER',
+    'TICKET_HEADER',
+    'check_framing',
+    'end_to_end',
+]
+
+KEY_HEADER = 'Skylark-Key'
+ID_HEADER = 'Idempotency-Key'
+DEADLINE_HEADER = 'Skylark-Deadline-Ms'
+ORGANISATION_HEADER = 'Skylark-Organisation'
+TICKET_HEADER = 'Skylark-Ticket'
+TARGET_HEADER = 'Skylark-Relay-Target'
+REPLAYED_HEADER = 'Skylark-Replayed'
+CONTENT_LENGTH = 'Content-Length'
+
+_OWN_PREFIX = 'skylark-'
+_HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'expect',
+        'host',
+        'http2-settings',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+_SINGLE = (
+    'Host',
+    CONTENT_LENGTH,
+    'Transfer-Encoding',
+    KEY_HEADER,
+    ID_HEADER,
+    DEADLINE_HEADER,
+)
+
+Pairs = tuple[tuple[str, str], ...]
+
+
+def end_to_end(headers: multidict.CIMultiDictProxy[str]) -> Pairs:
+    """Return the headers that may pass on, in order."""
+    named = _named_by_connection(headers.getall('Connection', ()))
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if not _stays(name.lower(), named)
+    )
+
+
+def _named_by_connection(values: Iterable[str]) -> frozenset[str]:
+    names = (name for value in values for name in value.split(','))
+    return frozenset(name.strip().lower() for name in names)
+
+
+def _stays(name: str, named: frozenset[str]) -> bool:
+    # A caller must not make us drop the length of its own body.
+    if name == 'content-length':
+        return False
+    return name in _HOP_BY_HOP or name in named or name.startswith(_OWN_PREFIX)
+
+
+def check_framing(
+    headers: multidict.CIMultiDictProxy[str], *, version_minor: int = 1
+) -> None | sentinels.Absent:
+    """Refuse headers whose end of message could be read in two ways.
+
+    Returns ``Absent`` with ``request_malformed`` for doubled headers, for
+    a length beside a transfer coding, for any coding but ``chunked``, and
+    for a length that is not plain digits.
+    """
+    for name in _SINGLE:
+        if len(headers.getall(name, ())) > 1:
+            return _malformed(f'{name} is given more than once')
+    coding = headers.get('Transfer-Encoding')
+    length = headers.get(CONTENT_LENGTH)
+    if coding is not None and length is not None:
+        return _malformed('Content-Length stands beside Transfer-Encoding')
+    if coding is not None and coding.strip().lower() != 'chunked':
+        return _malformed('Transfer-Encoding is not chunked')
+    if coding is not None and version_minor < 1:
+        return _malformed('HTTP/1.0 has no Transfer-Encoding')
+    if length is not None and not _is_digits(length):
+        return _malformed('Content-Length is not a number')
+    return None
+
+
+def _is_digits(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) < 19
+
+
+def _malformed(what: str) -> sentinels.Absent:
+    return sentinels.Absent('request_malformed', what)
--- /dev/null
+++ b/src/skylarkpitch/requests/ledger_service.py
@@ -0,0 +1,368 @@
+"""Claim operations at a majority of their home region's ledger members.
+
+The service is claimer for the calls of its own host and a member of the
+ledgers that name its host. See :mod:`skylarkpitch.requests.ledger`.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import itertools
+import math
+import random
+import time
+from typing import Any
+
+import mode
+import structlog
+
+from skylarkpitch import errors
+from skylarkpitch.messages import requests as messages
+from skylarkpitch.peers import network
+from skylarkpitch import ports
+from skylarkpitch.requests import claims
+from skylarkpitch.requests import ledger
+from skylarkpitch.requests import ledger_members
+from skylarkpitch.requests import operation_ids
+from skylarkpitch import sentinels
+
+__all__ = ['OperationLedger']
+
+ASK_TIMEOUT_S = 1.0
+UNREACHABLE_RETRY_S = 1.0
+LEASE_MARGIN_S = 5.0
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 0.25
+SETTLE_TRIES = 4
+
+_log = structlog.get_logger(__name__)
+
+_REASONS = {
+    claims.Verdict.REUSED: 'id_reused',
+    claims.Verdict.UNKNOWN: 'outcome_unknown',
+    claims.Verdict.EXPIRED: 'id_expired',
+    claims.Verdict.FULL: 'ledger_unreachable',
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Won(ports.Claimed):
+    """A claim that was won, with what its end has to name."""
+
+    region: str
+    register: messages.Register
+
+
+class OperationLedger(mode.Service):
+    """Claim operations, and keep the registers of this host's ledgers."""
+
+    def __init__(
+        self,
+        *,
+        peers: network.Peers,
+        region: str,
+        members: Callable[[str], tuple[str, ...]],
+        epoch: Callable[[], int],
+        retention_s: Callable[[], float],
+        opened_s: Callable[[], float] = lambda: 0.0,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+        rng: random.Random | None = None,
+        **options: Any,
+    ) -> None:
+        self._peers = peers
+        self._own = peers.directory.own.name
+        self._region = region
+        self._list_of = members
+        self._epoch = epoch
+        self._retention_s = retention_s
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._rng = rng or random.Random()
+        self._started_s = wall_clock()
+        self._start_id = f'{self._own}.{int(self._started_s * 1e6)}'
+        self._numbers = itertools.count(1)
+        self._unsettled: set[str] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._counts = {'won': 0, 'replayed': 0, 'refused': 0, 'rounds': 0}
+        self._members = ledger_members.LedgerMembers(
+            peers=peers,
+            members=members,
+            epoch=epoch,
+            retention_s=retention_s,
+            opened_s=opened_s,
+            clock=clock,
+            wall_clock=wall_clock,
+        )
+        super().__init__(**options)
+
+    async def on_start(self) -> None:
+        """Open the registers of this host's ledgers."""
+        await self.add_runtime_dependency(self._members)
+
+    async def on_stop(self) -> None:
+        """Stop what is still being told to members."""
+        for task in self._tasks:
+            task.cancel()
+
+    def id_prefix(self) -> str:
+        """Return the prefix that a caller completes with a unique part."""
+        # Members that started with this host vote on ids from then on.
+        earliest_s = math.ceil(self._started_s + operation_ids.CLOCK_SKEW_S)
+        return operation_ids.issue_prefix(
+            region=self._region, wall_s=max(earliest_s, self._wall_clock())
+        )
+
+    def counters(self) -> dict[str, float]:
+        """Return ends of claims, and what this host's registers hold."""
+        return {**self._counts, **self._members.counters()}
+
+    async def claim(
+        self,
+        *,
+        organisation: str,
+        operation_id: str,
+        fingerprint: bytes,
+        deadline_s: float,
+    ) -> ports.Claimed | ports.Recorded | sentinels.Absent:
+        """Claim before the first byte leaves; see ``ports.Ledger``."""
+        parsed = operation_ids.parse(
+            operation_id, organisation=organisation, regions=self._regions()
+        )
+        if parsed.issued_s is not None and ledger.is_expired(
+            parsed.issued_s,
+            wall_s=self._wall_clock(),
+            retention_s=self._retention_s(),
+        ):
+            return self._refuse('id_expired')
+        started_s = self._clock()
+        pause_s = FIRST_PAUSE_S
+        while True:
+            asked = self._question(parsed, organisation, fingerprint)
+            asked = dataclasses.replace(
+                asked, lease_s=self._lease_s(deadline_s)
+            )
+            tally, verdict = await self._round(asked, deadline_s)
+            if verdict is claims.Verdict.WON:
+                return self._win(asked)
+            end = self._end(verdict, tally)
+            if end is not None:
+                return end
+            now_s = self._clock()
+            if now_s + pause_s >= deadline_s:
+                return self._give_up(verdict, parsed)
+            if (
+                verdict in (claims.Verdict.UNREACHABLE, claims.Verdict.LOST)
+                and now_s - started_s >= UNREACHABLE_RETRY_S
+            ):
+                return self._give_up(verdict, parsed)
+            await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    async def record(
+        self, claimed: ports.Claimed, answer: ports.Recorded
+    ) -> None:
+        """Keep the answer for resends."""
+        kept = answer.whole and len(answer.body) <= ledger.MAX_ANSWER_BYTES
+        await self._settle(
+            claimed,
+            state=ledger.State.RECORDED.value,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body if kept else b'',
+            whole=kept,
+        )
+
+    async def release(self, claimed: ports.Claimed) -> None:
+        """Give the claim back; only when no byte of the request left."""
+        await self._settle(claimed, state=ledger.State.RELEASED.value)
+
+    async def lose(self, claimed: ports.Claimed) -> None:
+        """Mark the outcome as unknown; the operation never runs again."""
+        await self._settle(claimed, state=ledger.State.UNKNOWN.value)
+
+    def _regions(self) -> set[str]:
+        return {host.region for host in self._peers.directory.all()}
+
+    def _lease_s(self, deadline_s: float) -> float:
+        return max(0.0, deadline_s - self._clock()) + LEASE_MARGIN_S
+
+    def _question(
+        self,
+        parsed: operation_ids.OperationId,
+        organisation: str,
+        fingerprint: bytes,
+    ) -> messages.Claim:
+        return messages.Claim(
+            region=parsed.region,
+            epoch=self._epoch(),
+            members=self._list_of(parsed.region),
+            organisation=organisation,
+            operation_id=parsed.text,
+            token=f'{self._start_id}.{next(self._numbers)}',
+            fingerprint=fingerprint,
+            lease_s=0.0,
+        )
+
+    async def _round(
+        self, asked: messages.Claim, deadline_s: float
+    ) -> tuple[claims.Tally, claims.Verdict]:
+        """Ask all members at once; give back the grants of a lost round."""
+        self._counts['rounds'] += 1
+        tally = claims.Tally(
+            members=asked.members, fingerprint=asked.fingerprint
+        )
+        timeout_s = min(ASK_TIMEOUT_S, deadline_s - self._clock())
+        verdict = claims.Verdict.UNREACHABLE
+        if not asked.members or timeout_s <= 0:
+            return tally, verdict
+        pending = [
+            self._spawn(self._ask(name, asked, timeout_s))
+            for name in asked.members
+        ]
+        try:
+            for next_vote in asyncio.as_completed(pending):
+                tally.add(*await next_vote)
+                verdict = tally.verdict()
+                if verdict is not None:
+                    break
+        finally:
+            if verdict is not claims.Verdict.WON:
+                self._spawn(self._give_back(asked, pending))
+        return tally, verdict
+
+    async def _ask(
+        self, name: str, asked: messages.Claim, timeout_s: float
+    ) -> tuple[str, messages.Vote | None]:
+        if name == self._own:
+            return name, self._members.vote(asked)
+        vote = await self._peers.ask(name, asked, timeout_s=timeout_s)
+        return name, None if sentinels.is_absent(vote) else vote
+
+    async def _give_back(
+        self, asked: messages.Claim, pending: list[asyncio.Task[Any]]
+    ) -> None:
+        votes = await asyncio.gather(*pending)
+        written = tuple(
+            name
+            for name, vote in votes
+            if vote is None or vote.outcome == ledger.Outcome.GRANTED
+        )
+        register = _register(asked, ledger.State.RELEASED.value)
+        await self._tell(asked.region, written, register)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _win(self, asked: messages.Claim) -> ports.Claimed:
+        self._counts['won'] += 1
+        self._unsettled.add(asked.token)
+        return _Won(
+            operation_id=asked.operation_id,
+            region=asked.region,
+            register=_register(asked, ledger.State.CLAIMED.value),
+        )
+
+    def _end(
+        self,
+        verdict: claims.Verdict,
+        tally: claims.Tally,
+    ) -> ports.Recorded | sentinels.Absent | None:
+        """Return the end of a claim, or None when it may be tried again."""
+        if verdict is claims.Verdict.RECORDED:
+            self._counts['replayed'] += 1
+            register = tally.register()
+            return ports.Recorded(
+                status=register.status,
+                headers=register.headers,
+                body=register.body,
+                whole=register.whole,
+            )
+        if verdict in _REASONS:
+            return self._refuse(_REASONS[verdict])
+        return None
+
+    def _give_up(
+        self, verdict: claims.Verdict, parsed: operation_ids.OperationId
+    ) -> sentinels.Absent:
+        if verdict is claims.Verdict.HELD:
+            return self._refuse('still_running')
+        if verdict is claims.Verdict.LOST and parsed.issued_s is not None:
+            return self._refuse(
+                'id_expired', 'the record from before a restart was lost'
+            )
+        return self._refuse('ledger_unreachable')
+
+    def _refuse(self, reason: str, detail: str = '') -> sentinels.Absent:
+        self._counts['refused'] += 1
+        return sentinels.Absent(reason, detail)
+
+    async def _settle(self, claimed: ports.Claimed, **changes: Any) -> None:
+        won = claimed
+        if not isinstance(won, _Won) or (
+            won.register.token not in self._unsettled
+        ):
+            raise errors.InvariantError(
+                f'operation {claimed.operation_id!r} is settled twice or '
+                'was not claimed here; settle each claim once'
+            )
+        self._unsettled.discard(won.register.token)
+        register = dataclasses.replace(won.register, **changes)
+        members = self._list_of(won.region)
+        await self._tell(won.region, members, register)
+
+    async def _tell(
+        self,
+        region: str,
+        members: tuple[str, ...],
+        register: messages.Register,
+    ) -> None:
+        """Tell all members, and again those that did not answer."""
+        settle = messages.Settle(region=region, register=register)
+        left = list(members)
+        for attempt in range(SETTLE_TRIES):
+            told = await asyncio.gather(
+                *(self._tell_one(name, settle) for name in left)
+            )
+            left = [
+                name for name, ok in zip(left, told, strict=True) if not ok
+            ]
+            if not left:
+                return
+            await asyncio.sleep(LONGEST_PAUSE_S * (attempt + 1))
+        _log.warning(
+            'operation_not_settled_everywhere',
+            region=region,
+            state=register.state,
+            members=left,
+        )
+
+    def _tell_one(self, name: str, settle: messages.Settle) -> Awaitable[bool]:
+        if name == self._own:
+            self._members.settle(settle)
+            return _true()
+        return self._tell_peer(name, settle)
+
+    async def _tell_peer(self, name: str, settle: messages.Settle) -> bool:
+        answer = await self._peers.ask(name, settle, timeout_s=ASK_TIMEOUT_S)
+        return not sentinels.is_absent(answer)
+
+
+async def _true() -> bool:
+    return True
+
+
+def _register(asked: messages.Claim, state: str) -> messages.Register:
+    return messages.Register(
+        organisation=asked.organisation,
+        operation_id=asked.operation_id,
+        token=asked.token,
+        fingerprint=asked.fingerprint,
+        state=state,
+        lease_s=asked.lease_s,
+    )
--- /dev/null
+++ b/src/skylarkpitch/requests/operation_ids.py
@@ -0,0 +1,84 @@
+"""Name operations: ids issued with the look-up, and ids of callers' own.
+
+An issued id is ``<home region>.<issue time in s, base 36>.<unique part>``.
+Any other id is the caller's own choice and tells nothing of its age.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import hashlib
+
+from skylarkpitch import sentinels
+
+__all__ = ['OperationId', 'issue_prefix', 'parse', 'problem']
+
+MAX_ID_CHARS = 200
+CLOCK_SKEW_S = 5.0
+_DIGITS = '0123456789abcdefghijklmnopqrstuvwxyz'
+_MAX_TIME_DIGITS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OperationId:
+    """An id's home region and issue time; None for a caller's own id."""
+
+    text: str
+    region: str
+    issued_s: float | None
+
+
+def issue_prefix(*, region: str, wall_s: float) -> str:
+    """Return the prefix that a caller completes with a unique part."""
+    return f'{region}.{_base36(int(wall_s))}.'
+
+
+def problem(text: str) -> sentinels.Absent | None:
+    """Return ``Absent`` with ``request_malformed`` unless it is an id."""
+    if 0 < len(text) <= MAX_ID_CHARS and _is_visible(text):
+        return None
+    return sentinels.Absent(
+        'request_malformed',
+        f'Idempotency-Key needs 1 to {MAX_ID_CHARS} visible ASCII characters',
+    )
+
+
+def parse(
+    text: str, *, organisation: str, regions: Iterable[str]
+) -> OperationId:
+    """Return the parts of an id that has no problem.
+
+    The home region of a caller's own id is the one that comes first in
+    rendezvous order (Thaler and Ravishankar, 1998) of (organisation, id).
+    """
+    known = sorted(regions)
+    region, _, rest = text.partition('.')
+    digits, dot, unique = rest.partition('.')
+    if region in known and dot and unique and _is_time(digits):
+        return OperationId(
+            text=text, region=region, issued_s=float(int(digits, 36))
+        )
+    home = max(known, key=lambda name: _rank(name, organisation, text))
+    return OperationId(text=text, region=home, issued_s=None)
+
+
+def _is_visible(text: str) -> bool:
+    return all('!' <= char <= '~' for char in text)
+
+
+def _is_time(digits: str) -> bool:
+    return 0 < len(digits) <= _MAX_TIME_DIGITS and all(
+        digit in _DIGITS for digit in digits
+    )
+
+
+def _base36(number: int) -> str:
+    digits = ''
+    while number:
+        number, digit = divmod(number, 36)
+        digits = _DIGITS[digit] + digits
+    return digits or '0'
+
+
+def _rank(region: str, organisation: str, text: str) -> bytes:
+    parts = '\0'.join((region, organisation, text)).encode()
+    return hashlib.blake2b(parts, digest_size=16).digest()
--- a/src/skylarkpitch/requests/refusals.py
+++ b/src/skylarkpitch/requests/refusals.py
@@ -11,12 +11,15 @@
 
 import msgspec
 
+from skylarkpitch import sentinels
+
 __all__ = [
     'OUTCOME_HEADER',
     'REASON_HEADER',
     'REFUSALS',
     'Outcome',
     'Refusal',
+    'from_absent',
     'refusal',
 ]
 
@@ -67,10 +70,13 @@
     (401, 'key_missing', _NOT_RUN, 'send the key in Skylark-Key'),
     (401, 'key_malformed', _NOT_RUN, 'send the key as it was issued'),
     (401, 'key_unknown', _NOT_RUN, 'ask the operators for a new key'),
+    (408, 'body_timeout', _NOT_RUN, 'send the whole body sooner'),
+    (400, 'caller_gone', _NOT_RUN, 'send the whole request again'),
     (404, 'route_unknown', _NOT_RUN, 'check service, path and method'),
     (409, 'id_reused', _NOT_RUN, 'use a new Idempotency-Key'),
+    (409, 'answer_not_kept', _UNKNOWN, 'read the result by other means'),
     (409, 'outcome_unknown', _UNKNOWN, 'check the outcome by other means'),
-    (410, 'id_expired', _NOT_RUN, 'use a new Idempotency-Key'),
+    (410, 'id_expired', _NOT_RUN, 'look up a new id for a new operation'),
     (413, 'body_too_large', _NOT_RUN, 'send a smaller body'),
     (422, 'crash_suspect', _NOT_RUN, 'do not send this request again'),
     (429, 'rate_exceeded', _NOT_RUN, 'send again after Retry-After'),
@@ -84,6 +90,7 @@
     (503, 'ledger_unreachable', _NOT_RUN, 'send again with the same id'),
     (503, 'host_busy', _NOT_RUN, 'look up another entry host'),
     (504, 'deadline_exceeded', _NOT_RUN, 'allow more time'),
+    (504, 'still_running', _UNKNOWN, 'send again with the same id'),
     (504, 'upstream_timeout', _UNKNOWN, 'send again with the same id'),
 )
 
@@ -116,3 +123,56 @@
         remedy=remedy,
         retry_after_s=retry_after_s,
     )
+
+
+_MESSAGES = {
+    'answer_not_kept': 'the operation ran; its answer was too large to keep',
+    'body_timeout': 'the body did not arrive in time',
+    'body_too_large': 'the body is over the limit of this host',
+    'caller_gone': 'the body ended before its announced length',
+    'crash_suspect': 'upstreams died while running this request',
+    'deadline_exceeded': 'the deadline passed before the request could run',
+    'host_busy': 'this host runs as many calls as it may',
+    'id_expired': (
+        'the id is older than the record of operations, which cannot tell '
+        'whether an earlier request with it ran'
+    ),
+    'id_reused': 'another request was sent with this id before',
+    'key_lease_expired': 'this host cannot tell which keys are withdrawn',
+    'key_malformed': 'the key is not of the form that is issued',
+    'key_missing': 'this route needs a key',
+    'key_unknown': 'the key was never issued or is withdrawn',
+    'ledger_unreachable': 'too few hosts that record operations answered',
+    'no_room': 'no upstream has room for the request',
+    'outcome_unknown': 'an earlier request with this id may have run',
+    'rate_exceeded': 'the rate and burst of the organisation are used up',
+    'route_unknown': 'no route covers this path and method',
+    'state_stale': 'this host has no confirmed configuration',
+    'still_running': 'an earlier request with this id is still running',
+    'stopping': 'this host is stopping',
+}
+
+
+def from_absent(absent: sentinels.Absent) -> Refusal:
+    """Return the refusal for a subsystem's ``Absent``.
+
+    The detail of ``rate_exceeded`` and ``no_room`` is the retry-after time
+    in seconds; any other detail goes into the message. An unknown reason
+    reads as ``host_busy``.
+    """
+    reason = absent.reason if absent.reason in REFUSALS else 'host_busy'
+    message = _MESSAGES.get(reason, reason)
+    retry_after_s = None
+    if reason in ('rate_exceeded', 'no_room'):
+        retry_after_s = _seconds(absent.detail)
+    elif absent.detail:
+        message = f'{message}: {absent.detail}'
+    return refusal(reason, message, retry_after_s=retry_after_s)
+
+
+def _seconds(text: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 1.0
+    return seconds if 0 <= seconds < 86_400 else 1.0
--- a/src/skylarkpitch/settings/deployment.py
+++ b/src/skylarkpitch/settings/deployment.py
@@ -95,6 +95,7 @@
     ledger_retention_s: float = pydantic.Field(
         default=86_400.0, ge=60, le=2_592_000
     )
+    ledger_opened_at_s: float = pydantic.Field(default=0.0, ge=0)
     crash_quarantine_s: float = pydantic.Field(default=300.0, ge=1, le=86_400)
     cut_off_serving: bool = False
 
@@ -214,6 +215,7 @@
     ledger_retention_s: float
     crash_quarantine_s: float
     cut_off_serving: bool
+    ledger_opened_at_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/tests/test_ledger_service.py
@@ -0,0 +1,221 @@
+"""Tests of claims over several hosts, with restarts and cuts."""
+
+import asyncio
+import contextlib
+import random
+import time
+
+import pytest
+
+from skylarkpitch import errors
+from skylarkpitch import ports
+from skylarkpitch.requests import ledger_service
+from skylarkpitch import sentinels
+from tests.stand_ins import fake_peers
+
+HOSTS = ('h1', 'h2', 'h3', 'h4')
+ANSWER = ports.Recorded(status=201, headers=(('X-No', '7'),), body=b'ok')
+
+
+class Fleet:
+    """Hosts of region r1, of which the first three record operations."""
+
+    def __init__(self):
+        self.network = fake_peers.FakeNetwork(
+            hosts=[fake_peers.host(name) for name in HOSTS]
+        )
+        self.members = ('h1', 'h2', 'h3')
+        self.epoch = 1
+        self.opened_s = 10**12
+        self.wall_shift_s = 0.0
+        self.services = {}
+
+    async def start(self, *names):
+        """Start hosts anew, without any memory."""
+        for name in names:
+            await self.stop(name)
+            self.services[name] = ledger_service.OperationLedger(
+                peers=self.network.join(name),
+                region='r1',
+                members=lambda region: self.members,
+                epoch=lambda: self.epoch,
+                retention_s=lambda: 600.0,
+                opened_s=lambda: self.opened_s,
+                wall_clock=lambda: time.time() + self.wall_shift_s,
+                rng=random.Random(name),
+            )
+        for name in names:
+            await self.services[name].start()
+
+    async def stop(self, name):
+        if name in self.services:
+            self.network._peers.pop(name, None)
+            await self.services.pop(name).stop()
+
+    async def synced(self, *names):
+        """Run copy rounds until they change nothing more."""
+        for _ in range(3):
+            for name in names:
+                await self.services[name]._members.sync()
+
+    async def claim(self, name, operation_id='i1', body=b'f', wait_s=0.3):
+        return await self.services[name].claim(
+            organisation='org',
+            operation_id=operation_id,
+            fingerprint=body,
+            deadline_s=time.monotonic() + wait_s,
+        )
+
+
+@contextlib.asynccontextmanager
+async def fleet(*names):
+    made = Fleet()
+    await made.start(*names)
+    await made.synced(*names)
+    try:
+        yield made
+    finally:
+        for name in HOSTS:
+            await made.stop(name)
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 30))
+
+
+def reason(answer):
+    return answer.reason if sentinels.is_absent(answer) else answer
+
+
+def test_first_claim_wins_and_resend_gets_the_answer():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            won = await made.claim('h1')
+            assert isinstance(won, ports.Claimed)
+            assert reason(await made.claim('h4')) == 'still_running'
+            waiting = asyncio.create_task(made.claim('h2', wait_s=5))
+            await asyncio.sleep(0.05)
+            await made.services['h1'].record(won, ANSWER)
+            assert await waiting == ANSWER
+            assert await made.claim('h4') == ANSWER
+            assert reason(await made.claim('h4', body=b'g')) == 'id_reused'
+
+    run(go())
+
+
+def test_simultaneous_claims_have_one_winner():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            for number in range(20):
+                answers = await asyncio.gather(
+                    *(made.claim(name, f'id{number}') for name in HOSTS)
+                )
+                won = [a for a in answers if isinstance(a, ports.Claimed)]
+                assert len(won) <= 1
+            assert made.services['h1'].counters()['registers'] <= 20
+
+    run(go())
+
+
+def test_release_lets_a_resend_run_and_lose_never_does():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            await made.services['h1'].release(await made.claim('h1'))
+            won = await made.claim('h2')
+            assert isinstance(won, ports.Claimed)
+            await made.services['h2'].lose(won)
+            assert reason(await made.claim('h3')) == 'outcome_unknown'
+            with pytest.raises(errors.InvariantError):
+                await made.services['h2'].lose(won)
+
+    run(go())
+
+
+def test_dead_claimer_leaves_an_unknown_outcome():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            await made.claim('h4')
+            await made.stop('h4')
+            made.services['h1']._members._clock = lambda: 10**9
+            assert reason(await made.claim('h2')) == 'outcome_unknown'
+
+    run(go())
+
+
+def test_without_majority_nothing_is_claimed():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            made.network.cut('h1', 'h2')
+            made.network.cut('h1', 'h3')
+            answer = await made.claim('h1')
+            assert reason(answer) == 'ledger_unreachable'
+            made.network.heal()
+            assert isinstance(await made.claim('h2', wait_s=3), ports.Claimed)
+
+    run(go())
+
+
+@pytest.mark.parametrize('order', [('h1',), ('h1', 'h2', 'h3')])
+def test_members_restarted_in_turn_remember(order):
+    async def go():
+        async with fleet(*HOSTS) as made:
+            won = await made.claim('h4')
+            await made.services['h4'].record(won, ANSWER)
+            for name in order:
+                await made.start(name)
+                await made.synced(name)
+                counters = made.services[name].counters()
+                assert counters['members_not_synced'] == 0
+            assert await made.claim('h2') == ANSWER
+
+    run(go())
+
+
+def test_all_members_lost_together_refuse_what_they_may_have_run():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            made.opened_s = 0.0
+            prefix = made.services['h4'].id_prefix()
+            made.wall_shift_s = 60
+            await made.start('h1', 'h2', 'h3')
+            await made.synced('h1', 'h2', 'h3')
+            old = await made.claim('h4', f'{prefix}x', wait_s=3)
+            assert reason(old) == 'id_expired'
+            own = await made.claim('h4', 'own', wait_s=3)
+            assert reason(own) == 'ledger_unreachable'
+            made.wall_shift_s = 70
+            prefix = made.services['h4'].id_prefix()
+            new = await made.claim('h4', f'{prefix}x', wait_s=3)
+            assert isinstance(new, ports.Claimed)
+            made.opened_s = time.time() + 70
+            own = await made.claim('h4', 'own', wait_s=3)
+            assert isinstance(own, ports.Claimed)
+
+    run(go())
+
+
+def test_member_change_keeps_what_was_claimed():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            won = await made.claim('h4')
+            await made.services['h4'].record(won, ANSWER)
+            await made.stop('h1')
+            made.members = ('h2', 'h3', 'h4')
+            made.epoch = 2
+            await made.synced('h2', 'h3', 'h4')
+            await made.stop('h2')
+            assert await made.claim('h3') == ANSWER
+            assert await made.claim('h4') == ANSWER
+
+    run(go())
+
+
+def test_id_past_its_retention_is_refused():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            prefix = made.services['h1'].id_prefix()
+            made.wall_shift_s = 700
+            answer = await made.claim('h2', f'{prefix}x')
+            assert reason(answer) == 'id_expired'
+
+    run(go())
--- /dev/null
+++ b/tests/test_requests_path.py
@@ -0,0 +1,207 @@
+"""Tests of the request path over loopback, with fakes behind its ports."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from skylarkpitch.requests import path
+from skylarkpitch import sentinels
+from skylarkpitch.settings import daemon
+from tests.stand_ins import request_ports
+
+KEY = {'Skylark-Key': 'key-a'}
+
+
+class Bench:
+    """One request path, its fakes, and a caller."""
+
+    def __init__(self, *urls, config=None, **limits):
+        self.config = config or request_ports.site_config()
+        self.authenticator = request_ports.FakeAuthenticator()
+        self.limiter = request_ports.FakeLimiter()
+        self.room = request_ports.FakeRoom(*urls)
+        self.ledger = request_ports.FakeLedger()
+        self.stopping = False
+        self.done = []
+        self.path = path.RequestPath(
+            site_config=lambda: self.config,
+            authenticator=self.authenticator,
+            limiter=self.limiter,
+            room=self.room,
+            ledger=self.ledger,
+            settings=daemon.LimitSettings(**limits),
+            is_stopping=lambda: self.stopping,
+            on_done=self.done.append,
+        )
+
+
+@contextlib.asynccontextmanager
+async def benched(*urls, **options):
+    bench = Bench(*urls, **options)
+    await bench.path.start()
+    async with request_ports.serving(bench.path.handle) as url:
+        bench.url = url
+        async with aiohttp.ClientSession(url) as bench.caller:
+            yield bench
+    await bench.path.close()
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 20))
+
+
+async def echo(request):
+    """Answer with what arrived."""
+    body = await request.read()
+    return web.json_response(
+        {
+            'method': request.method,
+            'target': request.raw_path,
+            'headers': [list(pair) for pair in request.headers.items()],
+            'body': body.decode(),
+        }
+    )
+
+
+def test_call_reaches_upstream_with_organisation_and_without_key():
+    async def go():
+        async with (
+            request_ports.serving(echo) as upstream,
+            benched(upstream) as bench,
+        ):
+            async with bench.caller.put(
+                '/svc/a?b=%20c',
+                data=b'hello',
+                headers={
+                    **KEY,
+                    'Skylark-Organisation': 'org-b',
+                    'Skylark-Ticket': 't',
+                    'Connection': 'X-Private',
+                    'X-Private': '1',
+                    'Skylark-Deadline-Ms': '900',
+                },
+            ) as answer:
+                seen = json.loads(await answer.read())
+        names = [name.lower() for name, _ in seen['headers']]
+        headers = {name.lower(): value for name, value in seen['headers']}
+        assert seen['target'] == '/svc/a?b=%20c'
+        assert seen['body'] == 'hello'
+        assert headers['skylark-organisation'] == 'org-a'
+        assert 0 < int(headers['skylark-deadline-ms']) <= 900
+        assert not {'skylark-key', 'skylark-ticket', 'x-private'} & set(names)
+        assert names.count('skylark-organisation') == 1
+        assert bench.limiter.spent == ['org-a']
+        assert [slot.ends for slot in bench.room.slots] == [['answered']]
+        assert bench.done[0].reason == 'answered'
+        assert bench.path.counters()['held_body_bytes'] == 0
+
+    run(go())
+
+
+def test_open_route_runs_without_organisation_even_with_a_key():
+    async def go():
+        async with (
+            request_ports.serving(echo) as upstream,
+            benched(upstream) as bench,
+        ):
+            async with bench.caller.get('/svc/open/x', headers=KEY) as answer:
+                seen = json.loads(await answer.read())
+        names = {name.lower() for name, _ in seen['headers']}
+        assert 'skylark-organisation' not in names
+        assert 'skylark-key' not in names
+        assert bench.limiter.spent == []
+
+    run(go())
+
+
+@pytest.mark.parametrize(
+    'target, headers, reason',
+    [
+        ('/svc/a', {}, 'key_missing'),
+        ('/svc/a', {'Skylark-Key': 'key-x'}, 'key_unknown'),
+        ('/other', KEY, 'route_unknown'),
+        ('/svc/openly', {}, 'key_missing'),
+        ('/svc/book/1', {}, 'key_missing'),
+        ('/svc/a', {**KEY, 'Skylark-Deadline-Ms': '0'}, 'deadline_exceeded'),
+        ('/svc/a', {**KEY, 'Skylark-Deadline-Ms': '-1'}, 'request_malformed'),
+        ('/svc/a', {**KEY, 'Idempotency-Key': 'a b'}, 'request_malformed'),
+        ('/svc/a', {**KEY, 'X-Big': 'x' * 3000}, 'headers_too_large'),
+    ],
+)
+def test_refusal_before_any_slot(target, headers, reason):
+    async def go():
+        async with benched('http://127.0.0.1:1', max_header_bytes=2000) as b:
+            async with b.caller.get(target, headers=headers) as answer:
+                body = json.loads(await answer.read())
+        assert body['reason'] == reason
+        assert answer.headers['Skylark-Outcome'] == 'not-run'
+        assert answer.headers['Skylark-Reason'] == reason
+        assert b.room.slots == []
+
+    run(go())
+
+
+def test_unreachable_upstream_is_not_run_and_claim_is_released():
+    async def go():
+        async with benched('http://127.0.0.1:1') as bench:
+            async with bench.caller.post(
+                '/svc/book', headers={**KEY, 'Idempotency-Key': 'i1'}
+            ) as answer:
+                assert answer.headers['Skylark-Outcome'] == 'not-run'
+                assert answer.headers['Skylark-Reason'] == 'no_room'
+        assert bench.ledger.calls == ['claim', 'release']
+
+    run(go())
+
+
+def test_resend_gets_the_recorded_answer():
+    runs = []
+
+    async def book(request):
+        runs.append(await request.read())
+        return web.Response(status=201, body=b'booked', headers={'X-No': '7'})
+
+    async def go():
+        async with (
+            request_ports.serving(book) as upstream,
+            benched(upstream) as bench,
+        ):
+            for replayed in (None, '1'):
+                async with bench.caller.post(
+                    '/svc/book',
+                    data=b'pan',
+                    headers={**KEY, 'Idempotency-Key': 'i1'},
+                ) as answer:
+                    assert await answer.read() == b'booked'
+                    assert answer.status == 201
+                    assert answer.headers['X-No'] == '7'
+                    assert answer.headers.get('Skylark-Replayed') == replayed
+        assert runs == [b'pan']
+
+    run(go())
+
+
+def test_stopping_host_refuses_and_names_the_remedy():
+    async def go():
+        async with benched('http://127.0.0.1:1') as bench:
+            bench.stopping = True
+            async with bench.caller.get('/svc/a', headers=KEY) as answer:
+                body = json.loads(await answer.read())
+        assert body['reason'] == 'stopping'
+        assert 'another entry host' in body['remedy']
+
+    run(go())
+
+
+def test_no_configuration_refuses_everything():
+    async def go():
+        async with benched('http://127.0.0.1:1') as bench:
+            bench.config = sentinels.Absent('state_stale')
+            async with bench.caller.get('/svc/open', headers=KEY) as answer:
+                assert answer.headers['Skylark-Reason'] == 'state_stale'
+
+    run(go())
