--- a/src/skylarkpitch/settings/deployment.py
+++ b/src/skylarkpitch/settings/deployment.py
@@ -34,6 +34,7 @@
 
 FLEET_WIDE_SECTIONS = ('organisations', 'regions', 'links', 'policy')
 
+RESERVED_PREFIX = '/skylark/'
 _NAME = r'^[a-z0-9][a-z0-9-]{0,62}$'
 _Name = pydantic.constr(pattern=_NAME)
 _Method = pydantic.constr(pattern=r'^[A-Z]{3,10}$')
@@ -64,6 +65,7 @@
     rate_per_s: float = pydantic.Field(gt=0, le=1e7)
     burst: float = pydantic.Field(ge=1, le=1e8)
     weight: float = pydantic.Field(default=1.0, gt=0, le=1000)
+    key_lease_s: float | None = pydantic.Field(default=None, ge=1, le=86_400)
 
 
 class _FailureDomainModel(_Model):
@@ -107,34 +109,102 @@
     policy: _PolicyModel = _PolicyModel()
 
     @pydantic.model_validator(mode='after')
-    def _check_names(self) -> '_SiteModel':
-        for link in self.links:
-            for name in link.between:
-                if name not in self.regions:
-                    raise ValueError(
-                        f'links names region {name!r}, which regions lacks; '
-                        'add the region or correct the link'
-                    )
-        domains = [
-            name for r in self.regions.values() for name in r.failure_domains
-        ]
-        for name in domains:
-            if domains.count(name) > 1:
+    def _check_document(self) -> '_SiteModel':
+        _check_routes(self.services)
+        _check_links(self.links, self.regions)
+        _check_failure_domains(self.regions)
+        _check_shares(self.regions)
+        return self
+
+
+def _check_routes(services: dict[str, _ServiceModel]) -> None:
+    owners: dict[str, str] = {}
+    methods: set[tuple[str, str]] = set()
+    for name, service in services.items():
+        for route in service.routes:
+            owner = owners.setdefault(route.prefix, name)
+            if owner != name:
                 raise ValueError(
-                    f'failure domain {name!r} stands in two regions; keep it '
-                    'in one'
+                    f'route prefix {route.prefix!r} stands in services '
+                    f'{owner!r} and {name!r}; keep it in one'
                 )
-        return self
+            if f'{route.prefix}/'.startswith(RESERVED_PREFIX):
+                raise ValueError(
+                    f'route prefix {route.prefix!r} lies under '
+                    f'{RESERVED_PREFIX}, which the system answers itself; '
+                    'choose another'
+                )
+            _check_methods(route, methods)
 
-    @pydantic.model_validator(mode='after')
-    def _check_shares(self) -> '_SiteModel':
-        total = sum(r.max_share_percent for r in self.regions.values())
-        if total < 100:
+
+def _check_methods(route: _RouteModel, taken: set[tuple[str, str]]) -> None:
+    for method in route.methods:
+        if (route.prefix, method) in taken:
             raise ValueError(
-                f'max_share_percent of all regions sums to {total:g}, so '
-                'traffic would have no place to go; raise it to at least 100'
+                f'{method} {route.prefix} stands in two routes; keep it in one'
             )
-        return self
+        taken.add((route.prefix, method))
+
+
+def _check_links(
+    links: tuple[_LinkModel, ...], regions: dict[str, _RegionModel]
+) -> None:
+    pairs: set[frozenset[str]] = set()
+    for link in links:
+        for name in link.between:
+            if name not in regions:
+                raise ValueError(
+                    f'links names region {name!r}, which regions lacks; '
+                    'add the region or correct the link'
+                )
+        pair = frozenset(link.between)
+        if len(pair) == 1:
+            raise ValueError(
+                f'links joins region {link.between[0]!r} to itself; name two '
+                'regions'
+            )
+        if pair in pairs:
+            raise ValueError(
+                f'links names {" and ".join(sorted(pair))} twice; keep one '
+                'entry, it counts for both directions'
+            )
+        pairs.add(pair)
+
+
+def _check_failure_domains(regions: dict[str, _RegionModel]) -> None:
+    seen: set[str] = set()
+    for name, region in regions.items():
+        for domain, limits in region.failure_domains.items():
+            if domain in seen:
+                raise ValueError(
+                    f'failure domain {domain!r} stands in two regions; keep '
+                    'it in one'
+                )
+            seen.add(domain)
+            is_set = 'max_share_percent' in limits.model_fields_set
+            if is_set and limits.max_share_percent > region.max_share_percent:
+                raise ValueError(
+                    f'max_share_percent of failure domain {domain!r} is '
+                    f'{limits.max_share_percent:g}, past the '
+                    f'{region.max_share_percent:g} of its region {name!r}; '
+                    'lower it or raise the region'
+                )
+
+
+def _check_shares(regions: dict[str, _RegionModel]) -> None:
+    total = 0.0
+    for region in regions.values():
+        inside = sum(
+            domain.max_share_percent
+            for domain in region.failure_domains.values()
+        )
+        total += min(region.max_share_percent, inside)
+    if total < 100:
+        raise ValueError(
+            'max_share_percent of all regions, each bounded by the sum of '
+            f'its failure domains, sums to {total:g}, so traffic would have '
+            'no place to go; raise it to at least 100'
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,11 +238,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Organisation:
-    """Rate, burst and weight of one organisation over the whole fleet."""
+    """Rate, burst and weight of one organisation over the whole fleet.
+
+    ``key_lease_s`` replaces that of the policy for the organisation's keys.
+    """
 
     rate_per_s: float
     burst: float
     weight: float
+    key_lease_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -11,6 +11,15 @@
 ROOT = pathlib.Path(__file__).parent.parent / 'deployments'
 
 
+def route(*prefixes):
+    routes = [{'prefix': prefix} for prefix in prefixes]
+    return {'services': {'status-desk': {'routes': routes}}}
+
+
+def region(**fields):
+    return {'regions': {'sudogwon': fields}}
+
+
 @pytest.mark.parametrize('name', ['mueso', 'berkah'])
 def test_shipped_deployments_are_valid(name):
     base = json.loads((ROOT / name / 'base.json').read_text())
@@ -44,6 +53,46 @@
         ({'servces': {}}, {}, 'servces'),
         ({'organisations': {'a': {'rate_per_s': -1}}}, {}, 'rate_per_s'),
         ({'links': [{'between': ['x', 'y'], 'mbit_per_s': 1}]}, {}, "'x'"),
+        (
+            {'organisations': {'Big Org': {'rate_per_s': 1, 'burst': 1}}},
+            {},
+            'Big Org',
+        ),
+        (
+            {'organisations': {'daegu-pans': {'key_lease_s': 0}}},
+            {},
+            'key_lease_s',
+        ),
+        (route('/kiln'), {}, "'/kiln' stands in services"),
+        (route('/skylark/v1'), {}, 'under /skylark/'),
+        (route('/skylark'), {}, 'under /skylark/'),
+        (route('/x', '/x'), {}, 'GET /x stands in two routes'),
+        (
+            {'links': [{'between': ['honam', 'honam'], 'mbit_per_s': 1}]},
+            {},
+            'to itself',
+        ),
+        (
+            {
+                'links': [
+                    {'between': ['honam', 'yeongnam'], 'mbit_per_s': 1},
+                    {'between': ['yeongnam', 'honam'], 'mbit_per_s': 1},
+                ]
+            },
+            {},
+            'twice',
+        ),
+        (region(max_share_percent=30), {}, 'past the 30 of its region'),
+        (
+            region(failure_domains={'a': {}, 'busan-a': {}}),
+            {},
+            "'busan-a' stands in two regions",
+        ),
+        (
+            {'regions': dict.fromkeys(('sudogwon', 'yeongnam')), 'links': []},
+            {},
+            'sums to 60',
+        ),
         ({}, {'organisations': {}}, 'fleet'),
         ({}, [], 'JSON object'),
     ],
@@ -54,3 +103,20 @@
         deployment.validate_site(
             deployment.merge_patch(base, change), overlay, site='seoul-a'
         )
+
+
+def test_failure_domains_bound_the_share_of_their_region():
+    base = json.loads((ROOT / 'mueso' / 'base.json').read_text())
+    for item in base['regions'].values():
+        for domain in item['failure_domains'].values():
+            domain['max_share_percent'] = 16
+    with pytest.raises(errors.ValidationError, match='sums to 96'):
+        deployment.validate_site(base, {}, site='seoul-a')
+
+
+def test_one_prefix_may_serve_disjoint_methods_of_one_service():
+    base = json.loads((ROOT / 'mueso' / 'base.json').read_text())
+    overlay = route('/status', '/status')
+    overlay['services']['status-desk']['routes'][1]['methods'] = ['POST']
+    site = deployment.validate_site(base, overlay, site='seoul-a')
+    assert len(site.services['status-desk'].routes) == 2
