Carry the control state to every entry host

Control hosts answer questions for the state; relays and hosts below them answer from their copy. A question is held until its receiver has new parts or a newer proof, so one mechanism pushes changes, proves freshness and detects a silent parent, and ages do not add up a polling period a level.

Ruled out: a push on its own (proves no age), polling at each level (worst age grows by one period a level, 4.1 s of a 5 s lease at three levels), and relays that merge documents for their hosts (a changed value would resend a whole document). Hosts get the base and their own overlay in parts instead of the merged document, so a changed value costs its own part only.

A host serves nothing before a proof from after its start, which is newer than anything an earlier process on it can have served.

Tests run the services on a loop with virtual time over stand-in peers.

--- a/src/skylarkpitch/config/parts.py
+++ b/src/skylarkpitch/config/parts.py
@@ -152,7 +152,7 @@
         """Return what a reader lacks, by ascending version.
 
         ``version`` is what it holds of the common parts, ``sites`` what it
-        holds of each site; 0 stands for nothing.
+        holds of each site, which is below 0 for nothing.
         """
         since = {COMMON: version, **sites}
         lowest = min(since.values())
@@ -163,7 +163,7 @@
             held = since.get(scope_of(key))
             if held is None or part.version <= held:
                 continue
-            if held or part.value is not None:
+            if held > 0 or part.value is not None:
                 found.append((key, part.version, part.value))
         return tuple(reversed(found))
 
--- /dev/null
+++ b/src/skylarkpitch/dissemination/pulse.py
@@ -0,0 +1,40 @@
+"""Derive the periods of questions and proofs from the key lease."""
+
+import dataclasses
+
+__all__ = ['Pulse', 'pulse_for']
+
+LONGEST_PERIOD_S = 1.25
+PERIODS_PER_LEASE = 4
+PERIODS_HELD = 1.6
+LONGEST_SLACK_S = 0.4
+SLACKS_PER_LEASE = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Pulse:
+    """Periods in seconds.
+
+    ``period_s`` lies between two proofs by the quorum, ``hold_s`` is the
+    longest that a question is held, and ``timeout_s`` that an answer is
+    awaited.
+    """
+
+    period_s: float
+    hold_s: float
+    timeout_s: float
+
+
+def pulse_for(key_lease_s: float) -> Pulse:
+    """Return the periods for a key lease.
+
+    The lease outlasts a missed proof and the loss of a parent after it.
+    """
+    period_s = min(LONGEST_PERIOD_S, key_lease_s / PERIODS_PER_LEASE)
+    hold_s = period_s * PERIODS_HELD
+    slack_s = min(LONGEST_SLACK_S, key_lease_s / SLACKS_PER_LEASE)
+    return Pulse(
+        period_s=period_s,
+        hold_s=hold_s,
+        timeout_s=hold_s + slack_s,
+    )
--- /dev/null
+++ b/src/skylarkpitch/dissemination/waiters.py
@@ -0,0 +1,42 @@
+"""Let tasks wait until something changed."""
+
+import asyncio
+from collections.abc import Callable
+
+__all__ = ['Waiters']
+
+
+class Waiters:
+    """Wake waiting tasks to look at their condition again."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+        self.waiting = 0
+
+    def wake(self) -> None:
+        """Make every waiting task look again."""
+        self._event.set()
+        self._event = asyncio.Event()
+
+    async def wait_for(
+        self, condition: Callable[[], bool], *, timeout_s: float
+    ) -> bool:
+        """Return True once the condition holds, False after the timeout."""
+        loop = asyncio.get_running_loop()
+        ends_at_s = loop.time() + timeout_s
+        self.waiting += 1
+        try:
+            while not condition():
+                left_s = ends_at_s - loop.time()
+                if left_s <= 0 or not await self._woken(left_s):
+                    return condition()
+            return True
+        finally:
+            self.waiting -= 1
+
+    async def _woken(self, timeout_s: float) -> bool:
+        try:
+            await asyncio.wait_for(self._event.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/src/skylarkpitch/messages/dissemination.py
@@ -0,0 +1,82 @@
+"""Messages that carry the control state and reports between hosts."""
+
+import msgspec
+
+from skylarkpitch.messages import codec
+
+__all__ = [
+    'NOTHING',
+    'UNPROVEN_S',
+    'ReportRow',
+    'StateAnswer',
+    'StateQuestion',
+    'StateReports',
+]
+
+NOTHING = -1
+UNPROVEN_S = -1.0
+
+PartRow = tuple[tuple[str, ...], int, bytes | None]
+
+
+class ReportRow(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """Report of one host; ``status`` is sent now and then only.
+
+    Sent as an array without field names, since a relay carries one for each
+    host below it.
+    """
+
+    host: str
+    sequence: int
+    applied_version: int
+    age_s: float
+    life_cycle: str
+    status: dict[str, float | str | dict] | None = None
+
+
+@codec.message('state.question')
+class StateQuestion:
+    """Ask for what the sender lacks and for proof of how current it is.
+
+    ``version`` and ``sites`` tell what the sender holds of the common parts
+    and of each site, or ``NOTHING``. ``age_s`` is the age of its newest
+    proof, or ``UNPROVEN_S``. The receiver may hold the question for up to
+    ``hold_s`` until it has something new.
+    """
+
+    version: int
+    sites: dict[str, int]
+    age_s: float
+    hold_s: float
+    wants_parts: bool = True
+
+
+@codec.message('state.answer')
+class StateAnswer:
+    """Answer a question with parts and with the age of their state.
+
+    ``age_s`` is the age of the answerer's proof when it answered, or
+    ``UNPROVEN_S``, and ``held_s`` how long it held the question, both by its
+    own clock. ``rows`` are the parts above the question's versions or, if
+    ``whole``, all that are there. ``digest`` covers the asked scope at
+    ``version``.
+    """
+
+    version: int
+    age_s: float
+    held_s: float
+    digest: int
+    whole: bool = False
+    rows: tuple[PartRow, ...] = ()
+
+
+@codec.message('state.reports')
+class StateReports:
+    """Reports on their way to the control hosts.
+
+    ``from_control`` marks a copy from one control host to another, which
+    goes no further.
+    """
+
+    rows: tuple[ReportRow, ...]
+    from_control: bool = False
--- /dev/null
+++ b/tests/stand_ins/control_fleet.py
@@ -0,0 +1,265 @@
+"""A fleet of control and entry hosts on stand-in peers and a stand-in log."""
+
+import asyncio
+import json
+import pathlib
+import random
+
+from skylarkpitch.config import commands
+from skylarkpitch.config import keys as caller_keys
+from skylarkpitch.config import state as states
+from skylarkpitch.consensus import ports as consensus_ports
+from skylarkpitch.dissemination import follower as followers
+from skylarkpitch.dissemination import source as sources
+from skylarkpitch.dissemination import tree
+from skylarkpitch import errors
+from skylarkpitch import sentinels
+from tests.stand_ins import fake_peers
+from tests.stand_ins import slow_peers
+
+ROOT = pathlib.Path(__file__).parents[2] / 'deployments' / 'mueso'
+BASE = (ROOT / 'base.json').read_text()
+OVERLAYS = {p.stem: p.read_text() for p in (ROOT / 'overlays').glob('*.json')}
+APPEND_S = 0.05
+
+
+def mueso_hosts(
+    *, entry_hosts=10, control=('seoul-a', 'busan-a', 'gwangju-a')
+):
+    """Return entry hosts spread over the domains, some of them control."""
+    base = json.loads(BASE)
+    places = [
+        (region, domain)
+        for region, fields in base['regions'].items()
+        for domain in fields['failure_domains']
+    ]
+    hosts = []
+    for number in range(entry_hosts):
+        region, domain = places[number % len(places)]
+        is_control = number < len(places) and domain in control
+        roles = ('entry', 'control') if is_control else ('entry',)
+        hosts.append(
+            fake_peers.host(f'{domain}-{number}', region, domain, roles)
+        )
+    return tuple(hosts)
+
+
+class StandInLog:
+    """Committed commands shared by all members; a majority must connect."""
+
+    def __init__(self, *, fleet):
+        self.fleet = fleet
+        self.commands = []
+        self.leader = fleet.control[0]
+
+    def majority_of(self, name):
+        """Tell whether a member reaches a majority."""
+        return self.fleet.reached_by(name) * 2 > len(self.fleet.control)
+
+
+class MemberLog:
+    """The ``ControlLog`` of one member."""
+
+    def __init__(self, *, log, name):
+        self._log = log
+        self._name = name
+
+    async def confirm(self, *, timeout_s):
+        if self._log.leader != self._name:
+            return sentinels.Absent('not_leader')
+        asked_at_s = self._log.fleet.clock_of(self._name)()
+        await asyncio.sleep(2 * self._log.fleet.delay_s)
+        if not self._log.majority_of(self._name):
+            return sentinels.Absent('no_quorum')
+        return asked_at_s
+
+    async def submit(self, command, *, timeout_s):
+        raise errors.NotLeaderError('use the fleet', leader=None)
+
+    def status(self):
+        return consensus_ports.LogStatus(
+            member=self._name,
+            role='leader' if self._log.leader == self._name else 'follower',
+            term=1,
+            leader=self._log.leader,
+            commit_index=len(self._log.commands),
+            applied_index=0,
+            voters=self._log.fleet.control,
+            learners=(),
+        )
+
+
+class Fleet:
+    """Start, cut, crash and question the hosts of one run."""
+
+    def __init__(
+        self,
+        *,
+        hosts,
+        seed=1,
+        delay_s=0.02,
+        rates=None,
+        site_of=lambda host: host.failure_domain,
+        **network,
+    ):
+        self.rng = random.Random(seed)
+        self.delay_s = delay_s
+        self.hosts = {host.name: host for host in hosts}
+        self.network = slow_peers.SlowNetwork(
+            hosts=tuple(hosts),
+            rng=self.rng,
+            delay_s=lambda sender, receiver: delay_s,
+            **network,
+        )
+        self.control = tuple(h.name for h in hosts if 'control' in h.roles)
+        self.entry = tuple(h.name for h in hosts if 'entry' in h.roles)
+        self.rates = rates or {}
+        self.log = StandInLog(fleet=self)
+        self.states = {name: states.ControlState() for name in self.control}
+        self.sources = {}
+        self.followers = {}
+        self.operations = 0
+        self.last_result = None
+        self._site_of = site_of
+        self._applied = dict.fromkeys(self.control, 0)
+
+    def clock_of(self, name):
+        """Return the monotonic clock of a host."""
+        rate = self.rates.get(name, 1.0)
+        loop = asyncio.get_running_loop()
+        return lambda: loop.time() * rate
+
+    def now_s(self, name):
+        return self.clock_of(name)()
+
+    def reached_by(self, name):
+        """Count the control hosts that a control host reaches."""
+        is_cut = self.network.is_cut
+        return sum(
+            other == name
+            or (not is_cut(name, other) and not is_cut(other, name))
+            for other in self.control
+        )
+
+    async def start(self):
+        for name in self.hosts:
+            await self.start_host(name)
+
+    async def start_host(self, name):
+        peers = self.network.join(name)
+        host = self.hosts[name]
+        clock = self.clock_of(name)
+        if name in self.control:
+            self.sources[name] = sources.StateSource(
+                peers=peers,
+                log=MemberLog(log=self.log, name=name),
+                state=self.states[name],
+                clock=clock,
+            )
+            await self.sources[name].start()
+        if name in self.entry:
+            asked = tree.sources_of(peers.directory, name)
+            self.followers[name] = followers.StateFollower(
+                peers=peers,
+                sources=lambda: asked,
+                site=self._site_of(host),
+                report=lambda: {'life_cycle': 'serving', 'calls': 1.0},
+                clock=clock,
+                rng=random.Random(self.rng.random()),
+            )
+            await self.followers[name].start()
+
+    async def stop_host(self, name):
+        self.network.leave(name)
+        for services in (self.sources, self.followers):
+            service = services.pop(name, None)
+            if service is not None:
+                await service.stop()
+
+    async def stop(self):
+        for name in self.hosts:
+            await self.stop_host(name)
+        await self.network.close()
+
+    def catch_up(self):
+        """Apply the committed commands on members the leader reaches."""
+        for name in self.control:
+            is_cut = self.network.is_cut(self.log.leader, name)
+            if name != self.log.leader and is_cut:
+                continue
+            for command in self.log.commands[self._applied[name] :]:
+                self._applied[name] += 1
+                result = self.states[name].apply(self._applied[name], command)
+                if name == self.log.leader:
+                    self.last_result = result
+            if name in self.sources:
+                self.sources[name].notify()
+
+    def split(self, *groups):
+        """Cut the groups of hosts from each other; the rest is one too."""
+        group_of = {n: i for i, names in enumerate(groups) for n in names}
+        self.network.is_cut = lambda sender, receiver: (
+            group_of.get(sender) != group_of.get(receiver)
+        )
+
+    def heal(self):
+        """Join all hosts again."""
+        self.network.is_cut = lambda sender, receiver: False
+        self.catch_up()
+
+    def names(self, *, region=None, failure_domain=None):
+        """Return the hosts of a region or of a failure domain."""
+        return [
+            name
+            for name, host in self.hosts.items()
+            if region in (None, host.region)
+            and failure_domain in (None, host.failure_domain)
+        ]
+
+    async def commit(self, kind, **fields):
+        """Commit one command and return the leader's result."""
+        self.operations += 1
+        item = kind(
+            operation_id=f'op{self.operations}',
+            operator='ana',
+            at_s=asyncio.get_running_loop().time(),
+            **fields,
+        )
+        self.log.commands.append(commands.encode(item))
+        await asyncio.sleep(APPEND_S)
+        self.catch_up()
+        return self.last_result
+
+    async def push(self, base=BASE, overlays=OVERLAYS):
+        version = self.states[self.log.leader].config_version
+        return await self.commit(
+            commands.PushConfig,
+            against_version=version,
+            base_json=base,
+            overlays_json=overlays,
+        )
+
+    async def issue(self, organisation='daegu-pans'):
+        """Issue a key and return it."""
+        made = caller_keys.new_key(self.rng.randbytes)
+        await self.commit(
+            commands.IssueKey,
+            key_id=made.key_id,
+            organisation=organisation,
+            salt=made.salt,
+            secret_hash=made.secret_hash,
+        )
+        return made
+
+    async def withdraw(self, key):
+        return await self.commit(commands.WithdrawKey, key_id=key.key_id)
+
+    def answers(self, key):
+        """Return what each entry host says to a key, by host."""
+        found = {}
+        for name, follower in self.followers.items():
+            said = follower.authenticate(
+                key.text if key else None, now_s=self.now_s(name)
+            )
+            found[name] = getattr(said, 'reason', None) or said.organisation
+        return found
--- /dev/null
+++ b/tests/test_dissemination.py
@@ -0,0 +1,305 @@
+"""Tests of dissemination and of the key lease under partitions."""
+
+import asyncio
+import functools
+import json
+
+import pytest
+
+from skylarkpitch.config import commands
+from skylarkpitch.config import parts
+from skylarkpitch.dissemination import tree
+from skylarkpitch.peers import directory as directories
+from tests.stand_ins import control_fleet
+from tests.stand_ins import fake_peers
+from tests.stand_ins import virtual_time
+
+LEASE_S = 5.0
+SETTLE_S = 4.0
+STEP_S = 0.1
+
+
+def in_virtual_time(test):
+    """Run a coroutine test function on a loop with virtual time."""
+
+    @functools.wraps(test)
+    def wrapped(*args, **kwargs):
+        virtual_time.run(test(*args, **kwargs))
+
+    return wrapped
+
+
+async def running(*, base=control_fleet.BASE, **options):
+    """Return a started fleet with a configuration in force."""
+    hosts = options.pop('hosts', control_fleet.mueso_hosts())
+    fleet = control_fleet.Fleet(hosts=hosts, **options)
+    await fleet.start()
+    await fleet.push(base=base)
+    await asyncio.sleep(SETTLE_S)
+    return fleet
+
+
+def with_policy(**policy):
+    return json.dumps(json.loads(control_fleet.BASE) | {'policy': policy})
+
+
+SHAPES = {
+    'host': lambda f: [['incheon-b-1']],
+    'failure domain': lambda f: [f.names(failure_domain='incheon-b')],
+    'region': lambda f: [f.names(region='yeongnam')],
+    'leader': lambda f: [[f.log.leader]],
+    'region of the leader': lambda f: [f.names(region='sudogwon')],
+    'two regions and the leader': lambda f: [
+        f.names(region='sudogwon'),
+        ['daegu-b-3'],
+    ],
+}
+
+
+@pytest.mark.parametrize('shape', SHAPES)
+@in_virtual_time
+async def test_withdrawn_key_is_refused_in_every_partition(shape):
+    rates = {'incheon-b-1': 0.99, 'seoul-a-0': 0.991, 'daegu-b-3': 1.01}
+    fleet = await running(rates=rates)
+    withdrawn, kept = await fleet.issue(), await fleet.issue()
+    await asyncio.sleep(2)
+    assert set(fleet.answers(withdrawn).values()) == {'daegu-pans'}
+    groups = SHAPES[shape](fleet)
+    cut_off = {name for group in groups for name in group}
+    fleet.split(*groups)
+    if fleet.log.leader in cut_off:
+        fleet.log.leader = next(n for n in fleet.control if n not in cut_off)
+    result = await fleet.withdraw(withdrawn)
+    await asyncio.sleep(LEASE_S)
+    for _ in range(100):
+        await asyncio.sleep(STEP_S)
+        for name, said in fleet.answers(withdrawn).items():
+            wanted = 'key_lease_expired' if name in cut_off else 'key_unknown'
+            assert said == wanted, name
+        assert all(f.site_config() for f in fleet.followers.values())
+    for name, said in fleet.answers(kept).items():
+        assert said == (
+            'key_lease_expired' if name in cut_off else 'daegu-pans'
+        ), name
+    source = fleet.sources[fleet.log.leader]
+    status = source.withdrawal_status(result.version)
+    behind = {name for item in status for name in item.hosts}
+    assert behind == cut_off
+    assert {item.lease_left_s for item in status} == {0.0}
+    fleet.heal()
+    await asyncio.sleep(SETTLE_S)
+    assert set(fleet.answers(withdrawn).values()) == {'key_unknown'}
+    assert set(fleet.answers(kept).values()) == {'daegu-pans'}
+    assert source.withdrawal_status(result.version) == []
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_all_regions_apart_refuse_keys_and_serve_open_routes():
+    fleet = await running()
+    key = await fleet.issue()
+    await asyncio.sleep(2)
+    regions = ('sudogwon', 'yeongnam', 'honam')
+    fleet.split(*(fleet.names(region=region) for region in regions))
+    await asyncio.sleep(LEASE_S + 1)
+    assert set(fleet.answers(key).values()) == {'key_lease_expired'}
+    assert all(f.site_config() for f in fleet.followers.values())
+    fleet.heal()
+    await asyncio.sleep(SETTLE_S)
+    assert set(fleet.answers(key).values()) == {'daegu-pans'}
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_organisation_may_have_its_own_lease():
+    document = json.loads(control_fleet.BASE)
+    document['organisations']['daegu-pans']['key_lease_s'] = 60
+    fleet = await running(base=json.dumps(document))
+    long = await fleet.issue()
+    short = await fleet.issue('honam-donors')
+    await asyncio.sleep(2)
+    fleet.split(['incheon-b-1'])
+    result = await fleet.withdraw(long)
+    await asyncio.sleep(30)
+    assert fleet.answers(long)['incheon-b-1'] == 'daegu-pans'
+    assert fleet.answers(short)['incheon-b-1'] == 'key_lease_expired'
+    source = fleet.sources[fleet.log.leader]
+    (status,) = source.withdrawal_status(
+        result.version, organisation='daegu-pans'
+    )
+    assert status.hosts == ('incheon-b-1',)
+    assert 29 < status.lease_left_s < 30.1
+    await asyncio.sleep(status.lease_left_s)
+    assert fleet.answers(long)['incheon-b-1'] == 'key_lease_expired'
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_lowered_lease_counts_from_the_change():
+    fleet = await running(base=with_policy(key_lease_s=60))
+    key = await fleet.issue()
+    await asyncio.sleep(3)
+    fleet.split(['incheon-b-1'])
+    await fleet.push(base=with_policy(key_lease_s=5))
+    result = await fleet.withdraw(key)
+    await asyncio.sleep(10)
+    assert fleet.answers(key)['incheon-b-1'] == 'daegu-pans'
+    source = fleet.sources[fleet.log.leader]
+    (status,) = source.withdrawal_status(result.version)
+    assert 45 < status.lease_left_s < 55
+    await asyncio.sleep(status.lease_left_s)
+    assert fleet.answers(key)['incheon-b-1'] == 'key_lease_expired'
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_restarted_host_serves_nothing_before_a_proof():
+    fleet = await running()
+    key = await fleet.issue()
+    await asyncio.sleep(2)
+    await fleet.stop_host('incheon-b-1')
+    await fleet.start_host('incheon-b-1')
+    follower = fleet.followers['incheon-b-1']
+    assert follower.site_config().reason == 'state_stale'
+    assert follower.authenticate(key.text, now_s=0.0).reason == 'state_stale'
+    assert follower.authenticate(None, now_s=0.0).reason == 'key_missing'
+    assert follower.age_s(1e6) == float('inf')
+    await asyncio.sleep(2)
+    assert fleet.answers(key)['incheon-b-1'] == 'daegu-pans'
+    await fleet.stop()
+
+
+@pytest.mark.parametrize(
+    'policy, neighbour_answers, serves',
+    [
+        ({'cut_off_serving': True}, True, True),
+        ({'cut_off_serving': False}, True, False),
+        ({'cut_off_serving': True}, False, False),
+    ],
+)
+@in_virtual_time
+async def test_restart_while_cut_off(policy, neighbour_answers, serves):
+    fleet = await running(base=with_policy(**policy))
+    key = await fleet.issue()
+    await asyncio.sleep(2)
+    version = fleet.followers['incheon-b-7'].version
+    domain = fleet.names(failure_domain='incheon-b')
+    fleet.split(domain if neighbour_answers else ['incheon-b-1'])
+    await fleet.stop_host('incheon-b-1')
+    await fleet.start_host('incheon-b-1')
+    await asyncio.sleep(60)
+    follower = fleet.followers['incheon-b-1']
+    assert bool(follower.site_config()) is serves
+    assert follower.is_stale is serves
+    assert fleet.answers(key)['incheon-b-1'] != 'daegu-pans'
+    assert follower.version == (version if neighbour_answers else 0)
+    fleet.heal()
+    await asyncio.sleep(SETTLE_S)
+    assert not follower.is_stale
+    assert fleet.answers(key)['incheon-b-1'] == 'daegu-pans'
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_hundreds_of_missed_changes_come_as_one_delta():
+    fleet = await running()
+    follower = fleet.followers['incheon-b-1']
+    wholes = follower.counters()['state_whole_answers_taken']
+    rows = follower.counters()['state_rows_taken']
+    fleet.split(['incheon-b-1'])
+    for number in range(300):
+        text = json.dumps(
+            {'services': {'status-desk': {'queue_s': number / 100}}}
+        )
+        version = fleet.states[fleet.log.leader].config_version
+        site = 'incheon-b' if number % 2 else 'busan-a'
+        await fleet.commit(
+            commands.PushOverlay,
+            against_version=version,
+            site=site,
+            overlay_json=text,
+        )
+    fleet.heal()
+    await asyncio.sleep(SETTLE_S)
+    assert follower.version == 301
+    service = follower.site_config().services['status-desk']
+    assert service.queue_s == 2.99
+    counters = follower.counters()
+    assert counters['state_whole_answers_taken'] == wholes
+    assert counters['state_rows_taken'] <= rows + 4
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_host_from_before_the_tombstones_takes_the_whole(monkeypatch):
+    monkeypatch.setattr(parts, 'MAX_TOMBSTONES', 6)
+    fleet = await running()
+    gone = await fleet.issue()
+    await asyncio.sleep(2)
+    fleet.split(['incheon-b-1'])
+    await fleet.withdraw(gone)
+    for _ in range(10):
+        await fleet.withdraw(await fleet.issue())
+    fleet.heal()
+    await asyncio.sleep(SETTLE_S)
+    follower = fleet.followers['incheon-b-1']
+    assert follower.version == fleet.states[fleet.log.leader].version
+    assert len(follower.keys) == 0
+    assert follower.counters()['state_whole_answers_taken'] >= 3
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_differing_copy_is_replaced():
+    fleet = await running()
+    key = await fleet.issue()
+    await asyncio.sleep(2)
+    follower = fleet.followers['incheon-b-1']
+    follower._replica.store.put(('key', key.key_id), 1_000, None)
+    follower._replica.view.put(('key', key.key_id), None)
+    await asyncio.sleep(4)
+    assert follower.counters()['state_digest_mismatches'] == 1
+    assert fleet.answers(key)['incheon-b-1'] == 'daegu-pans'
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_drains_leaving_hosts_and_reports_arrive():
+    fleet = await running()
+    await fleet.stop_host('daegu-b-3')
+    await fleet.commit(commands.SetDrain, upstream='u1', draining=True)
+    await fleet.commit(commands.SetHostLeaving, host='busan-a-2', leaving=True)
+    await asyncio.sleep(2)
+    assert all(f.drains == {'u1'} for f in fleet.followers.values())
+    leaving = [n for n, f in fleet.followers.items() if f.leaving]
+    assert leaving == ['busan-a-2']
+    version = fleet.states[fleet.log.leader].version
+    for name in fleet.control:
+        found = {d.failure_domain: d for d in fleet.sources[name].in_force()}
+        assert len(found) == 6
+        assert found['busan-a'].applied_version == version
+        assert found['daegu-b'].applied_version < version
+        assert found['seoul-a'].hosts[0].status == {'calls': 1.0}
+    await fleet.stop()
+
+
+@in_virtual_time
+async def test_silent_loss_of_a_relay_costs_no_keyed_call():
+    hosts = tuple(
+        fake_peers.host(f'e{n}', 'honam', 'gwangju-a') for n in range(12)
+    ) + tuple(
+        fake_peers.host(f'c{n}', 'honam', f'd{n}', ('control',))
+        for n in range(3)
+    )
+    fleet = await running(hosts=hosts)
+    key = await fleet.issue()
+    await asyncio.sleep(2)
+    peers = directories.Directory(own='e0', hosts=hosts)
+    relays = tree.relays_of(peers, 'gwangju-a')
+    fleet.split([relays[0]])
+    for _ in range(60):
+        await asyncio.sleep(STEP_S)
+        answers = fleet.answers(key)
+        del answers[relays[0]]
+        assert set(answers.values()) == {'daegu-pans'}
+    await fleet.stop()
--- /dev/null
+++ b/tests/test_dissemination_parts.py
@@ -0,0 +1,205 @@
+"""Tests of the pure parts of dissemination."""
+
+import random
+
+import pytest
+
+from skylarkpitch.dissemination import choice
+from skylarkpitch.dissemination import freshness
+from skylarkpitch.dissemination import leases
+from skylarkpitch.dissemination import pulse
+from skylarkpitch.dissemination import replica as replicas
+from skylarkpitch.dissemination import reports
+from skylarkpitch.dissemination import tree
+from skylarkpitch.messages import dissemination as messages
+from skylarkpitch.peers import directory as directories
+from tests.stand_ins import fake_peers
+
+
+@pytest.mark.parametrize(
+    'asked, held, age, drift, proven',
+    [
+        (100.0, 0.0, 0.0, 0.0, 100.0),
+        (100.0, 0.0, 3.0, 0.0, 97.0),
+        (100.0, 2.0, 3.0, 0.0, 99.0),
+        (100.0, 0.0, 0.0, 0.01, 100.0),
+        (100.0, 0.0, 3.0, 0.01, 100.0 - 3.0 * 1.01 / 0.99),
+        (100.0, 2.0, 0.0, 0.01, 100.0 + 2.0 * 0.99 / 1.01),
+    ],
+)
+def test_proof_counts_from_the_question(asked, held, age, drift, proven):
+    found = freshness.proven_at_s(
+        asked_at_s=asked, held_s=held, age_s=age, drift=drift
+    )
+    assert found == pytest.approx(proven)
+
+
+@pytest.mark.parametrize('lease_s', [1.0, 5.0, 60.0, 86_400.0])
+def test_pulse_leaves_room_for_a_lost_parent(lease_s):
+    found = pulse.pulse_for(lease_s)
+    assert found.period_s + found.timeout_s < lease_s
+    assert found.hold_s > found.period_s
+
+
+def entry_hosts(count):
+    control = [
+        fake_peers.host(f'c{n}', 'r', f'd{n}', ('control',)) for n in range(5)
+    ]
+    entry = [fake_peers.host(f'e{n}', 'r', 'd') for n in range(count)]
+    return directories.Directory(own='e0', hosts=[*control, *entry])
+
+
+@pytest.mark.parametrize('count, depth', [(1, 1), (2, 1), (10, 2), (70, 4)])
+def test_tree_is_shallow_and_bounded(count, depth):
+    directory = entry_hosts(count)
+    parents = {
+        host.name: tree.sources_of(directory, host.name)[0]
+        for host in directory.with_role('entry')
+    }
+    below = list(parents.values())
+    assert all(
+        below.count(name) <= tree.FAN_OUT for name in parents if name in below
+    )
+
+    def height(name):
+        return 1 + height(parents[name]) if name in parents else 0
+
+    assert max(height(name) for name in parents) == depth
+
+
+def test_sources_fall_back_to_relays_and_control():
+    directory = entry_hosts(70)
+    for host in directory.with_role('entry'):
+        found = tree.sources_of(directory, host.name)
+        assert len(set(found)) == len(found)
+        assert host.name not in found
+        relays = set(tree.relays_of(directory, 'd')) - {host.name}
+        assert relays | {f'c{n}' for n in range(5)} <= set(found)
+
+
+def test_control_host_asks_itself_first():
+    hosts = [
+        fake_peers.host(f'h{n}', 'r', f'd{n}', ('entry', 'control'))
+        for n in range(3)
+    ]
+    directory = directories.Directory(own='h1', hosts=hosts)
+    assert tree.sources_of(directory, 'h1')[0] == 'h1'
+    assert tree.sources_of(directory, 'nobody') == ()
+
+
+def test_choice_moves_on_and_comes_back():
+    rng = random.Random(1)
+    chosen = choice.SourceChoice(sources=lambda: ('a', 'b'), rng=rng)
+    assert chosen.current(now_s=0.0) == 'a'
+    assert not chosen.failed(now_s=0.0)
+    assert chosen.current(now_s=1.0) == 'b'
+    assert chosen.current(now_s=100.0) == 'a'
+    assert not chosen.failed(now_s=100.0)
+    assert chosen.failed(now_s=100.0)
+    assert chosen.current(now_s=100.0) == 'a'
+
+
+@pytest.mark.parametrize(
+    'steps, organisation, end',
+    [
+        ([(1, 5.0, {}, 0.0)], 'a', 5.0),
+        ([(1, 5.0, {'a': 60.0}, 0.0)], 'a', 60.0),
+        ([(1, 5.0, {'a': 60.0}, 0.0)], 'b', 5.0),
+        ([(1, 5.0, {'a': 60.0}, 0.0)], None, 60.0),
+        ([(0, 90.0, {}, 0.0), (1, 5.0, {}, 10.0)], 'a', 100.0),
+        ([(0, 5.0, {}, 0.0), (1, 90.0, {}, 10.0)], 'a', 100.0),
+        ([(3, 5.0, {}, 7.0)], 'a', 12.0),
+        ([], 'a', 5.0),
+    ],
+)
+def test_lease_book(steps, organisation, end):
+    book = leases.LeaseBook(started_at_s=0.0)
+    for version, default_s, own, now_s in steps:
+        known = leases.Leases(default_s=default_s, by_organisation=own)
+        book.note(version, known, now_s=now_s)
+    assert book.ends_at_s(1, organisation) == end
+
+
+def row(host='e0', sequence=1, version=1, status=None):
+    return messages.ReportRow(
+        host=host,
+        sequence=sequence,
+        applied_version=version,
+        age_s=0.5,
+        life_cycle='serving',
+        status=status,
+    )
+
+
+def test_board_keeps_the_newest_report_of_known_hosts():
+    board = reports.ReportBoard(directory=entry_hosts(3))
+    assert board.take(row(sequence=2, version=5), now_s=0.0)
+    assert not board.take(row(sequence=1, version=4), now_s=1.0)
+    assert not board.take(row(host='nobody'), now_s=1.0)
+    (domain,) = board.in_force(now_s=2.0)
+    assert domain.applied_version == 5
+    assert domain.unheard == ('e1', 'e2')
+    (behind,) = board.unconfirmed(5, lease_left_s=1.0)
+    assert behind.hosts == ('e1', 'e2')
+    assert board.take(row(sequence=1, version=6), now_s=90.0)
+
+
+def test_reporter_says_changes_at_once_and_status_now_and_then():
+    reporter = reports.Reporter(host='e0', first_sequence=10)
+
+    def flush(version, now_s):
+        return reporter.flush(
+            applied_version=version,
+            age_s=0.1,
+            report=lambda: {'life_cycle': 'serving', 'calls': 2.0},
+            now_s=now_s,
+        )
+
+    (first,) = flush(1, 0.0)
+    assert first.status == {'calls': 2.0} and first.sequence == 11
+    assert flush(1, 1.0) == ()
+    (second,) = flush(2, 2.0)
+    assert second.status is None and second.applied_version == 2
+    reporter.not_sent((first, second))
+    reporter.take((row(host='e1'),))
+    assert {r.host for r in flush(2, 3.0)} == {'e0', 'e1'}
+    assert len(flush(2, 31.0)) == 1
+
+
+def answer(version, age_s=0.0, rows=(), digest=0, **fields):
+    return messages.StateAnswer(
+        version=version,
+        age_s=age_s,
+        held_s=0.0,
+        digest=digest,
+        rows=rows,
+        **fields,
+    )
+
+
+@pytest.mark.parametrize(
+    'given, is_proof, version',
+    [
+        (answer(0), True, 0),
+        (answer(0, age_s=-1.0), False, 0),
+        (answer(3, digest=1), False, 3),
+        (answer(3), True, 3),
+    ],
+)
+def test_replica_takes_proofs_with_whole_state_only(given, is_proof, version):
+    replica = replicas.Replica(site='s')
+    question = replica.question(now_s=10.0, hold_s=1.0)
+    taken = replica.take(question, given, asked_at_s=10.0, drift=0.01)
+    assert taken.is_proof is is_proof
+    assert replica.version == version
+
+
+def test_replica_never_goes_back():
+    replica = replicas.Replica(site='s')
+    question = replica.question(now_s=10.0, hold_s=1.0)
+    replica.take(question, answer(5), asked_at_s=10.0, drift=0.0)
+    old = answer(4, rows=((('drain', 'u'), 4, b'{}'),), whole=True)
+    taken = replica.take(question, old, asked_at_s=11.0, drift=0.0)
+    assert taken.is_proof and not taken.kinds
+    assert replica.version == 5 and replica.proven_at_s == 11.0
+    assert not replica.view.drains
