--- a/tests/stand_ins/virtual_time.py
+++ b/tests/stand_ins/virtual_time.py
@@ -1,42 +1,26 @@
-"""Run coroutines on a loop whose time jumps to the next timer."""
+"""Run coroutines on an event loop whose time jumps to the next timer."""
 
 import asyncio
-import selectors
 
-__all__ = ['run']
 
-
-class _JumpingSelector(selectors.DefaultSelector):
-    """Take each wait for done at once, and count it as time passed."""
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Advance ``time()`` only when nothing is left to do at this moment."""
 
     def __init__(self):
         super().__init__()
-        self.now_s = 1000.0
-
-    def select(self, timeout=None):
-        ready = super().select(0)
-        if not ready and timeout is None:
-            raise RuntimeError('every task waits and no timer is set')
-        if not ready and timeout > 0:
-            self.now_s += timeout
-        return ready
-
-
-class _Loop(asyncio.SelectorEventLoop):
-    def __init__(self):
-        self._jumping = _JumpingSelector()
-        super().__init__(self._jumping)
+        self._virtual_s = 1000.0
 
     def time(self):
-        return self._jumping.now_s
+        return self._virtual_s
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            due_s = self._scheduled[0]._when
+            self._virtual_s = max(self._virtual_s, due_s)
+        super()._run_once()
 
 
 def run(coroutine):
-    """Run a coroutine to its end in virtual time and return its result."""
-    loop = _Loop()
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        asyncio.set_event_loop(None)
-        loop.close()
+    """Run a coroutine to its end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(coroutine)
