Assemble the daemon, the operators' API, the tool and the demonstration

Cause: the parts had never run as separate processes; the first runs showed four faults. The new transport test fails on the old code and passes on the new. (2) Ports that the system had free were taken by outgoing connections before the daemon bound them; they are now drawn from below that range. (4) A planned stop called the hand over without its bound and ended after 3 s instead of waiting.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -19,6 +19,7 @@
 from benchmarks import fleet as fleets
 from benchmarks import shapes
 from skylarkpitch.config import keys as key_texts
+from skylarkpitch.operators import config_commands
 from tests.stand_ins import caller as callers
 
 __all__ = ['main']
@@ -80,19 +81,18 @@
     def _issue_keys(self) -> None:
         client = self.fleet.client()
         for organisation in self.fleet.base['organisations']:
-            random_bytes = self.rng.randbytes(48)
-            text, key_id, salt, digest = key_texts.new_key(random_bytes)
+            made = key_texts.new_key(self.rng.randbytes)
             client.post(
                 '/operators/v1/keys',
                 {
-                    'operation_id': f'issue-{key_id}',
-                    'key_id': key_id,
+                    'operation_id': f'issue-{made.key_id}',
+                    'key_id': made.key_id,
                     'organisation': organisation,
-                    'salt': salt,
-                    'secret_hash': digest,
+                    'salt': made.salt,
+                    'secret_hash': made.secret_hash,
                 },
             )
-            self.keys[organisation] = text
+            self.keys[organisation] = made.text
         say(f'issued {len(self.keys)} keys')
 
     def _all_announced(self) -> bool:
@@ -188,10 +188,7 @@
         answer = await asyncio.to_thread(
             client.get, '/operators/v1/config/status'
         )
-        return all(
-            domain['lowest_version'] >= version
-            for domain in answer['failure_domains']
-        )
+        return config_commands.is_in_force(answer, version)
 
     async def _withdraw_a_key(self, session) -> None:
         organisation = sorted(self.keys)[-1]
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,17 +18,38 @@
 __all__ = ['Fleet', 'free_ports']
 
 LOOPBACK = '127.0.0.1'
+LOWEST_PORT = 12_000
+FALLBACK_FIRST_EPHEMERAL_PORT = 32_768
+PORT_RANGE_FILE = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.1
 
 
+def _first_ephemeral_port() -> int:
+    try:
+        return int(PORT_RANGE_FILE.read_text().split()[0])
+    except (OSError, ValueError):
+        return FALLBACK_FIRST_EPHEMERAL_PORT
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that the operating system has free right now."""
+    """Return ports that the operating system has free right now.
+
+    They lie below the range of outgoing connections, which would otherwise
+    take them before the process that is to listen has started.
+    """
+    candidates = list(range(LOWEST_PORT, _first_ephemeral_port()))
+    random.SystemRandom().shuffle(candidates)
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind((LOOPBACK, 0))
-        return [item.getsockname()[1] for item in sockets]
+        found: list[int] = []
+        for port in candidates:
+            if len(found) == count:
+                break
+            item = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                item.bind((LOOPBACK, port))
+                found.append(port)
+    return found
 
 
 def _address(port: int) -> dict:
--- /dev/null
+++ b/src/skylarkpitch/daemon/control.py
@@ -0,0 +1,65 @@
+"""Assemble the control role from its parts."""
+
+import random
+from typing import Any
+
+import mode
+
+from skylarkpitch.config import state as config_state
+from skylarkpitch.consensus import service as consensus
+from skylarkpitch.daemon import listener
+from skylarkpitch.dissemination import source as sources
+from skylarkpitch.operators import api
+from skylarkpitch.peers import network
+from skylarkpitch.settings import daemon as daemon_settings
+
+__all__ = ['ControlRole']
+
+
+class ControlRole(mode.Service):
+    """Keep the replicated state and serve operators on one host."""
+
+    def __init__(
+        self,
+        *,
+        settings: daemon_settings.DaemonSettings,
+        peers: network.Peers,
+        rng: random.Random,
+        **options: Any,
+    ) -> None:
+        self._settings = settings
+        self._control_state = config_state.ControlState()
+        self._control_log = consensus.ReplicatedLog(
+            peers=peers,
+            state_machine=self._control_state,
+            data_folder=settings.data_folder,
+            voters=tuple(
+                host.name for host in peers.directory.with_role('control')
+            ),
+            rng=rng,
+            on_applied=lambda: self._source.notify(),
+        )
+        self._source = sources.StateSource(
+            peers=peers, log=self._control_log, state=self._control_state
+        )
+        self._api = api.OperatorsApi(
+            log=self._control_log,
+            state=self._control_state,
+            source=self._source,
+            peers=peers,
+            token_hashes=settings.control.operator_token_hashes,
+        )
+        super().__init__(**options)
+
+    def on_init_dependencies(self) -> list[mode.Service]:
+        """Return the parts in the order in which they start."""
+        return [
+            self._control_log,
+            self._source,
+            listener.Listener(
+                name='operators',
+                address=self._settings.control.operators,
+                routes=self._api.routes(),
+                limits=self._settings.limits,
+            ),
+        ]
--- /dev/null
+++ b/src/skylarkpitch/daemon/entry.py
@@ -0,0 +1,302 @@
+"""Assemble the entry role from its parts."""
+
+import asyncio
+from collections.abc import Callable
+import math
+import random
+import time
+from typing import Any
+
+from aiohttp import web
+import mode
+import structlog
+
+from skylarkpitch import charts
+from skylarkpitch.daemon import ledger_members
+from skylarkpitch.daemon import listener
+from skylarkpitch.daemon import status
+from skylarkpitch.daemon import tls
+from skylarkpitch.dissemination import follower as followers
+from skylarkpitch.dissemination import tree
+from skylarkpitch.limits import service as limits
+from skylarkpitch.membership import hosts
+from skylarkpitch.membership import service as membership
+from skylarkpitch.observability import histograms
+from skylarkpitch.observability import metrics
+from skylarkpitch.peers import network
+from skylarkpitch.requests import ledger_service
+from skylarkpitch.requests import path as request_path
+from skylarkpitch.requests import relay
+from skylarkpitch import sentinels
+from skylarkpitch.settings import daemon as daemon_settings
+from skylarkpitch.steering import lookup
+from skylarkpitch.steering import room
+
+__all__ = ['EntryRole']
+
+DRAIN_POLL_S = 0.05
+IDLE_BEFORE_STOP_S = 0.5
+LOOKUP_MARGIN_S = 0.5
+DEFAULT_RETENTION_S = 86_400.0
+
+_log = structlog.get_logger(__name__)
+
+
+class EntryRole(mode.Service):
+    """Serve callers and upstreams on one entry host."""
+
+    def __init__(
+        self,
+        *,
+        settings: daemon_settings.DaemonSettings,
+        peers: network.Peers,
+        rng: random.Random,
+        stop_process: Callable[[], None] = lambda: None,
+        **options: Any,
+    ) -> None:
+        self._stop_process = stop_process
+        self._settings = settings
+        self._peers = peers
+        self._rng = rng
+        self._chart = charts.Chart(name='entry_host')
+        self._latencies = histograms.LatencyBoard()
+        self._make_state_parts()
+        self._make_room_parts()
+        self._make_request_parts()
+        self._status = status.EntryStatus(
+            latencies=self._latencies,
+            limits=self._limits,
+            membership=self._membership,
+            parts=self._counting_parts(),
+        )
+        self._metrics = metrics.Metrics(
+            settings=settings.statsd,
+            host=settings.host,
+            read=self._status.counters,
+        )
+        self._status.answer_on(peers)
+        super().__init__(**options)
+
+    def _make_state_parts(self) -> None:
+        asked = tree.sources_of(self._peers.directory, self._settings.host)
+        self._follower = followers.StateFollower(
+            peers=self._peers,
+            sources=lambda: asked,
+            site=self._settings.site,
+            report=self._report,
+            rng=self._rng,
+            on_change=self._on_state,
+        )
+        self._board = hosts.HostBoard(
+            peers=self._peers,
+            life_cycle=lambda: self._chart.state,
+            room=lambda: self._room.counters().get('room', 0.0),
+        )
+
+    def _make_room_parts(self) -> None:
+        self._membership = membership.UpstreamMembership(
+            peers=self._peers,
+            site_config=self._follower.site_config,
+            drains=lambda: self._follower.drains,
+            announce_token_hash=self._settings.announce_token_hash,
+            rng=self._rng,
+        )
+        self._room = room.FleetRoom(
+            peers=self._peers,
+            membership=self._membership,
+            site_config=self._follower.site_config,
+            rng=self._rng,
+        )
+        self._limits = limits.OrganisationLimits(
+            peers=self._peers,
+            site_config=self._follower.site_config,
+            config_version=lambda: self._follower.version,
+            rng=self._rng,
+        )
+
+    def _make_request_parts(self) -> None:
+        directory = self._peers.directory
+        self._ledger = ledger_service.OperationLedger(
+            peers=self._peers,
+            region=self._settings.region,
+            members=lambda region: ledger_members.members_of_region(
+                directory, region
+            ),
+            epoch=lambda: 0,
+            retention_s=self._retention_s,
+            opened_s=self._ledger_opened_s,
+            rng=self._rng,
+        )
+        self._lookup = lookup.LookupService(
+            directory=directory,
+            site_config=self._follower.site_config,
+            is_leaving=self._board.not_serving,
+            room=self._board.room,
+            id_prefix=self._ledger.id_prefix,
+        )
+        self._path = request_path.RequestPath(
+            site_config=self._follower.site_config,
+            authenticator=self._follower,
+            limiter=self._limits,
+            room=self._room,
+            ledger=self._ledger,
+            settings=self._settings.limits,
+            is_stopping=lambda: self._chart.state == 'stopped',
+            on_done=self._on_done,
+            rng=self._rng,
+        )
+        self._relay = relay.RelayServer(
+            redeem=lambda ticket: self._room.redeem(
+                ticket, now_s=time.monotonic()
+            ),
+            settings=self._settings.limits,
+        )
+
+    def on_init_dependencies(self) -> list[mode.Service]:
+        """Return the parts in the order in which they start."""
+        parts = [
+            self._follower,
+            self._membership,
+            self._room,
+            self._limits,
+            self._ledger,
+            self._lookup,
+            self._board,
+            self._metrics,
+            self._relay_listener(),
+            *self._caller_listener(),
+        ]
+        return parts
+
+    async def on_start(self) -> None:
+        """Open the client sessions of the request path."""
+        await self._path.start()
+
+    async def on_stop(self) -> None:
+        """Leave in order: out of look-ups, drained, then stopped.
+
+        Waits until no cached look-up can name this host and its running
+        requests have ended, so that a planned stop cuts nobody off.
+        """
+        await self._leave()
+        await self._path.close()
+
+    async def _leave(self) -> None:
+        if self._chart.send('stop') != 'leaving':
+            return
+        _log.info('host_leaving', running=self._path.running)
+        self._board.beat()
+        self._room.stop_granting()
+        wait_s = self._lookup_lifetime_s() + LOOKUP_MARGIN_S
+        await asyncio.gather(
+            asyncio.sleep(wait_s),
+            self._membership.hand_over(timeout_s=wait_s),
+        )
+        self._chart.send('lookups_expired')
+        await self._wait_until_idle()
+        self._chart.send('idle')
+        _log.info('host_drained')
+
+    async def _wait_until_idle(self) -> None:
+        idle_s = 0.0
+        while idle_s < IDLE_BEFORE_STOP_S:
+            await asyncio.sleep(DRAIN_POLL_S)
+            busy = self._path.running or self._relay.running
+            idle_s = 0.0 if busy else idle_s + DRAIN_POLL_S
+
+    def _lookup_lifetime_s(self) -> float:
+        config = self._follower.site_config()
+        if sentinels.is_absent(config):
+            return 0.0
+        return config.policy.lookup_lifetime_s + hosts.HEARTBEAT_S
+
+    def _ledger_opened_s(self) -> float:
+        config = self._follower.site_config()
+        if sentinels.is_absent(config):
+            return math.inf
+        return config.policy.ledger_opened_at_s
+
+    def _retention_s(self) -> float:
+        config = self._follower.site_config()
+        if sentinels.is_absent(config):
+            return DEFAULT_RETENTION_S
+        return config.policy.ledger_retention_s
+
+    def _on_state(self) -> None:
+        has_config = not sentinels.is_absent(self._follower.site_config())
+        if self._chart.state == 'waiting_for_state' and has_config:
+            self._chart.send('state_confirmed')
+            _log.info('host_serving', version=self._follower.version)
+            self._board.beat()
+        if self._follower.leaving and not self.should_stop:
+            _log.info('host_told_to_leave')
+            self._stop_process()
+
+    def _on_done(self, done: request_path.Done) -> None:
+        self._latencies.record(
+            done.organisation, done.request_class, done.latency_s
+        )
+        self._metrics.timing(f'call.{done.request_class}', done.latency_s)
+
+    def _report(self) -> dict:
+        return {'life_cycle': self._chart.state}
+
+    def _counting_parts(self) -> dict:
+        return {
+            'state': self._follower,
+            'upstreams': self._membership,
+            'room': self._room,
+            'limits': self._limits,
+            'ledger': self._ledger,
+            'calls': self._path,
+        }
+
+    def _caller_listener(self) -> list[mode.Service]:
+        context = None
+        extra = []
+        if self._settings.tls is not None:
+            context = tls.context(self._settings.tls)
+            extra.append(
+                tls.CertificateReloader(
+                    settings=self._settings.tls, context=context
+                )
+            )
+        routes = [
+            *self._lookup.routes(),
+            *self._membership.routes(),
+            web.get('/skylark/v1/health', self._health),
+            web.get('/skylark/v1/metrics', self._metrics_page),
+            web.route('*', '/{path:.*}', self._path.handle),
+        ]
+        return [
+            *extra,
+            listener.Listener(
+                name='callers',
+                address=self._settings.callers_address,
+                routes=routes,
+                limits=self._settings.limits,
+                tls=context,
+            ),
+        ]
+
+    def _relay_listener(self) -> mode.Service:
+        return listener.Listener(
+            name='relay',
+            address=self._settings.relay_address,
+            routes=self._relay.routes(),
+            limits=self._settings.limits,
+        )
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        serving = self._chart.state == 'serving'
+        return web.json_response(
+            {
+                'host': self._settings.host,
+                'life_cycle': self._chart.state,
+                'version': self._follower.version,
+            },
+            status=200 if serving else 503,
+        )
+
+    async def _metrics_page(self, _request: web.Request) -> web.Response:
+        return web.Response(text=metrics.text_page(self._status.counters()))
--- /dev/null
+++ b/src/skylarkpitch/daemon/main.py
@@ -0,0 +1,139 @@
+"""Run ``skylarkd``: one daemon with the roles that its settings name."""
+
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import sys
+from typing import Any
+
+import click
+import mode
+from mode import loop
+import structlog
+
+from skylarkpitch.daemon import control
+from skylarkpitch.daemon import entry
+from skylarkpitch.daemon import keys
+from skylarkpitch import errors
+from skylarkpitch.observability import logs
+from skylarkpitch.peers import directory
+from skylarkpitch.peers import network
+from skylarkpitch.settings import daemon as daemon_settings
+
+__all__ = ['Daemon', 'main']
+
+EXIT_BAD_SETTINGS = 2
+
+_log = structlog.get_logger(__name__)
+
+
+class Daemon(mode.Service):
+    """Hold the transport and the roles of one process."""
+
+    def __init__(
+        self,
+        *,
+        settings: daemon_settings.DaemonSettings,
+        secret_key: str,
+        rng: random.Random,
+        **options: Any,
+    ) -> None:
+        self._settings = settings
+        self.malformed = 0
+        self._peers = network.PeerNetwork(
+            directory=directory.from_settings(
+                settings, public_key=keys.public_key_of(secret_key)
+            ),
+            secret_key=secret_key,
+            on_malformed=self._count_malformed,
+        )
+        self._roles: list[mode.Service] = []
+        if 'control' in settings.roles:
+            self._roles.append(
+                control.ControlRole(
+                    settings=settings, peers=self._peers, rng=rng
+                )
+            )
+        if 'entry' in settings.roles:
+            self._roles.append(
+                entry.EntryRole(
+                    settings=settings,
+                    peers=self._peers,
+                    rng=rng,
+                    stop_process=_stop_process,
+                )
+            )
+        super().__init__(**options)
+
+    def on_init_dependencies(self) -> list[mode.Service]:
+        """Return the transport, then the roles."""
+        return [self._peers, *self._roles]
+
+    async def on_started(self) -> None:
+        """Log that every part runs."""
+        _log.info(
+            'daemon_started',
+            roles=','.join(self._settings.roles),
+            failure_domain=self._settings.failure_domain,
+            process=os.getpid(),
+        )
+
+    def _count_malformed(self) -> None:
+        self.malformed += 1
+
+
+def _stop_process() -> None:
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
+def _load(path: pathlib.Path) -> tuple[daemon_settings.DaemonSettings, str]:
+    settings = daemon_settings.load(path)
+    return settings, keys.load_secret_key(settings.secret_key_file)
+
+
+def run(settings: daemon_settings.DaemonSettings, secret_key: str) -> None:
+    """Run the daemon until it is told to stop."""
+    logs.configure(host=settings.host, level=settings.log_level)
+    loop.use('uvloop')
+    asyncio.set_event_loop(asyncio.new_event_loop())
+    daemon = Daemon(
+        settings=settings, secret_key=secret_key, rng=random.SystemRandom()
+    )
+    worker = mode.Worker(
+        daemon,
+        quiet=True,
+        override_logging=False,
+        redirect_stdouts=False,
+        loop=asyncio.get_event_loop(),
+    )
+    worker.execute_from_commandline()
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'path',
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help='Settings file of this host, in JSON.',
+)
+@click.option(
+    '--check', is_flag=True, help='Validate the settings file, then exit.'
+)
+def main(path: pathlib.Path, check: bool) -> None:
+    """Run one host of skylarkpitch.
+
+    SIGTERM is a planned stop: callers are led away first. Exit status 2
+    means that the settings are wrong.
+    """
+    try:
+        settings, secret_key = _load(path)
+        if check:
+            click.echo(f'{path}: valid, roles {", ".join(settings.roles)}')
+            return
+        run(settings, secret_key)
+    except errors.SettingsError as error:
+        click.echo(f'skylarkd: {error}', err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
--- a/src/skylarkpitch/dissemination/reports.py
+++ b/src/skylarkpitch/dissemination/reports.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+from typing import Any
 
 from skylarkpitch.messages import dissemination as messages
 from skylarkpitch.peers import directory as directories
@@ -34,7 +35,7 @@
     applied_version: int
     age_s: float
     life_cycle: str
-    status: dict[str, float | str | dict]
+    status: dict[str, Any]
     reported_s: float
 
 
--- a/src/skylarkpitch/messages/dissemination.py
+++ b/src/skylarkpitch/messages/dissemination.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from typing import Any
+
 from skylarkpitch.messages import codec
 
 __all__ = [
@@ -31,7 +33,7 @@
     applied_version: int
     age_s: float
     life_cycle: str
-    status: dict[str, float | str | dict] | None = None
+    status: dict[str, Any] | None = None
 
 
 @codec.message('state.question')
--- a/src/skylarkpitch/observability/logs.py
+++ b/src/skylarkpitch/observability/logs.py
@@ -9,6 +9,12 @@
 __all__ = ['configure']
 
 
+def _is_worth_a_line(record: logging.LogRecord) -> bool:
+    # The service library tells each start and stop of each part.
+    is_life_cycle = str(record.msg).startswith('[^')
+    return not is_life_cycle or record.levelno > logging.INFO
+
+
 def _name_event(
     _logger: Any, _method: str, event: dict[str, Any]
 ) -> dict[str, Any]:
@@ -36,6 +42,7 @@
     stands on every line.
     """
     handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(_is_worth_a_line)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=list(_SHARED),
--- /dev/null
+++ b/src/skylarkpitch/operators/api.py
@@ -0,0 +1,380 @@
+"""Serve the operators' HTTP API of a control host.
+
+Every call carries an operator token. A change names an operation id, so that
+it can be sent again after a lost answer. Only the leader takes changes;
+another control host answers 421 with the leader's name.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import functools
+import hmac
+import time
+from typing import Any
+
+from aiohttp import web
+import msgspec
+import pydantic
+import structlog
+
+from skylarkpitch.config import commands
+from skylarkpitch.config import diff
+from skylarkpitch.config import state as config_state
+from skylarkpitch.consensus import ports as consensus_ports
+from skylarkpitch.dissemination import reports
+from skylarkpitch.dissemination import source as sources
+from skylarkpitch import errors
+from skylarkpitch.operators import models
+from skylarkpitch.operators import provision
+from skylarkpitch.operators import questions
+from skylarkpitch.peers import network
+from skylarkpitch import sentinels
+
+__all__ = ['OperatorsApi']
+
+SUBMIT_TIMEOUT_S = 5.0
+CONFIRM_TIMEOUT_S = 1.0
+BEARER = 'Bearer '
+
+STATUS_OF = {
+    'invalid': 400,
+    'not_leader': 421,
+    'uncertain': 504,
+    'version_conflict': 409,
+}
+
+_Handler = Callable[[web.Request], Awaitable[web.Response]]
+_log = structlog.get_logger(__name__)
+
+
+def _json(value: Any, *, status: int = 200) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value),
+        status=status,
+        content_type='application/json',
+    )
+
+
+def _error(error: errors.SkylarkError) -> web.Response:
+    body: dict[str, Any] = {'reason': error.reason, 'message': str(error)}
+    if isinstance(error, errors.ConflictError):
+        body['current_version'] = error.current_version
+    if isinstance(error, errors.NotLeaderError):
+        body['leader'] = error.leader
+    return _json(body, status=STATUS_OF.get(error.reason, 422))
+
+
+async def _body(
+    request: web.Request, model: type[pydantic.BaseModel]
+) -> pydantic.BaseModel:
+    try:
+        return model.model_validate_json(await request.read())
+    except pydantic.ValidationError as error:
+        lines = '; '.join(
+            f'{".".join(map(str, item["loc"])) or "body"}: {item["msg"]}'
+            for item in error.errors()
+        )
+        raise errors.ValidationError(
+            f'the request body is not valid: {lines}. Use the skylark tool '
+            'of the same release'
+        ) from error
+
+
+class OperatorsApi:
+    """Answer operators on one control host."""
+
+    def __init__(
+        self,
+        *,
+        log: consensus_ports.ControlLog,
+        state: config_state.ControlState,
+        source: sources.StateSource,
+        peers: network.Peers,
+        token_hashes: tuple[str, ...],
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._source = source
+        self._peers = peers
+        self._token_hashes = token_hashes
+        self._wall_clock = wall_clock
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the API."""
+        base = '/operators/v1'
+        table = (
+            ('GET', 'config', self._show),
+            ('POST', 'config/check', self._check),
+            ('POST', 'config', self._push),
+            ('POST', 'config/overlay', self._push_overlay),
+            ('GET', 'config/status', self._config_status),
+            ('GET', 'config/history', self._history),
+            ('GET', 'keys', self._list_keys),
+            ('POST', 'keys', self._issue),
+            ('POST', 'keys/withdraw', self._withdraw),
+            ('GET', 'keys/unconfirmed', self._unconfirmed),
+            ('POST', 'upstreams/drain', self._drain),
+            ('POST', 'hosts/stop', self._stop_host),
+            ('GET', 'hosts', self._hosts),
+            ('GET', 'status', self._status),
+            ('GET', 'histograms', self._histograms),
+            ('GET', 'members', self._members),
+            ('POST', 'members', self._change_member),
+        )
+        return [
+            web.route(
+                method,
+                f'{base}/{path}',
+                functools.partial(self._guarded, handler),
+            )
+            for method, path, handler in table
+        ]
+
+    async def _guarded(
+        self, handler: _Handler, request: web.Request
+    ) -> web.Response:
+        if not self._is_operator(request.headers.get('Authorization', '')):
+            return _json(
+                {
+                    'reason': 'token_refused',
+                    'message': 'the operator token is missing or unknown; '
+                    'pass --token-file with the token made at provisioning',
+                },
+                status=401,
+            )
+        try:
+            return await handler(request)
+        except errors.SkylarkError as error:
+            _log.info('operator_call_refused', reason=error.reason)
+            return _error(error)
+
+    def _is_operator(self, header: str) -> bool:
+        token = header.removeprefix(BEARER)
+        if token == header:
+            return False
+        offered = provision.token_hash(token)
+        matches = [
+            hmac.compare_digest(offered, known) for known in self._token_hashes
+        ]
+        return any(matches)
+
+    async def _submit(
+        self, command: commands.Command, *, operator: str
+    ) -> web.Response:
+        result = await self._log.submit(
+            commands.encode(command), timeout_s=SUBMIT_TIMEOUT_S
+        )
+        _log.info(
+            'operator_change',
+            operator=operator,
+            operation_id=command.operation_id,
+            kind=type(command).__name__,
+            result=type(result).__name__,
+        )
+        if isinstance(result, commands.Conflict):
+            raise errors.ConflictError(
+                'the configuration is at version '
+                f'{result.current_version}; look at it with skylark config '
+                'show, then push against that version',
+                current_version=result.current_version,
+            )
+        if isinstance(result, commands.Rejected):
+            return _json(
+                {'reason': result.reason, 'message': result.message},
+                status=422,
+            )
+        return _json(result)
+
+    async def _is_current(self) -> bool:
+        confirmed = await self._log.confirm(timeout_s=CONFIRM_TIMEOUT_S)
+        return not sentinels.is_absent(confirmed)
+
+    async def _host_reports(self) -> list[reports.HostReport]:
+        answers = await questions.ask_entry_hosts(
+            self._peers, questions.StatusQuestion()
+        )
+        return [
+            dataclasses.replace(host, status=answers[host.host].status)
+            if host.host in answers
+            else host
+            for domain in self._source.in_force()
+            for host in domain.hosts
+        ]
+
+    async def _show(self, request: web.Request) -> web.Response:
+        current = await self._is_current()
+        return _json(
+            {
+                'version': self._state.version,
+                'config_version': self._state.config_version,
+                'current': current,
+                'base': self._state.base,
+                'overlays': self._state.overlays,
+                'drains': sorted(self._state.drains),
+                'leaving_hosts': sorted(self._state.leaving_hosts),
+            }
+        )
+
+    async def _check(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.PushBody)
+        changes = diff.diff_sites(
+            old_base=self._state.base,
+            old_overlays=self._state.overlays,
+            new_base=body.base,
+            new_overlays=body.overlays,
+        )
+        return _json(
+            {
+                'changes': changes,
+                'config_version': self._state.config_version,
+            }
+        )
+
+    async def _push(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.PushBody)
+        command = commands.PushConfig(
+            operation_id=body.operation_id,
+            operator=body.operator,
+            at_s=self._wall_clock(),
+            against_version=body.against_version,
+            base_json=msgspec.json.encode(body.base).decode(),
+            overlays_json={
+                site: msgspec.json.encode(overlay).decode()
+                for site, overlay in body.overlays.items()
+            },
+        )
+        return await self._submit(command, operator=body.operator)
+
+    async def _push_overlay(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.OverlayBody)
+        command = commands.PushOverlay(
+            operation_id=body.operation_id,
+            operator=body.operator,
+            at_s=self._wall_clock(),
+            against_version=body.against_version,
+            site=body.site,
+            overlay_json=msgspec.json.encode(body.overlay).decode(),
+        )
+        return await self._submit(command, operator=body.operator)
+
+    async def _config_status(self, request: web.Request) -> web.Response:
+        return _json(
+            {
+                'version': self._state.version,
+                'config_version': self._state.config_version,
+                'current': await self._is_current(),
+                'failure_domains': self._source.in_force(),
+            }
+        )
+
+    async def _history(self, request: web.Request) -> web.Response:
+        return _json({'history': list(self._state.history)})
+
+    async def _list_keys(self, request: web.Request) -> web.Response:
+        keys = [
+            {'key_id': key_id, 'organisation': key.organisation}
+            for key_id, key in sorted(self._state.keys.items())
+        ]
+        return _json({'keys': keys, 'current': await self._is_current()})
+
+    async def _issue(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.IssueBody)
+        command = commands.IssueKey(
+            operation_id=body.operation_id,
+            operator=body.operator,
+            at_s=self._wall_clock(),
+            key_id=body.key_id,
+            organisation=body.organisation,
+            salt=body.salt,
+            secret_hash=body.secret_hash,
+        )
+        return await self._submit(command, operator=body.operator)
+
+    async def _withdraw(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.WithdrawBody)
+        command = commands.WithdrawKey(
+            operation_id=body.operation_id,
+            operator=body.operator,
+            at_s=self._wall_clock(),
+            key_id=body.key_id,
+        )
+        return await self._submit(command, operator=body.operator)
+
+    async def _unconfirmed(self, request: web.Request) -> web.Response:
+        try:
+            version = int(request.query['version'])
+        except (KeyError, ValueError) as error:
+            raise errors.ValidationError(
+                'the query needs version, the number that the withdrawal '
+                'answered with'
+            ) from error
+        return _json(
+            {
+                'unconfirmed': self._source.withdrawal_status(
+                    version, organisation=request.query.get('organisation')
+                )
+            }
+        )
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.DrainBody)
+        command = commands.SetDrain(
+            operation_id=body.operation_id,
+            operator=body.operator,
+            at_s=self._wall_clock(),
+            upstream=body.upstream,
+            draining=body.draining,
+        )
+        return await self._submit(command, operator=body.operator)
+
+    async def _stop_host(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.StopHostBody)
+        if self._peers.directory.get(body.host) is None:
+            raise errors.ValidationError(
+                f'host {body.host!r} is not in the settings of this control '
+                'host; see skylark hosts list'
+            )
+        command = commands.SetHostLeaving(
+            operation_id=body.operation_id,
+            operator=body.operator,
+            at_s=self._wall_clock(),
+            host=body.host,
+            leaving=body.leaving,
+        )
+        return await self._submit(command, operator=body.operator)
+
+    async def _hosts(self, request: web.Request) -> web.Response:
+        return _json({'hosts': await self._host_reports()})
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return _json(
+            {
+                'version': self._state.version,
+                'config_version': self._state.config_version,
+                'current': await self._is_current(),
+                'control': dataclasses.asdict(self._log.status()),
+                'failure_domains': self._source.in_force(),
+                'hosts': await self._host_reports(),
+            }
+        )
+
+    async def _histograms(self, request: web.Request) -> web.Response:
+        answers = await questions.ask_entry_hosts(
+            self._peers, questions.HistogramQuestion()
+        )
+        return _json(
+            {'hosts': {name: item.encoded for name, item in answers.items()}}
+        )
+
+    async def _members(self, request: web.Request) -> web.Response:
+        return _json(dataclasses.asdict(self._log.status()))
+
+    async def _change_member(self, request: web.Request) -> web.Response:
+        body = await _body(request, models.MemberBody)
+        if body.remove:
+            await self._log.remove_member(body.host)
+        else:
+            await self._log.add_member(body.host)
+        return _json(dataclasses.asdict(self._log.status()))
--- /dev/null
+++ b/src/skylarkpitch/operators/config_commands.py
@@ -0,0 +1,245 @@
+"""Commands that check, push and show the configuration."""
+
+import json
+import pathlib
+import time
+from typing import Any
+
+import click
+
+from skylarkpitch import errors
+from skylarkpitch.operators import client as clients
+from skylarkpitch.operators import context as contexts
+from skylarkpitch.operators import output as outputs
+from skylarkpitch.settings import deployment
+
+__all__ = ['config', 'is_in_force', 'read_documents', 'wait_in_force']
+
+WAIT_POLL_S = 0.2
+
+_files = (
+    click.option(
+        '--base',
+        'base_path',
+        required=True,
+        type=click.Path(path_type=pathlib.Path),
+        help='Base file, in JSON.',
+    ),
+    click.option(
+        '--overlays',
+        'overlay_folder',
+        required=True,
+        type=click.Path(path_type=pathlib.Path),
+        help='Folder with one SITE.json a site.',
+    ),
+)
+
+
+def _with_files(command: Any) -> Any:
+    for option in reversed(_files):
+        command = option(command)
+    return command
+
+
+def _read_json(path: pathlib.Path) -> Any:
+    try:
+        return json.loads(path.read_text())
+    except OSError as error:
+        raise errors.ValidationError(
+            f'{path} cannot be read ({error.strerror}); name a readable file'
+        ) from error
+    except ValueError as error:
+        raise errors.ValidationError(
+            f'{path} is not valid JSON ({error}); correct it at that place'
+        ) from error
+
+
+def read_documents(
+    base_path: pathlib.Path, overlay_folder: pathlib.Path
+) -> tuple[Any, dict[str, Any]]:
+    """Return the base and the overlays by site, each checked.
+
+    Raises ``ValidationError`` for the first site with mistakes.
+    """
+    base = _read_json(base_path)
+    paths = sorted(overlay_folder.glob('*.json'))
+    if not paths:
+        raise errors.ValidationError(
+            f'{overlay_folder} holds no SITE.json; write one file a site, '
+            'with {} for a site that changes nothing'
+        )
+    overlays = {path.stem: _read_json(path) for path in paths}
+    for site, overlay in overlays.items():
+        deployment.validate_site(base, overlay, site=site)
+    return base, overlays
+
+
+def _domain_rows(answer: dict[str, Any]) -> list[tuple[Any, ...]]:
+    return [
+        (
+            domain['failure_domain'],
+            len(domain['hosts']) + len(domain['unheard']),
+            domain['applied_version'],
+            'yes' if is_applied(domain, answer['version']) else 'no',
+            domain['oldest_report_s'],
+        )
+        for domain in answer['failure_domains']
+    ]
+
+
+def _status_text(answer: dict[str, Any]) -> str:
+    head = (
+        f'version {answer["version"]}, configuration '
+        f'{answer["config_version"]}'
+        f'{"" if answer["current"] else " (not confirmed by a quorum)"}'
+    )
+    body = outputs.table(
+        ('FAILURE DOMAIN', 'HOSTS', 'APPLIED', 'IN FORCE', 'REPORT AGE S'),
+        _domain_rows(answer),
+    )
+    return f'{head}\n{body}'
+
+
+def is_applied(domain: dict[str, Any], version: int) -> bool:
+    """Tell whether every host of a failure domain applies a version."""
+    return not domain['unheard'] and domain['applied_version'] >= version
+
+
+def is_in_force(answer: dict[str, Any], version: int) -> bool:
+    """Tell whether every host of every failure domain applies a version."""
+    return all(
+        is_applied(domain, version) for domain in answer['failure_domains']
+    )
+
+
+def wait_in_force(
+    client: clients.Client, *, version: int, timeout_s: float
+) -> bool:
+    """Wait until every failure domain applies ``version``."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        answer = client.get('/operators/v1/config/status')
+        if is_in_force(answer, version):
+            return True
+        time.sleep(WAIT_POLL_S)
+    return False
+
+
+@click.group()
+def config() -> None:
+    """Check, push and show the base file and the overlays."""
+
+
+@config.command()
+@_with_files
+@outputs.option
+def check(
+    base_path: pathlib.Path, overlay_folder: pathlib.Path, output: str
+) -> None:
+    """Validate the files without any control host."""
+    _, overlays = read_documents(base_path, overlay_folder)
+    outputs.show(
+        {'valid': True, 'sites': sorted(overlays)},
+        output,
+        lambda answer: f'valid for {len(answer["sites"])} sites',
+    )
+
+
+@config.command()
+@_with_files
+@click.option(
+    '--against',
+    type=int,
+    default=None,
+    help='Version the change was made against; default: the present one.',
+)
+@click.option('--dry-run', is_flag=True, help='Show the changes only.')
+@click.option('--wait', is_flag=True, help='Wait until in force everywhere.')
+@contexts.operation_option
+@outputs.option
+@contexts.pass_context
+def push(
+    context: contexts.Context,
+    base_path: pathlib.Path,
+    overlay_folder: pathlib.Path,
+    against: int | None,
+    dry_run: bool,
+    wait: bool,
+    operation_id: str | None,
+    output: str,
+) -> None:
+    """Replace the base and every overlay."""
+    base, overlays = read_documents(base_path, overlay_folder)
+    client = context.client()
+    if against is None:
+        against = client.get('/operators/v1/config')['config_version']
+    body = context.change(
+        operation_id, against_version=against, base=base, overlays=overlays
+    )
+    if dry_run:
+        answer = client.post('/operators/v1/config/check', body)
+        outputs.show(answer, output, _changes_text)
+        return
+    answer = client.post('/operators/v1/config', body)
+    if wait:
+        answer['in_force'] = wait_in_force(
+            client, version=answer['version'], timeout_s=context.timeout_s
+        )
+    outputs.show(answer, output, _accepted_text)
+
+
+def _changes_text(answer: dict[str, Any]) -> str:
+    if not answer['changes']:
+        return 'no changes'
+    return '\n'.join(answer['changes'])
+
+
+def _accepted_text(answer: dict[str, Any]) -> str:
+    text = f'accepted as version {answer["version"]}'
+    if 'in_force' not in answer:
+        return text
+    if answer['in_force']:
+        return f'{text}, in force everywhere'
+    return f'{text}, not yet in force everywhere; see skylark config status'
+
+
+@config.command()
+@outputs.option
+@contexts.pass_context
+def show(context: contexts.Context, output: str) -> None:
+    """Show the accepted base and overlays."""
+    answer = context.client().get('/operators/v1/config')
+    outputs.show(answer, output, lambda item: json.dumps(item, indent=2))
+
+
+@config.command()
+@outputs.option
+@contexts.pass_context
+def status(context: contexts.Context, output: str) -> None:
+    """Show by failure domain which version is in force."""
+    answer = context.client().get('/operators/v1/config/status')
+    outputs.show(answer, output, _status_text)
+
+
+@config.command()
+@outputs.option
+@contexts.pass_context
+def history(context: contexts.Context, output: str) -> None:
+    """Show the last accepted changes, newest last."""
+    answer = context.client().get('/operators/v1/config/history')
+    outputs.show(
+        answer,
+        output,
+        lambda item: outputs.table(
+            ('VERSION', 'KIND', 'OPERATOR', 'OPERATION ID'),
+            [
+                (
+                    change['version'],
+                    change['kind'],
+                    change['operator'],
+                    change['operation_id'],
+                )
+                for change in item['history']
+            ],
+        ),
+    )
--- /dev/null
+++ b/src/skylarkpitch/operators/status_commands.py
@@ -0,0 +1,123 @@
+"""Commands that show the whole system: ``status`` and ``report``."""
+
+import pathlib
+from typing import Any
+
+import click
+
+from skylarkpitch.operators import context as contexts
+from skylarkpitch.operators import output as outputs
+from skylarkpitch.operators import report as reports
+
+__all__ = ['report', 'status']
+
+
+def _host_section(answer: dict[str, Any]) -> str:
+    return outputs.table(
+        ('REGION', 'FAILURE DOMAIN', 'HOST', 'LIFE CYCLE', 'VERSION', 'ROOM'),
+        [
+            (
+                host['region'],
+                host['failure_domain'],
+                host['host'],
+                host['life_cycle'],
+                host['applied_version'],
+                host['status'].get('counters', {}).get('room.room'),
+            )
+            for host in answer['hosts']
+        ],
+    )
+
+
+def _sum_organisations(answer: dict[str, Any]) -> dict[str, dict[str, float]]:
+    sums: dict[str, dict[str, float]] = {}
+    for host in answer['hosts']:
+        usage = host['status'].get('organisations', {})
+        for name, figures in usage.items():
+            total = sums.setdefault(name, {})
+            for field, value in figures.items():
+                total[field] = total.get(field, 0.0) + value
+    return sums
+
+
+def _organisation_section(answer: dict[str, Any]) -> str:
+    sums = _sum_organisations(answer)
+    if not sums:
+        return 'no organisation has called yet'
+    fields = sorted(next(iter(sums.values())))
+    return outputs.table(
+        ('ORGANISATION', *(field.upper() for field in fields)),
+        [
+            (name, *(figures.get(field, 0.0) for field in fields))
+            for name, figures in sorted(sums.items())
+        ],
+    )
+
+
+def _latency_section(answer: dict[str, Any]) -> str:
+    rows = []
+    for host in answer['hosts']:
+        for item in host['status'].get('latencies', ()):
+            rows.append(
+                (
+                    item['organisation'],
+                    item['request_class'],
+                    host['host'],
+                    item['count'],
+                    item['p50_ms'],
+                    item['p99_ms'],
+                )
+            )
+    return outputs.table(
+        ('ORGANISATION', 'CLASS', 'HOST', 'CALLS', 'P50 MS', 'P99 MS'),
+        sorted(rows),
+    )
+
+
+def _status_text(answer: dict[str, Any]) -> str:
+    control = answer['control']
+    return '\n\n'.join(
+        (
+            f'version {answer["version"]}, configuration '
+            f'{answer["config_version"]}, leader '
+            f'{control["leader"] or "unknown"}, voters '
+            f'{", ".join(control["voters"])}',
+            _host_section(answer),
+            _organisation_section(answer),
+            _latency_section(answer),
+        )
+    )
+
+
+@click.command()
+@outputs.option
+@contexts.pass_context
+def status(context: contexts.Context, output: str) -> None:
+    """Show hosts, room, versions, organisations and latencies."""
+    answer = context.client().get('/operators/v1/status')
+    outputs.show(answer, output, _status_text)
+
+
+@click.command()
+@click.option(
+    '--file',
+    'path',
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help='HTML file to write.',
+)
+@outputs.option
+@contexts.pass_context
+def report(context: contexts.Context, path: pathlib.Path, output: str) -> None:
+    """Write one HTML page with the histograms of the whole fleet."""
+    client = context.client()
+    page = reports.page(
+        status=client.get('/operators/v1/status'),
+        histograms=client.get('/operators/v1/histograms')['hosts'],
+    )
+    path.write_text(page)
+    outputs.show(
+        {'file': str(path), 'bytes': len(page)},
+        output,
+        lambda item: f'wrote {item["file"]}',
+    )
--- a/src/skylarkpitch/peers/network.py
+++ b/src/skylarkpitch/peers/network.py
@@ -67,13 +67,11 @@
         self._reader = asyncio.create_task(self._read())
 
     def send(self, message: object, *, number: bytes = b'') -> bool:
-        try:
-            self._socket._shadow_sock.send_multipart(
-                [number, *codec.encode(message)], zmq.NOBLOCK
-            )
-        except zmq.Again:
-            return False
-        return True
+        # A send on the bare socket would take the wake-up of the reader.
+        sent = self._socket.send_multipart(
+            [number, *codec.encode(message)], flags=zmq.NOBLOCK
+        )
+        return sent.done() and sent.exception() is None
 
     async def ask(
         self, message: object, *, timeout_s: float
--- a/src/skylarkpitch/requests/headers.py
+++ b/src/skylarkpitch/requests/headers.py
@@ -66,7 +66,7 @@
     """Return the headers that may pass on, in order."""
     named = _named_by_connection(headers.getall('Connection', ()))
     return tuple(
-        (name, value)
+        (str(name), value)
         for name, value in headers.items()
         if not _stays(name.lower(), named)
     )
--- a/tests/stand_ins/upstream.py
+++ b/tests/stand_ins/upstream.py
@@ -19,7 +19,7 @@
 from aiohttp import web
 import click
 
-ANNOUNCE_EVERY_S = 0.8
+from skylarkpitch.membership import announcer as announcers
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -42,7 +42,6 @@
 
     def __init__(self, *, plan, entries, token, clock=time.monotonic):
         self.plan = plan
-        self.entries = list(entries)
         self.clock = clock
         self.started_s = clock()
         self.running = 0
@@ -55,10 +54,7 @@
         self.instance = hashlib.sha256(
             f'{plan.name}{self.started_s}'.encode()
         ).hexdigest()[:16]
-        self.owner_url = self.entries[0]
-        self.owner = None
-        self.renewed_s = 0.0
-        self.lease_s = 3.0
+        self.announcer = announcers.Announcer(urls=entries, now_s=clock())
         self._token = token
         self._url = None
 
@@ -115,8 +111,7 @@
             return self.plan.cold_work_s
         return self.plan.work_s
 
-    def announcement(self):
-        age_s = self.clock() - self.renewed_s if self.owner else None
+    def announcement(self, attempt):
         load = self.plan.load_percent
         if load is None:
             load = 100 * self.running / self.plan.slots
@@ -129,48 +124,41 @@
             'instance': self.instance,
             'load_percent': load,
             'healthy': self.plan.healthy,
-            'previous_owner': self.owner,
-            'previous_owner_age_s': age_s,
+            'previous_owner': attempt.previous_owner,
+            'previous_owner_age_s': attempt.previous_owner_age_s,
+            'echo': attempt.echo,
         }
 
     async def announce(self, session):
-        """Announce once, keeping to one owner until its lease is over."""
-        attempted_s = self.clock()
+        """Announce once and take the answer."""
+        attempt = self.announcer.attempt(now_s=self.clock())
         try:
             async with session.post(
-                f'{self.owner_url}/skylark/v1/upstreams/announce',
-                json=self.announcement(),
+                f'{attempt.url}/skylark/v1/upstreams/announce',
+                json=self.announcement(attempt),
                 headers={'Skylark-Announce-Token': self._token},
             ) as response:
                 answer = await response.json()
         except (aiohttp.ClientError, TimeoutError, ValueError):
-            self._move_on()
+            self.announcer.failed(now_s=self.clock())
             return
+        now_s = self.clock()
         if response.status == 200:
-            if answer.get('lease_s'):
-                self.owner = answer['owner']
-                self.renewed_s = attempted_s
-                self.lease_s = answer['lease_s']
-            follow = answer.get('announce_to')
-            if follow and follow.rstrip('/') != self.owner_url:
-                self.owner_url = follow.rstrip('/')
-        elif response.status != 409:
-            self._move_on()
-
-    def _move_on(self):
-        if self.clock() - self.renewed_s < 1.05 * self.lease_s:
-            return
-        index = self.entries.index(self.owner_url) + 1
-        self.owner_url = self.entries[index % len(self.entries)]
+            self.announcer.answered(answer, now_s=now_s)
+        elif answer.get('retry_after_s') is not None:
+            self.announcer.refused(answer['retry_after_s'], now_s=now_s)
+        else:
+            self.announcer.failed(now_s=now_s)
 
     async def announce_regularly(self, session):
         while True:
             await self.announce(session)
-            await asyncio.sleep(ANNOUNCE_EVERY_S)
+            wait_s = self.announcer.next_s - self.clock()
+            await asyncio.sleep(max(0.02, wait_s))
 
     async def leave(self, session):
         await session.post(
-            f'{self.owner_url}/skylark/v1/upstreams/leave',
+            f'{self.announcer.url}/skylark/v1/upstreams/leave',
             json={'name': self.plan.name, 'instance': self.instance},
             headers={'Skylark-Announce-Token': self._token},
         )
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import threading
+import time
 
 import pytest
 import zmq
@@ -28,6 +30,11 @@
     text: str
 
 
+@codec.message('test.stop')
+class Stop:
+    """Order of these tests to stop."""
+
+
 @codec.message('test.unhandled')
 class Unhandled:
     """Message that no host of these tests handles."""
@@ -132,3 +139,45 @@
             return await one.ask(name, Question(text='x'), timeout_s=0.1)
 
     assert asyncio.run(scenario()).reason == reason
+
+
+def test_sending_takes_no_wake_up_from_the_reader_of_answers():
+    async def scenario():
+        hosts, secrets = make_hosts(['a', 'b'])
+        answers = []
+        async with make_network('a', hosts, secrets) as one:
+            thread = threading.Thread(target=serve_echo, args=(hosts, secrets))
+            thread.start()
+            await ask_until_connected(one, 'b', Question(text='up'))
+            for number in range(10):
+                asked = asyncio.ensure_future(
+                    one.ask('b', Question(text=str(number)), timeout_s=2.0)
+                )
+                await asyncio.sleep(0)
+                # The answer arrives while this loop is not looking.
+                time.sleep(0.02)
+                one.send('b', Question(text='more'))
+                answers.append(await asked)
+            one.send('b', Stop())
+            await asyncio.to_thread(thread.join)
+        return answers
+
+    answers = asyncio.run(scenario())
+    assert answers == [Answer(text=f'a:{n}') for n in range(10)]
+
+
+def serve_echo(hosts, secrets):
+    """Answer as host ``b`` on a loop of its own until told to stop."""
+
+    async def serve():
+        stopped = asyncio.Event()
+
+        async def stop(sender, message):
+            stopped.set()
+
+        async with make_network('b', hosts, secrets) as other:
+            other.handle(Question, echo)
+            other.handle(Stop, stop)
+            await stopped.wait()
+
+    asyncio.run(serve())
