--- /dev/null
+++ b/benchmarks/models/slots.py
@@ -0,0 +1,235 @@
+"""Specification of who may hand out the one slot of an upstream.
+
+Two entry hosts and one upstream that announces to one of them at a time.
+Announcements can be delayed or lost, the hosts can lose each other, and a
+host can restart without memory. A lease lasts longer on the host whose
+clock runs slow. All counters are times left. The verdict on an announcement
+without an echo is the program's own ``judge_claim``.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+import minicheck
+
+from benchmarks.models import spec
+from skylarkpitch.membership import ownership
+
+__all__ = ['SPECS']
+
+HOSTS = (0, 1)
+NOBODY = -1
+STARTED = ('h0', 'h1')
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Rules:
+    lease: tuple[int, int] = (2, 1)
+    wait: int = 2
+    work: int = 2
+    from_echo: bool = True
+    remembers: bool = True
+    restarts: int = 1
+
+
+def _replace(items: tuple, position: int, item: object) -> tuple:
+    return items[:position] + (item,) + items[position + 1 :]
+
+
+def _less(value: int) -> int:
+    return max(0, value - 1)
+
+
+def _tick(state: tuple, rules: _Rules) -> tuple:
+    hosts, orphan, upstream, message, left = state
+    hosts = tuple(
+        (_less(lease), known, _less(run), _less(blocked))
+        for lease, known, run, blocked in hosts
+    )
+    target, echo, previous, age = upstream
+    upstream = (target, _less(echo), previous, min(age + 1, rules.wait))
+    if message is not None:
+        message = (message[0], _less(message[1]), *message[2:])
+    return hosts, _less(orphan), upstream, message, left
+
+
+def _send(state: tuple) -> tuple:
+    hosts, orphan, (target, echo, previous, age), _, left = state
+    if echo:
+        previous, age = target, 0
+    upstream = (target, echo, previous, age)
+    return hosts, orphan, upstream, (target, echo, previous, age), left
+
+
+def _switch(state: tuple) -> tuple:
+    hosts, orphan, (target, _, previous, age), message, left = state
+    return hosts, orphan, (1 - target, 0, previous, age), message, left
+
+
+def _forget_echoes(state: tuple, host: int) -> tuple:
+    hosts, orphan, upstream, message, left = state
+    if upstream[0] == host:
+        upstream = (upstream[0], 0, *upstream[2:])
+    if message is not None and message[0] == host:
+        message = (message[0], 0, *message[2:])
+    return hosts, orphan, upstream, message, left
+
+
+def _release(state: tuple, host: int) -> tuple:
+    hosts = state[0]
+    _, known, run, blocked = hosts[host]
+    hosts = _replace(hosts, host, (0, known, run, blocked))
+    return _forget_echoes((hosts, *state[1:]), host)
+
+
+def _restart(state: tuple, host: int, rules: _Rules) -> tuple:
+    hosts, orphan, upstream, message, left = state
+    orphan = max(orphan, hosts[host][2])
+    hosts = _replace(hosts, host, (0, False, 0, 0))
+    return _forget_echoes((hosts, orphan, upstream, message, left - 1), host)
+
+
+def _judge(
+    state: tuple, host: int, heard: bool, rules: _Rules
+) -> ownership.Verdict:
+    hosts, _, _, message, _ = state
+    _, _, previous, age = message
+    other = 1 - host
+    answers = {}
+    if heard:
+        answers[STARTED[other]] = (hosts[other][1] or not rules.remembers, 0)
+    return ownership.judge_claim(
+        ownership.Claim(
+            own_host=STARTED[host],
+            previous_owner='' if previous == NOBODY else STARTED[previous],
+            previous_owner_age_s=age,
+        ),
+        answers=answers,
+        silent=[] if heard else [STARTED[other]],
+        remembered=hosts[host][1] or not rules.remembers,
+        wait_s=rules.wait,
+        longest_work_s=rules.work,
+    )
+
+
+def _admit(state: tuple, heard: bool, rules: _Rules) -> tuple | None:
+    host = state[3][0]
+    verdict = _judge(state, host, heard, rules)
+    if heard:
+        state = _release(state, 1 - host)
+    if verdict.retry_after_s > 0:
+        return None
+    hosts = state[0]
+    lease, known, run, blocked = hosts[host]
+    if heard:
+        blocked = max(blocked, *hosts[1 - host][2:])
+    if verdict.unknown_work:
+        blocked = rules.work
+    hosts = _replace(hosts, host, (lease, known, run, blocked))
+    return _answer((hosts, *state[1:]), host, rules)
+
+
+def _answer(state: tuple, host: int, rules: _Rules) -> tuple:
+    hosts, orphan, (target, echo, previous, age), _, left = state
+    if target == host:
+        echo = rules.lease[host]
+    return hosts, orphan, (target, echo, previous, age), None, left
+
+
+def _renew(state: tuple, rules: _Rules) -> tuple:
+    hosts, orphan, upstream, (host, echo, *_), left = state
+    lease, _, run, blocked = hosts[host]
+    gained = echo if rules.from_echo else rules.lease[host]
+    hosts = _replace(hosts, host, (max(lease, gained), True, run, blocked))
+    return hosts, orphan, upstream, None, left
+
+
+def _delivered(state: tuple, rules: _Rules) -> list:
+    message = state[3]
+    if message[1] or (not rules.from_echo and message[2] == message[0]):
+        renewed = _renew(state, rules)
+        answered = _answer(renewed, message[0], rules)
+        return [('renewed', answered), ('answer_lost', renewed)]
+    following = []
+    for heard in (True, False):
+        after = _admit(state, heard, rules)
+        if after is not None:
+            following.append((f'admitted_heard_{heard}', after))
+    return following
+
+
+def _host_steps(state: tuple, host: int, rules: _Rules) -> list:
+    hosts = state[0]
+    lease, known, run, blocked = hosts[host]
+    following = []
+    if lease and not run and not blocked:
+        began = _replace(hosts, host, (lease, known, rules.work, blocked))
+        following.append((f'run{host}', (began, *state[1:])))
+    if run:
+        ended = _replace(hosts, host, (lease, known, 0, blocked))
+        following.append((f'end{host}', (ended, *state[1:])))
+    if lease:
+        following.append((f'hand_over{host}', _release(state, host)))
+    if state[4]:
+        following.append((f'restart{host}', _restart(state, host, rules)))
+    return following
+
+
+def _transitions(rules: _Rules) -> Callable[[tuple], list]:
+    def transitions(state: tuple) -> list:
+        following = [('tick', _tick(state, rules))]
+        following.append(('switch', _switch(state)))
+        if state[3] is None:
+            following.append(('send', _send(state)))
+        else:
+            lost = (*state[:3], None, state[4])
+            following.append(('lost', lost))
+            following.extend(_delivered(state, rules))
+        for host in HOSTS:
+            following.extend(_host_steps(state, host, rules))
+        return following
+
+    return transitions
+
+
+def _in_use(state: dict) -> int:
+    running = sum(1 for host in state['hosts'] if host[2])
+    return running + (1 if state['orphan'] else 0)
+
+
+def _protocol(rules: _Rules) -> minicheck.Protocol:
+    idle = (0, False, 0, 0)
+    return minicheck.Protocol(
+        name='slot_ownership',
+        candidate=False,
+        fields=('hosts', 'orphan', 'upstream', 'message', 'restarts'),
+        initial=(
+            (idle, idle),
+            0,
+            (0, 0, NOBODY, 0),
+            None,
+            rules.restarts,
+        ),
+        transitions=_transitions(rules),
+        invariants={
+            'one_owner': lambda s: not all(host[0] for host in s['hosts']),
+            'slots_in_use': lambda s: _in_use(s) <= 1,
+        },
+    )
+
+
+SPECS = (
+    spec.Spec(
+        name='slot_ownership',
+        protocol=_protocol(_Rules(lease=(3, 2), wait=3, work=3, restarts=2)),
+        broken=(
+            ('switch_before_the_lease_ends', _protocol(_Rules(wait=1))),
+            ('lease_from_the_receipt', _protocol(_Rules(from_echo=False))),
+            (
+                'restart_forgets_running_work',
+                _protocol(_Rules(remembers=False)),
+            ),
+        ),
+        small=_protocol(_Rules()),
+    ),
+)
--- a/src/skylarkpitch/membership/live_hosts.py
+++ b/src/skylarkpitch/membership/live_hosts.py
@@ -7,6 +7,7 @@
 __all__ = ['LiveHosts', 'rendezvous']
 
 SILENT_AFTER_S = 2.0
+SILENT_AFTER_S_A_HOST = 0.5
 SETTLED_AFTER_S = 3.0
 
 
@@ -34,8 +35,11 @@
 class LiveHosts:
     """Remember when each host was last heard and what it said."""
 
-    def __init__(self, *, own: str) -> None:
+    def __init__(self, *, own: str, others: int = 0) -> None:
         self._own = own
+        self._silent_after_s = max(
+            SILENT_AFTER_S, SILENT_AFTER_S_A_HOST * others
+        )
         self._heard: dict[str, _Heard] = {}
         self.stopping = False
 
@@ -49,19 +53,23 @@
     ) -> None:
         """Take a sign of life."""
         known = self._heard.get(host)
-        if known is None or now_s - known.last_s > SILENT_AFTER_S:
+        if known is None or now_s - known.last_s > self._silent_after_s:
             self._heard[host] = _Heard(now_s, now_s, stopping, slots)
             return
         known.last_s = now_s
         known.stopping = stopping
         known.slots = slots
 
+    def lost(self, host: str) -> None:
+        """Take it that a host does not answer."""
+        self._heard.pop(host, None)
+
     def live(self, *, now_s: float) -> tuple[str, ...]:
         """Return the hosts heard lately, stopping ones included."""
         return tuple(
             host
             for host, heard in sorted(self._heard.items())
-            if now_s - heard.last_s <= SILENT_AFTER_S
+            if now_s - heard.last_s <= self._silent_after_s
         )
 
     def preferred(self, upstream: str, *, now_s: float) -> str | None:
--- a/src/skylarkpitch/membership/owner.py
+++ b/src/skylarkpitch/membership/owner.py
@@ -61,6 +61,7 @@
         drained: Callable[[], frozenset[str]],
         url_of: Callable[[str], str | None],
         ask_others: AskOthers,
+        lives: Callable[[str], Awaitable[bool]],
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -72,27 +73,30 @@
         self._drained = drained
         self._url_of = url_of
         self._ask_others = ask_others
+        self._lives = lives
         self._clock = clock
         self._rng = rng
         self._remembered: dict[str, float] = {}
         self._left: dict[tuple[str, str], float] = {}
         self._admitting: dict[str, str] = {}
+        self._released_to: dict[str, tuple[str, int]] = {}
+        self._releases = 0
 
     async def announced(
         self, item: announcements.Announcement, terms: Terms
     ) -> announcements.Answer | Refused:
         """Own the upstream, pass it on, or refuse it."""
-        now_s = self._clock()
         if (item.name, item.instance) in self._left:
             return _refused_left()
-        owner = self._hosts.preferred(item.name, now_s=now_s)
+        owner = await self._preferred(item.name)
+        now_s = self._clock()
         if owner is None:
             return _refused_stopping()
+        if self._is_taken(item, now_s):
+            return self._refused_taken(item)
         if owner != self._own and self._passes_on(item, owner, now_s):
             self.give_up(item.name)
             return self._answer(terms, announce_to=self._url_of(owner))
-        if self._is_taken(item, now_s):
-            return self._refused_taken(item)
         lease = self.leases.renew(
             item.name,
             instance=item.instance,
@@ -125,7 +129,7 @@
         return True
 
     def asked_to_release(
-        self, item: messages.Release, *, lease_s: float
+        self, item: messages.Release, *, sender: str, lease_s: float
     ) -> messages.Released:
         """Give an upstream up to the host that asks, and count its work.
 
@@ -135,18 +139,49 @@
         taken = self._is_claimed(item, lease_s, now_s)
         upstream = self._pool.get(item.name)
         busy = (0, 0.0)
+        served_for_s = 0.0
         if not taken:
             if upstream is not None and upstream.instance == item.instance:
                 busy = upstream.slots.busy(now_s=now_s)
+                served_for_s = upstream.slots.served_for_s(now_s=now_s)
             self.give_up(item.name)
+            self._releases += 1
+            self._released_to[item.name] = (sender, self._releases)
         return messages.Released(
             known=upstream is not None or item.name in self._remembered,
             taken=taken,
             running=busy[0],
             busy_for_s=busy[1],
             up_for_s=now_s - self.began_s,
+            served_for_s=served_for_s,
+            number=self._releases,
+        )
+
+    def ended(
+        self, upstream: pools.Upstream
+    ) -> tuple[str, messages.StillRunning] | None:
+        """Return what to tell the new owner once earlier work ended."""
+        released = self._released_to.get(upstream.name)
+        now_s = self._clock()
+        if released is None or upstream.slots.lease_until_s > now_s:
+            return None
+        host, number = released
+        return host, messages.StillRunning(
+            name=upstream.name,
+            instance=upstream.instance,
+            number=number,
+            running=upstream.slots.busy(now_s=now_s)[0],
         )
 
+    def still_running(
+        self, message: messages.StillRunning, *, sender: str
+    ) -> None:
+        """Free the slots whose earlier work has ended."""
+        upstream = self._pool.get(message.name)
+        if upstream is not None and upstream.instance == message.instance:
+            source = _source(sender, message.number)
+            upstream.slots.lower_block(source, message.running)
+
     def tick(self, *, terms: Terms) -> None:
         """Move every life cycle on and forget what is of no use."""
         now_s = self._clock()
@@ -158,6 +193,9 @@
         memory_s = 2 * (terms.wait_s + terms.longest_work_s)
         _drop_older(self._remembered, now_s - memory_s)
         _drop_older(self._left, now_s - memory_s)
+        for name in [*self._released_to]:
+            if self._pool.get(name) is None:
+                del self._released_to[name]
 
     def _drain(
         self, upstream: pools.Upstream, drained: frozenset[str], now_s: float
@@ -177,6 +215,14 @@
         )
         upstream.slots.restart(now_s=now_s)
 
+    async def _preferred(self, name: str) -> str | None:
+        while True:
+            now_s = self._clock()
+            owner = self._hosts.preferred(name, now_s=now_s)
+            if owner in (None, self._own) or await self._lives(owner):
+                return owner
+            self._hosts.lost(owner)
+
     def _passes_on(
         self, item: announcements.Announcement, owner: str, now_s: float
     ) -> bool:
@@ -289,7 +335,8 @@
         upstream.slots.announce(_report(item), ramp_s=terms.ramp_s)
         upstream.slots.lease_until_s = lease.until_s
         self._remembered[item.name] = now_s
-        if upstream.instance != item.instance or not renewed:
+        self._released_to.pop(item.name, None)
+        if upstream.instance != item.instance:
             upstream.instance = item.instance
             upstream.slots.restart(now_s=now_s)
         if upstream.state == 'gone' and not renewed:
@@ -344,13 +391,20 @@
     stretch = (1 + terms.drift) / (1 - terms.drift)
     for host, answer in heard.items():
         if answer.running:
+            source = _source(host, answer.number)
             until_s = now_s + answer.busy_for_s * stretch
-            slots.block(host, answer.running, until_s=until_s)
+            slots.block(source, answer.running, until_s=until_s)
+        if answer.served_for_s:
+            slots.served_before(answer.served_for_s, now_s=now_s)
     if verdict.unknown_work:
         until_s = now_s + terms.longest_work_s * stretch
         slots.block('unknown', slots.ceiling, until_s=until_s)
 
 
+def _source(host: str, number: int) -> str:
+    return f'{host}#{number}'
+
+
 def _report(item: announcements.Announcement) -> upstream_slots.Report:
     return upstream_slots.Report(
         slots=item.slots,
--- a/src/skylarkpitch/membership/service.py
+++ b/src/skylarkpitch/membership/service.py
@@ -30,6 +30,7 @@
 MAX_BODY_BYTES = 16_384
 HELLO_INTERVAL_S = 0.5
 HELLO_TIMEOUT_S = 0.4
+GREETED_AT_ONCE = 4
 RELEASE_TIMEOUT_S = 0.5
 TICK_S = 0.1
 DEFAULT_LEASE_S = 3.0
@@ -92,12 +93,12 @@
     ) -> None:
         own = peers.directory.own
         self.pool = pools.Pool(rng=rng)
-        self.hosts = live_hosts.LiveHosts(own=own.name)
         self.on_room: Callable[[str], None] = lambda service: None
         self._peers = peers
         self._site_config = site_config
         self._token_hash = announce_token_hash
         self._clock = clock
+        self._rng = rng
         self._scheme = announce_scheme
         self._others = tuple(
             host.name
@@ -105,6 +106,9 @@
             if host.name != own.name
         )
         self._holds_s: dict[str, float] = {}
+        self.hosts = live_hosts.LiveHosts(
+            own=own.name, others=len(self._others)
+        )
         self._owner = owners.Owner(
             own=own.name,
             hosts=self.hosts,
@@ -112,6 +116,7 @@
             drained=drains,
             url_of=self._url_of,
             ask_others=self._ask_others,
+            lives=self._greet,
             clock=clock,
             rng=rng,
         )
@@ -121,6 +126,7 @@
         peers.handle(messages.Hello, self._hello)
         peers.handle(messages.Release, self._release)
         peers.handle(messages.Leave, self._left)
+        peers.handle(messages.StillRunning, self._still_running)
         super().__init__(**options)
 
     def routes(self) -> list[web.RouteDef]:
@@ -210,7 +216,10 @@
 
     async def greet_others(self) -> None:
         """Tell the domain's other hosts that this one lives."""
-        await asyncio.gather(*(self._greet(host) for host in self._others))
+        others = self._others
+        if len(others) > GREETED_AT_ONCE:
+            others = self._rng.sample(others, GREETED_AT_ONCE)
+        await asyncio.gather(*(self._greet(host) for host in others))
 
     @mode.Service.timer(HELLO_INTERVAL_S)
     async def _say_hello(self) -> None:
@@ -222,14 +231,16 @@
         for service in self.pool.services():
             self.on_room(service)
 
-    async def _greet(self, host: str) -> None:
+    async def _greet(self, host: str) -> bool:
         answer = await self._peers.ask(
             host,
             messages.Hello(**self._own_state()),
             timeout_s=HELLO_TIMEOUT_S,
         )
-        if isinstance(answer, messages.HelloHeard):
-            self._heard(host, answer)
+        if not isinstance(answer, messages.HelloHeard):
+            return False
+        self._heard(host, answer)
+        return True
 
     async def _hello(
         self, sender: str, message: messages.Hello
@@ -261,9 +272,14 @@
         if sender not in self._others:
             return None
         return self._owner.asked_to_release(
-            message, lease_s=self._terms(None).lease_s
+            message, sender=sender, lease_s=self._terms(None).lease_s
         )
 
+    async def _still_running(
+        self, sender: str, message: messages.StillRunning
+    ) -> None:
+        self._owner.still_running(message, sender=sender)
+
     async def _left(
         self, sender: str, message: messages.Leave
     ) -> messages.Left | None:
@@ -292,6 +308,9 @@
         now_s = self._clock()
         service = held.upstream.service
         self.pool.finish(held, exchange, now_s=now_s)
+        ended = self._owner.ended(held.upstream)
+        if ended is not None:
+            self._peers.send(*ended)
         if exchange is ports.Exchange.ANSWERED:
             took_s = now_s - taken_s
             mean_s = self._holds_s.setdefault(service, took_s)
--- a/src/skylarkpitch/membership/slots.py
+++ b/src/skylarkpitch/membership/slots.py
@@ -70,6 +70,15 @@
         self._warm_from_s = now_s
         self.backoff.succeeded()
 
+    def served_for_s(self, *, now_s: float) -> float:
+        """Return the time since the ramp began."""
+        return now_s - self._warm_from_s
+
+    def served_before(self, served_for_s: float, *, now_s: float) -> None:
+        """Take it that the ramp began under an earlier owner."""
+        began_s = now_s - served_for_s
+        self._warm_from_s = min(self._warm_from_s, began_s)
+
     def block(self, source: str, count: int, *, until_s: float) -> None:
         """Count slots as busy with work that an earlier owner sent.
 
@@ -77,6 +86,12 @@
         """
         self._blocked[source] = (until_s, count)
 
+    def lower_block(self, source: str, count: int) -> None:
+        """Take it that fewer slots of a source are busy than before."""
+        if source in self._blocked:
+            until_s, before = self._blocked[source]
+            self._blocked[source] = (until_s, min(before, count))
+
     def blocked(self, *, now_s: float) -> int:
         """Return the slots that an earlier owner's work may still hold."""
         if not self._blocked:
--- a/src/skylarkpitch/messages/membership.py
+++ b/src/skylarkpitch/messages/membership.py
@@ -2,7 +2,15 @@
 
 from skylarkpitch.messages import codec
 
-__all__ = ['Hello', 'HelloHeard', 'Leave', 'Left', 'Release', 'Released']
+__all__ = [
+    'Hello',
+    'HelloHeard',
+    'Leave',
+    'Left',
+    'Release',
+    'Released',
+    'StillRunning',
+]
 
 
 @codec.message('membership.hello')
@@ -55,7 +63,9 @@
     ``known`` is False when the sender has no memory of the upstream;
     ``taken`` tells that it owns another upstream of that name or address
     and gives nothing up. ``running`` slots are busy for at most
-    ``busy_for_s`` seconds. ``up_for_s`` is the age of the sender's process.
+    ``busy_for_s`` seconds. ``up_for_s`` is the age of the sender's process,
+    and ``served_for_s`` the time since the upstream's ramp began there.
+    ``number`` tells the releases of one sender apart.
     """
 
     known: bool
@@ -63,3 +73,15 @@
     running: int
     busy_for_s: float
     up_for_s: float
+    served_for_s: float
+    number: int
+
+
+@codec.message('membership.still_running')
+class StillRunning:
+    """Tell the new owner how much earlier work has not ended."""
+
+    name: str
+    instance: str
+    number: int
+    running: int
--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -24,7 +24,8 @@
 HOLD_OFF_LONGEST_S = 1.0
 IDLE_S = 0.3
 MAX_WANTED = 64
-PREFETCH_S = 0.15
+PREFETCH_S = 0.01
+ROUND_TRIP_WEIGHT = 0.3
 RATE_TAU_S = 0.5
 RELAY_PATH = '/skylark/v1/relay'
 TICKET_HEADER = 'Skylark-Ticket'
@@ -119,6 +120,7 @@
         self._hold_offs: dict[tuple[str, str], _HoldOff] = {}
         self._used: dict[str, rates.RateMeter] = {}
         self._running: dict[str, int] = {}
+        self._round_trips_s: dict[str, float] = {}
         self._hosts: dict[str, list[directories.Host]] = {}
         for host in peers.directory.with_role('entry'):
             if host.name != self._own.name:
@@ -179,11 +181,8 @@
 
     def needs_more(self, service: str) -> bool:
         """Tell whether tickets run short for the rate of their use."""
-        used = self._used.get(service)
-        if used is None:
-            return False
-        per_s = used.per_s(now_s=self._clock())
-        return self.purse.count(service) < per_s * PREFETCH_S / 2
+        low = self._ahead(service) / 2
+        return low >= 0.5 and self.purse.count(service) < low
 
     def running(self, service: str) -> int:
         """Return the calls that use borrowed slots now."""
@@ -191,15 +190,22 @@
 
     async def survey(self) -> None:
         """Ask one host of one other domain for the slots it has there."""
-        domains = [
-            domain
-            for domain in self._hosts
-            if domain != self._own.failure_domain
-        ]
-        if not domains:
-            return
-        host = self._rng.choice(self._hosts[self._rng.choice(domains)])
-        await self._ask(host, '', 0)
+        domains = self._other_domains()
+        if domains:
+            await self._survey_domain(self._rng.choice(domains))
+
+    async def survey_all(self) -> None:
+        """Ask one host of each other domain, as :meth:`survey` does."""
+        await asyncio.gather(
+            *(self._survey_domain(name) for name in self._other_domains())
+        )
+
+    def _other_domains(self) -> list[str]:
+        own = self._own.failure_domain
+        return [domain for domain in self._hosts if domain != own]
+
+    async def _survey_domain(self, domain: str) -> None:
+        await self._ask(self._rng.choice(self._hosts[domain]), '', 0)
 
     def give_back_idle(self) -> None:
         """Return the tickets that nobody has used for a while."""
@@ -245,10 +251,14 @@
             budget.owe(more_bytes, now_s=self._clock())
 
     def _wanted(self, service: str, waiting: int) -> int:
-        per_s = self._rate(service).per_s(now_s=self._clock())
-        ahead = math.ceil(per_s * PREFETCH_S)
+        ahead = math.ceil(self._ahead(service) - 0.5)
         return min(MAX_WANTED, waiting + ahead - self.purse.count(service))
 
+    def _ahead(self, service: str) -> float:
+        per_s = self._rate(service).per_s(now_s=self._clock())
+        round_trip_s = self._round_trips_s.get(service, 0.0)
+        return per_s * (2 * round_trip_s + PREFETCH_S)
+
     def _rate(self, service: str) -> rates.RateMeter:
         if service not in self._used:
             self._used[service] = rates.RateMeter(
@@ -288,6 +298,7 @@
             self._refused(service, host.name)
             return 0
         self._hold_offs.pop((service, host.name), None)
+        self._took(service, self._clock() - sent_s)
         self.counts['borrowed'] += len(answer.tickets)
         self.purse.put(
             service,
@@ -298,6 +309,11 @@
         )
         return len(answer.tickets)
 
+    def _took(self, service: str, round_trip_s: float) -> None:
+        mean_s = self._round_trips_s.setdefault(service, round_trip_s)
+        change_s = (round_trip_s - mean_s) * ROUND_TRIP_WEIGHT
+        self._round_trips_s[service] = mean_s + change_s
+
     def _hold_off(self, service: str, host: str) -> _HoldOff:
         return self._hold_offs.get((service, host), _HoldOff())
 
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -197,6 +197,10 @@
             'tickets_out': outstanding,
         }
 
+    async def on_started(self) -> None:
+        """Learn the slots of every other failure domain."""
+        self.add_future(self._borrower.survey_all())
+
     async def on_stop(self) -> None:
         """Refuse the calls that wait."""
         for task in self._borrowing.values():
--- a/src/skylarkpitch/steering/shift.py
+++ b/src/skylarkpitch/steering/shift.py
@@ -51,6 +51,7 @@
         Raises ``InvariantError`` when it has grown past that.
         """
         above = level - max(self._peaks)
+        self._peaks[0] = max(self._peaks[0], level)
         if above <= 0:
             return
         if above > self._tokens + 1e-9:
@@ -59,7 +60,6 @@
                 'recent peak and past the cap; report this as a defect'
             )
         self._tokens -= above
-        self._peaks[0] = level
 
     def _roll(self, level: int, now_s: float) -> None:
         age_s = now_s - self._bucket_s
