Soak membership and steering over a whole fleet in virtual time

The run drives the real services; the network, upstreams, callers and time are stand-ins. Faults: loss, late announcements, clock rates, restarts, stopped processes, splits, a region's death, leaving and lying upstreams.

Found on the way: a host asked a dead neighbour for 0.5 s while the upstream gave its announcement up after 0.5 s, so a domain with one dead host admitted nobody. The timeouts between hosts are now 0.3 s and the upstream's 1 s.

Switching too early and slots given back at once after a timeout were not seen by the run; the model catches the first.

--- a/src/skylarkpitch/membership/announcer.py
+++ b/src/skylarkpitch/membership/announcer.py
@@ -9,8 +9,10 @@
 import dataclasses
 from typing import Any
 
-__all__ = ['Announcer', 'Attempt']
+__all__ = ['ATTEMPT_TIMEOUT_S', 'Announcer', 'Attempt']
 
+# A host asks the others of its domain before it answers.
+ATTEMPT_TIMEOUT_S = 1.0
 FIRST_RETRY_S = 0.2
 ATTEMPTS_BEFORE_CHANGE = 2
 
--- a/src/skylarkpitch/membership/owner.py
+++ b/src/skylarkpitch/membership/owner.py
@@ -18,6 +18,7 @@
 __all__ = ['Owner', 'Refused', 'Terms']
 
 ANNOUNCEMENTS_A_LEASE = 4
+GRACE_S = 0.25
 
 AskOthers = Callable[
     [messages.Release], Awaitable[dict[str, messages.Released | None]]
@@ -392,12 +393,12 @@
     for host, answer in heard.items():
         if answer.running:
             source = _source(host, answer.number)
-            until_s = now_s + answer.busy_for_s * stretch
+            until_s = now_s + answer.busy_for_s * stretch + GRACE_S
             slots.block(source, answer.running, until_s=until_s)
         if answer.served_for_s:
             slots.served_before(answer.served_for_s, now_s=now_s)
     if verdict.unknown_work:
-        until_s = now_s + terms.longest_work_s * stretch
+        until_s = now_s + terms.longest_work_s * stretch + GRACE_S
         slots.block('unknown', slots.ceiling, until_s=until_s)
 
 
--- a/src/skylarkpitch/membership/service.py
+++ b/src/skylarkpitch/membership/service.py
@@ -29,9 +29,9 @@
 TOKEN_HEADER = 'Skylark-Announce-Token'
 MAX_BODY_BYTES = 16_384
 HELLO_INTERVAL_S = 0.5
-HELLO_TIMEOUT_S = 0.4
+HELLO_TIMEOUT_S = 0.3
 GREETED_AT_ONCE = 4
-RELEASE_TIMEOUT_S = 0.5
+RELEASE_TIMEOUT_S = 0.3
 TICK_S = 0.1
 DEFAULT_LEASE_S = 3.0
 DEFAULT_WORK_S = 300.0
@@ -227,6 +227,10 @@
 
     @mode.Service.timer(TICK_S)
     async def _tick(self) -> None:
+        self.tick()
+
+    def tick(self) -> None:
+        """Move life cycles on and offer the room that this frees."""
         self._owner.tick(terms=self._terms(None))
         for service in self.pool.services():
             self.on_room(service)
@@ -348,6 +352,21 @@
             ),
         )
 
+    async def announced(
+        self, item: announcements.Announcement
+    ) -> announcements.Answer | owners.Refused:
+        """Answer an announcement that has been authenticated."""
+        answer = await self._owner.announced(item, self._terms(item.service))
+        if isinstance(answer, announcements.Answer):
+            self._counts['announced'] += 1
+            self.on_room(item.service)
+        return answer
+
+    def left(self, *, name: str, instance: str) -> bool:
+        """Give a leaving upstream nothing new; tell whether it is here."""
+        self._counts['left'] += 1
+        return self._owner.left(name, instance)
+
     async def _announce(self, request: web.Request) -> web.Response:
         item = await self._read(request, announcements.Announcement)
         if isinstance(item, web.Response):
@@ -365,7 +384,7 @@
                 'the announcement',
                 5.0,
             )
-        answer = await self._owner.announced(item, self._terms(item.service))
+        answer = await self.announced(item)
         if isinstance(answer, owners.Refused):
             return self._refuse(
                 answer.status,
@@ -373,20 +392,17 @@
                 answer.remedy,
                 answer.retry_after_s,
             )
-        self._counts['announced'] += 1
-        self.on_room(item.service)
         return web.json_response(answer.model_dump())
 
     async def _leave(self, request: web.Request) -> web.Response:
         item = await self._read(request, announcements.Leave)
         if isinstance(item, web.Response):
             return item
-        owned = self._owner.left(item.name, item.instance)
+        owned = self.left(name=item.name, instance=item.instance)
         if not owned:
             await self._ask_others(
                 messages.Leave(name=item.name, instance=item.instance)
             )
-        self._counts['left'] += 1
         _log.info('upstream_left', upstream=item.name, owned=owned)
         return web.json_response({'left': True})
 
--- a/src/skylarkpitch/membership/slots.py
+++ b/src/skylarkpitch/membership/slots.py
@@ -16,6 +16,8 @@
 
 ANSWERS_THAT_REFUTE_A_REPORT = 5
 PEAK_WINDOW_S = 2.0
+CANCELLATION_S = 0.25
+_CUT_SHORT = frozenset((ports.Exchange.TIMED_OUT, ports.Exchange.CANCELLED))
 _FAILURES = frozenset(
     (ports.Exchange.SHED, ports.Exchange.FAILED, ports.Exchange.TIMED_OUT)
 )
@@ -157,12 +159,19 @@
         now_s: float,
         rng: random.Random,
     ) -> None:
-        """Give a slot back and judge the upstream by the exchange."""
+        """Give a slot back and judge the upstream by the exchange.
+
+        A call that was cut short counts as busy until the upstream has
+        surely learned of it.
+        """
         if self._deadlines_s.pop(token, None) is None:
             raise errors.InvariantError(
                 f'slot {token} was given back twice; report this as a defect'
             )
         self.in_use -= 1
+        if exchange in _CUT_SHORT:
+            until_s = now_s + CANCELLATION_S
+            self.block(f'cancelled#{token}', 1, until_s=until_s)
         if exchange in _FAILURES:
             self._answers_since_report = 0
             self.backoff.failed(now_s=now_s, rng=rng)
--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -143,7 +143,8 @@
             self._budgets[far] = link_budget.LinkBudget(
                 bytes_per_s=link_budget.host_bytes_per_s(
                     mbit_per_s=link.mbit_per_s, region_hosts=hosts
-                ),
+                )
+                * (1 - config.policy.clock_drift_percent / 100),
                 now_s=self._clock(),
             )
 
--- a/src/skylarkpitch/steering/lender.py
+++ b/src/skylarkpitch/steering/lender.py
@@ -194,7 +194,8 @@
                 shift_percent_per_s=config.policy.shift_percent_per_s,
                 fleet_slots=own + self._fleet.others(service),
                 region_hosts=self._place.region_hosts,
-            ),
+            )
+            * (1 - config.policy.clock_drift_percent / 100),
             now_s=now_s,
         )
 
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -77,7 +77,7 @@
         self._site_config = site_config
         self._clock = clock
         self._fleet = shares.FleetSlots()
-        self._lender = lenders.Lender(
+        self.lender = lenders.Lender(
             place=_place(peers),
             pool=membership.pool,
             fleet=self._fleet,
@@ -160,7 +160,7 @@
         is not out, or ``no_room`` when the upstreams behind it are gone;
         nothing has run then.
         """
-        lent = self._lender.redeem(ticket, now_s=now_s)
+        lent = self.lender.redeem(ticket, now_s=now_s)
         if not lent:
             self._counts['tickets_unknown'] += 1
             return lent
@@ -172,12 +172,12 @@
         if not slot:
             return slot
         self._counts['redeemed'] += 1
-        self._lender.began(lent)
-        return LentSlot(slot=slot, ended=lambda: self._lender.ended(lent))
+        self.lender.began(lent)
+        return LentSlot(slot=slot, ended=lambda: self.lender.ended(lent))
 
     def stop_granting(self) -> None:
         """Hand out no ticket any more; those handed out are honoured."""
-        self._lender.open = False
+        self.lender.open = False
 
     def counters(self) -> dict[str, float]:
         """Return counts; overload and cap_breaches must stay 0."""
@@ -185,7 +185,7 @@
         pool = self._membership.pool
         services = pool.services()
         outstanding = sum(
-            self._lender.office.outstanding(name) for name in services
+            self.lender.office.outstanding(name) for name in services
         )
         return {
             **self._counts,
@@ -208,19 +208,27 @@
 
     @mode.Service.timer(EXPIRE_S)
     async def _expire(self) -> None:
-        for service in self._lender.expire(now_s=self._clock()):
+        self.tick()
+
+    def tick(self) -> None:
+        """Free the slots of late tickets and give unused ones back."""
+        for service in self.lender.expire(now_s=self._clock()):
             self._dispatch(service)
         self._borrower.give_back_idle()
 
     @mode.Service.timer(SURVEY_S)
     async def _survey(self) -> None:
+        await self.survey()
+
+    async def survey(self) -> None:
+        """Learn the slots of one other failure domain."""
         await self._borrower.survey()
 
     def _take_now(
         self, service: str, wanted: _Wanted, config: deployment.SiteConfig
     ) -> ports.Slot | None:
         now_s = self._clock()
-        if self._lender.share_room(service, config=config, now_s=now_s) > 0:
+        if self.lender.share_room(service, config=config, now_s=now_s) > 0:
             slot = self._membership.take(
                 service, deadline_s=wanted.deadline_s, exclude=wanted.exclude
             )
@@ -322,7 +330,7 @@
         if message.wanted < 1 or (line is not None and len(line.queue)):
             return ()
         try:
-            return self._lender.grant(
+            return self.lender.grant(
                 message.service,
                 borrower=lenders.Borrower(
                     host=host.name,
@@ -341,7 +349,7 @@
     async def _returned(
         self, sender: str, message: messages.TicketReturn
     ) -> None:
-        services = self._lender.returned(message.tickets, borrower=sender)
+        services = self.lender.returned(message.tickets, borrower=sender)
         for service in services:
             self._dispatch(service)
 
--- /dev/null
+++ b/tests/stand_ins/room_world.py
@@ -0,0 +1,365 @@
+"""Run membership and room of a whole fleet in virtual time.
+
+Hosts, upstreams and callers are tasks of one event loop whose time jumps to
+the next timer. Hosts have clock rates of their own, messages are delayed
+and lost, and a host that dies forgets everything.
+"""
+
+import asyncio
+import collections
+import random
+
+from skylarkpitch.membership import announcements
+from skylarkpitch.membership import announcer as announcers
+from skylarkpitch.membership import service as membership_service
+from skylarkpitch import ports
+from skylarkpitch.peers import directory as directories
+from skylarkpitch import sentinels
+from skylarkpitch.steering import room as rooms
+
+LOCAL_S = 0.001
+CAN_BE_LATE_S = 0.02
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time jumps to the next timer when idle."""
+
+    def __init__(self):
+        self.virtual_s = 0.0
+        super().__init__()
+
+    def time(self):
+        return self.virtual_s
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self.virtual_s = max(self.virtual_s, self._scheduled[0]._when)
+        super()._run_once()
+
+
+def run(main):
+    """Run a coroutine in virtual time and return its result."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class Peers:
+    """Transport of one process; dead ones reach nobody."""
+
+    def __init__(self, *, world, name):
+        self.directory = directories.Directory(own=name, hosts=world.places)
+        self.handlers = {}
+        self.alive = True
+        self._world = world
+
+    def handle(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, host, message):
+        self._world.spawn(self.ask(host, message, timeout_s=1.0))
+        return True
+
+    async def ask(self, host, message, *, timeout_s):
+        own = self.directory.own.name
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + timeout_s
+        answer = None
+        if await self._world.travel(own, host):
+            await self._world.hosts[host].running.wait()
+            peers = self._world.hosts[host].peers
+            if peers.alive and type(message) in peers.handlers:
+                answer = await peers.handlers[type(message)](own, message)
+        arrived = await self._world.travel(host, own)
+        late = loop.time() > ends_s
+        if answer is None or not arrived or late or not self.alive:
+            await asyncio.sleep(max(0.0, ends_s - loop.time()))
+            return sentinels.Absent('peer_timeout')
+        return answer
+
+
+class Host:
+    """One life of a host process."""
+
+    def __init__(self, *, world, place, rate):
+        self.place = place
+        self.rate = rate
+        self.running = asyncio.Event()
+        self.running.set()
+        loop = asyncio.get_running_loop()
+        self.clock = lambda: 100.0 + loop.time() * rate
+        self.peers = Peers(world=world, name=place.name)
+        seed = f'{world.seed}{place.name}{loop.time()}'
+        options = {
+            'peers': self.peers,
+            'site_config': lambda: world.site,
+            'clock': self.clock,
+            'rng': random.Random(seed),
+        }
+        self.membership = membership_service.UpstreamMembership(
+            drains=lambda: world.drains, announce_token_hash=None, **options
+        )
+        self.room = rooms.FleetRoom(membership=self.membership, **options)
+        self.tasks = [
+            world.spawn(self._every(0.5, self.membership.greet_others)),
+            world.spawn(self._every(0.2, self.room.survey)),
+            world.spawn(self._every(0.05, self._tick)),
+        ]
+
+    async def _tick(self):
+        self.membership.tick()
+        self.room.tick()
+
+    async def _every(self, pause_s, step):
+        while self.peers.alive:
+            await self.running.wait()
+            await step()
+            await asyncio.sleep(pause_s)
+
+
+class Upstream:
+    """One upstream that announces itself and counts what it runs."""
+
+    def __init__(self, *, world, name, service, domain, slots, work_s):
+        self.world = world
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.slots = slots
+        self.work_s = work_s
+        self.url = f'http://{name}'
+        self.running = 0
+        self.served = 0
+        self.instance = 0
+        self.left_s = None
+        self.lies = False
+        self.start()
+
+    def start(self):
+        self.instance += 1
+        self.running = 0
+        self.left_s = None
+        self.alive = True
+        self.world.spawn(self._announce(self.instance))
+
+    async def _announce(self, instance):
+        loop = asyncio.get_running_loop()
+        urls = [
+            f'http://{host.callers_address}'
+            for host in self.world.places
+            if host.failure_domain == self.domain
+        ]
+        announcer = announcers.Announcer(urls=urls, now_s=loop.time())
+        while self.alive and self.instance == instance:
+            if self.left_s is not None:
+                return
+            attempt = announcer.attempt(now_s=loop.time())
+            delivery = self.world.spawn(self._deliver(attempt, instance))
+            done, _ = await asyncio.wait(
+                [delivery], timeout=announcers.ATTEMPT_TIMEOUT_S
+            )
+            answer = delivery.result() if done else None
+            if answer is None:
+                announcer.failed(now_s=loop.time())
+            elif isinstance(answer, announcements.Answer):
+                announcer.answered(answer.model_dump(), now_s=loop.time())
+            else:
+                announcer.refused(answer.retry_after_s, now_s=loop.time())
+            pause_s = announcer.next_s - loop.time()
+            await asyncio.sleep(max(0.01, pause_s))
+
+    async def _deliver(self, attempt, instance):
+        host = self.world.host_at(attempt.url)
+        if not await self.world.travel(self.name, host, late=True):
+            return None
+        await self.world.hosts[host].running.wait()
+        current = self.world.hosts[host]
+        if not current.peers.alive:
+            return None
+        lying = self.lies and self.world.rng.random() < 0.5
+        answer = await current.membership.announced(
+            announcements.Announcement(
+                name=self.name,
+                service=self.service,
+                url=self.url,
+                slots=self.slots,
+                connections=300,
+                instance=str(instance),
+                load_percent=self.world.rng.choice((0, 90)) if lying else 0,
+                healthy=not lying,
+                previous_owner=attempt.previous_owner,
+                previous_owner_age_s=attempt.previous_owner_age_s,
+                echo=attempt.echo,
+            )
+        )
+        if not await self.world.travel(host, self.name):
+            return None
+        return answer if current.peers.alive else None
+
+    async def serve(self, remaining_s):
+        """Run one request; the answer is None for a dead upstream."""
+        await asyncio.sleep(LOCAL_S)
+        if not self.alive:
+            return ports.Exchange.FAILED
+        loop = asyncio.get_running_loop()
+        instance = self.instance
+        left_s = self.left_s
+        if left_s is not None and loop.time() > left_s + CAN_BE_LATE_S:
+            self.world.violate('sent_after_leaving')
+        self.running += 1
+        if self.running > self.slots:
+            self.world.violate('slots')
+        work_s = self.world.rng.expovariate(1 / self.work_s)
+        await asyncio.sleep(min(work_s, remaining_s))
+        if self.instance != instance or not self.alive:
+            return ports.Exchange.FAILED
+        self.running -= 1
+        self.served += 1
+        if work_s > remaining_s:
+            return ports.Exchange.TIMED_OUT
+        return ports.Exchange.ANSWERED
+
+
+class World:
+    """Hold hosts, upstreams and the faults between them."""
+
+    def __init__(self, *, seed, places, site, latency_s, drift=0.01):
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.places = places
+        self.site = site
+        self.drains = frozenset()
+        self.loss = 0.0
+        self.late = 0.0
+        self.cut = set()
+        self.upstreams = {}
+        self.violations = collections.Counter()
+        self.outcomes = collections.Counter()
+        self.crossings = []
+        self.steps = 0
+        self._latency_s = latency_s
+        self._tasks = set()
+        self._by_name = {place.name: place for place in places}
+        self._rates = {
+            place.name: self.rng.choice((1 - drift, 1.0, 1 + drift))
+            for place in places
+        }
+        self.hosts = {}
+        for place in places:
+            self.start(place.name)
+
+    def spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def start(self, name):
+        """Start a host without memory."""
+        self.hosts[name] = Host(
+            world=self, place=self._by_name[name], rate=self._rates[name]
+        )
+
+    def kill(self, name):
+        """Let a host die with everything it knows."""
+        host = self.hosts[name]
+        host.peers.alive = False
+        host.running.set()
+        for task in host.tasks:
+            task.cancel()
+
+    def add_upstream(self, **options):
+        item = Upstream(world=self, **options)
+        self.upstreams[item.url] = item
+
+    def violate(self, what):
+        self.violations[what] += 1
+
+    def host_at(self, url):
+        for place in self.places:
+            if url.endswith(place.callers_address):
+                return place.name
+        raise KeyError(url)
+
+    async def travel(self, one, other, *, late=False):
+        """Wait for a message to arrive; tell whether it does."""
+        pause_s = LOCAL_S
+        if one in self._by_name and other in self._by_name:
+            pause_s = self._latency_s(self._by_name[one], self._by_name[other])
+        if late and self.rng.random() < self.late:
+            pause_s += self.rng.uniform(0, 4)
+        await asyncio.sleep(pause_s * self.rng.uniform(0.8, 1.5))
+        if frozenset((one, other)) in self.cut:
+            return False
+        return self.rng.random() >= self.loss
+
+    async def call(self, name, service, *, organisation, deadline_s, **more):
+        """Send one call through a host; return the outcome's word."""
+        self.steps += 1
+        host = self.hosts[name]
+        await host.running.wait()
+        if not host.peers.alive:
+            return 'host_dead'
+        ends_s = host.clock() + deadline_s
+        slot = await host.room.take(
+            service=service,
+            caller=ports.Caller(organisation=organisation),
+            request_class='reads',
+            body_bytes=more.get('body_bytes', 2000),
+            deadline_s=ends_s,
+            exclude=frozenset(),
+        )
+        if not host.peers.alive:
+            return 'host_dead'
+        if not slot:
+            return 'no_room'
+        if slot.url in self.upstreams:
+            exchange = await self._exchange(host, slot, ends_s)
+        else:
+            exchange = await self._relay(host, slot, ends_s, more)
+        return str(exchange)
+
+    async def _exchange(self, host, slot, ends_s):
+        remaining_s = max(0.0, ends_s - host.clock())
+        upstream = self.upstreams[slot.url]
+        exchange = await upstream.serve(remaining_s)
+        await asyncio.sleep(LOCAL_S)
+        await host.running.wait()
+        if host.peers.alive:
+            slot.finish(exchange, latency_s=0.0)
+        return exchange
+
+    async def _relay(self, host, slot, ends_s, more):
+        lender = slot.upstream.removeprefix('relay:')
+        regions = (host.place.region, self._by_name[lender].region)
+        if regions[0] != regions[1]:
+            now_s = asyncio.get_running_loop().time()
+            size = more.get('body_bytes', 2000)
+            self.crossings.append((now_s, frozenset(regions), size))
+        exchange = ports.Exchange.FAILED
+        if await self.travel(host.place.name, lender):
+            await self.hosts[lender].running.wait()
+            other = self.hosts[lender]
+            if other.peers.alive:
+                exchange = await self._redeem(other, host, slot, ends_s)
+        await self.travel(lender, host.place.name)
+        if host.peers.alive:
+            slot.finish(exchange, latency_s=0.0)
+        return exchange
+
+    async def _redeem(self, other, host, slot, ends_s):
+        left_s = ends_s - host.clock()
+        ends_s = other.clock() + left_s
+        lent = other.room.redeem(
+            slot.headers['Skylark-Ticket'],
+            now_s=other.clock(),
+            deadline_s=ends_s,
+        )
+        if not lent:
+            return ports.Exchange.NOT_SENT
+        return await self._exchange(other, lent, ends_s)
