--- a/tests/stand_ins/room_world.py
+++ b/tests/stand_ins/room_world.py
@@ -12,8 +12,8 @@
 from skylarkpitch.membership import announcements
 from skylarkpitch.membership import announcer as announcers
 from skylarkpitch.membership import service as membership_service
-from skylarkpitch import ports
 from skylarkpitch.peers import directory as directories
+from skylarkpitch import ports
 from skylarkpitch import sentinels
 from skylarkpitch.steering import room as rooms
 
