Count cancelled work against the announced slots, not the probe

A probe after a timeout found no slot, because the call that had been cut short counted against the one slot that a probe may use.

--- a/src/skylarkpitch/membership/slots.py
+++ b/src/skylarkpitch/membership/slots.py
@@ -134,7 +134,8 @@
         room = self.limit(now_s=now_s) - self.in_use
         if room <= 0:
             return 0
-        return max(0, room - self.blocked(now_s=now_s))
+        unused = self.ceiling - self.in_use - self.blocked(now_s=now_s)
+        return max(0, min(room, unused))
 
     def take(self, *, now_s: float, until_s: float) -> int:
         """Take a slot for work that ends by ``until_s``; return a token."""
--- a/tests/test_steering_room.py
+++ b/tests/test_steering_room.py
@@ -91,7 +91,7 @@
             slot.headers['Skylark-Ticket'], now_s=hosts.clock.now_s
         )
         assert answer.reason == 'ticket_unknown'
-        owner._lender.expire(now_s=hosts.clock.now_s)
+        owner.lender.expire(now_s=hosts.clock.now_s)
         assert owner.counters()['tickets_out'] == 0
 
     asyncio.run(run())
