--- a/src/skylarkpitch/membership/slots.py
+++ b/src/skylarkpitch/membership/slots.py
@@ -16,6 +16,8 @@
 
 ANSWERS_THAT_REFUTE_A_REPORT = 5
 PEAK_WINDOW_S = 2.0
+CANCELLATION_S = 0.25
+_CUT_SHORT = frozenset((ports.Exchange.TIMED_OUT, ports.Exchange.CANCELLED))
 _FAILURES = frozenset(
     (ports.Exchange.SHED, ports.Exchange.FAILED, ports.Exchange.TIMED_OUT)
 )
@@ -70,6 +72,15 @@
         self._warm_from_s = now_s
         self.backoff.succeeded()
 
+    def served_for_s(self, *, now_s: float) -> float:
+        """Return the time since the ramp began."""
+        return now_s - self._warm_from_s
+
+    def served_before(self, served_for_s: float, *, now_s: float) -> None:
+        """Take it that the ramp began under an earlier owner."""
+        began_s = now_s - served_for_s
+        self._warm_from_s = min(self._warm_from_s, began_s)
+
     def block(self, source: str, count: int, *, until_s: float) -> None:
         """Count slots as busy with work that an earlier owner sent.
 
@@ -77,6 +88,12 @@
         """
         self._blocked[source] = (until_s, count)
 
+    def lower_block(self, source: str, count: int) -> None:
+        """Take it that fewer slots of a source are busy than before."""
+        if source in self._blocked:
+            until_s, before = self._blocked[source]
+            self._blocked[source] = (until_s, min(before, count))
+
     def blocked(self, *, now_s: float) -> int:
         """Return the slots that an earlier owner's work may still hold."""
         if not self._blocked:
@@ -117,7 +134,8 @@
         room = self.limit(now_s=now_s) - self.in_use
         if room <= 0:
             return 0
-        return max(0, room - self.blocked(now_s=now_s))
+        unused = self.ceiling - self.in_use - self.blocked(now_s=now_s)
+        return max(0, min(room, unused))
 
     def take(self, *, now_s: float, until_s: float) -> int:
         """Take a slot for work that ends by ``until_s``; return a token."""
@@ -142,12 +160,19 @@
         now_s: float,
         rng: random.Random,
     ) -> None:
-        """Give a slot back and judge the upstream by the exchange."""
+        """Give a slot back and judge the upstream by the exchange.
+
+        A call that was cut short counts as busy until the upstream has
+        surely learned of it.
+        """
         if self._deadlines_s.pop(token, None) is None:
             raise errors.InvariantError(
                 f'slot {token} was given back twice; report this as a defect'
             )
         self.in_use -= 1
+        if exchange in _CUT_SHORT:
+            until_s = now_s + CANCELLATION_S
+            self.block(f'cancelled#{token}', 1, until_s=until_s)
         if exchange in _FAILURES:
             self._answers_since_report = 0
             self.backoff.failed(now_s=now_s, rng=rng)
