--- /dev/null
+++ b/benchmarks/soaks/dissemination.py
@@ -0,0 +1,178 @@
+"""Run whole fleets through random faults in virtual time.
+
+Each round starts hosts whose clocks run off by up to the drift allowance, on
+a network that loses, doubles and reorders messages. Random steps push, issue,
+withdraw, cut, heal, crash and restart. After each step every host is checked:
+its version never goes back, restarts included, and it refuses each withdrawn
+key once the lease is over. At the end of a round the fleet is healed and must
+agree.
+"""
+
+import asyncio
+import collections
+import json
+import random
+import time
+
+from skylarkpitch.config import commands
+from tests.stand_ins import control_fleet
+from tests.stand_ins import virtual_time
+
+__all__ = ['run']
+
+LEASE_S = 5.0
+DRIFT = 0.0099
+STEPS_A_ROUND = 150
+AGREE_S = 15.0
+
+
+def run(*, seed: int, seconds: float) -> dict:
+    """Return the counts of as many rounds as fit into ``seconds``."""
+    counts: collections.Counter[str] = collections.Counter(
+        steps=0, violations=0, rounds=0, crashes=0, withdrawals=0, checks=0
+    )
+    ends_at_s = time.monotonic() + seconds
+    while counts['rounds'] == 0 or time.monotonic() < ends_at_s:
+        round_ = _Round(seed=f'{seed}/{counts["rounds"]}', counts=counts)
+        virtual_time.run(round_.play())
+        counts['rounds'] += 1
+    return dict(counts)
+
+
+class _Round:
+    def __init__(self, *, seed, counts):
+        self._rng = random.Random(seed)
+        self._counts = counts
+        self._seed = seed
+        self._keys = []
+        self._withdrawn = []
+        self._served = collections.Counter()
+
+    async def play(self):
+        rng = self._rng
+        hosts = control_fleet.mueso_hosts(entry_hosts=rng.randint(6, 14))
+        self._fleet = control_fleet.Fleet(
+            hosts=hosts,
+            seed=rng.random(),
+            delay_s=rng.choice([0.001, 0.02, 0.055]),
+            rates={h.name: 1 + rng.uniform(-DRIFT, DRIFT) for h in hosts},
+            loss=rng.choice([0.0, 0.02, 0.2]),
+            duplicates=rng.choice([0.0, 0.1]),
+            jitter_s=rng.choice([0.0, 0.05, 0.8]),
+        )
+        await self._fleet.start()
+        await self._fleet.push()
+        for _ in range(STEPS_A_ROUND):
+            await rng.choice(_STEPS)(self)
+            await asyncio.sleep(rng.choice([0.0, 0.1, 0.5, 2.0]))
+            self._check()
+            self._counts['steps'] += 1
+        await self._agree()
+        await self._fleet.stop()
+
+    async def _push(self):
+        if not self._lead():
+            return
+        value = self._rng.randint(1, 5000) / 100
+        overlay = {'services': {'status-desk': {'queue_s': value}}}
+        await self._fleet.commit(
+            commands.PushOverlay,
+            against_version=self._state().config_version,
+            site=self._rng.choice(sorted(control_fleet.OVERLAYS)),
+            overlay_json=json.dumps(overlay),
+        )
+
+    async def _issue(self):
+        if self._lead():
+            self._keys.append(await self._fleet.issue())
+
+    async def _withdraw(self):
+        if not self._keys or not self._lead():
+            return
+        place = self._rng.randrange(len(self._keys))
+        key = self._keys.pop(place)
+        await self._fleet.withdraw(key)
+        self._withdrawn.append((key, self._now_s()))
+        self._counts['withdrawals'] += 1
+
+    async def _cut(self):
+        names = list(self._fleet.hosts)
+        self._rng.shuffle(names)
+        one, other = sorted(self._rng.choices(range(len(names)), k=2))
+        self._fleet.split(names[:one], names[one:other])
+
+    async def _heal(self):
+        self._fleet.heal()
+
+    async def _crash(self):
+        name = self._rng.choice(sorted(self._fleet.hosts))
+        self._counts['crashes'] += 1
+        await self._fleet.stop_host(name)
+        await asyncio.sleep(self._rng.choice([0.0, 1.0, 8.0]))
+        await self._fleet.start_host(name)
+
+    def _lead(self):
+        """Tell whether some leader has a majority, after an election."""
+        log = self._fleet.log
+        if log.majority_of(log.leader):
+            return True
+        for name in self._fleet.control:
+            if log.majority_of(name):
+                self._fleet.elect(name)
+                return True
+        return False
+
+    def _state(self):
+        return self._fleet.states[self._fleet.log.leader]
+
+    def _now_s(self):
+        return asyncio.get_running_loop().time()
+
+    def _check(self):
+        now_s = self._now_s()
+        for name, follower in self._fleet.followers.items():
+            self._counts['checks'] += 1
+            if not follower.site_config():
+                continue
+            version = follower.version
+            self._expect(version >= self._served[name], f'{name} went back')
+            self._served[name] = max(self._served[name], version)
+            violations = follower.counters()['invariant_violations']
+            self._expect(violations == 0, f'{name} refused an answer')
+        for key, at_s in self._withdrawn:
+            if now_s >= at_s + LEASE_S:
+                said = self._fleet.answers(key).values()
+                self._expect('daegu-pans' not in said, 'key taken too late')
+
+    async def _agree(self):
+        self._fleet.network.loss = 0.0
+        self._fleet.network.jitter_s = 0.0
+        self._fleet.heal()
+        await asyncio.sleep(AGREE_S)
+        self._check()
+        self._lead()
+        version = self._state().version
+        for name, follower in self._fleet.followers.items():
+            self._expect(
+                follower.version == version,
+                f'{name} has {follower.version}, not {version}',
+            )
+        for key in self._keys:
+            said = set(self._fleet.answers(key).values())
+            self._expect(said == {'daegu-pans'}, f'valid key: {said}')
+
+    def _expect(self, holds, what):
+        if not holds:
+            self._counts['violations'] += 1
+            print(f'dissemination seed {self._seed}: {what}', flush=True)
+
+
+_STEPS = (
+    _Round._push,
+    _Round._push,
+    _Round._issue,
+    _Round._withdraw,
+    _Round._cut,
+    _Round._heal,
+    _Round._crash,
+)
--- a/tests/stand_ins/control_fleet.py
+++ b/tests/stand_ins/control_fleet.py
@@ -69,7 +69,8 @@
             return sentinels.Absent('not_leader')
         asked_at_s = self._log.fleet.clock_of(self._name)()
         await asyncio.sleep(2 * self._log.fleet.delay_s)
-        if not self._log.majority_of(self._name):
+        deposed = self._log.leader != self._name
+        if deposed or not self._log.majority_of(self._name):
             return sentinels.Absent('no_quorum')
         return asked_at_s
 
@@ -181,6 +182,11 @@
             await self.stop_host(name)
         await self.network.close()
 
+    def elect(self, name):
+        """Make a member the leader; it holds every committed command."""
+        self.log.leader = name
+        self.catch_up()
+
     def catch_up(self):
         """Apply the committed commands on members the leader reaches."""
         for name in self.control:
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -68,7 +68,7 @@
     cut_off = {name for group in groups for name in group}
     fleet.split(*groups)
     if fleet.log.leader in cut_off:
-        fleet.log.leader = next(n for n in fleet.control if n not in cut_off)
+        fleet.elect(next(n for n in fleet.control if n not in cut_off))
     result = await fleet.withdraw(withdrawn)
     await asyncio.sleep(LEASE_S)
     for _ in range(100):
