Narrow the dissemination tree and measure it

A push with an unchanged base checks only the sites whose overlay changed. A control host whose state differs from the leader's at the same version, as after running different releases, no longer passes on proofs.

--- /dev/null
+++ b/benchmarks/dissemination.py
@@ -0,0 +1,321 @@
+"""Measure dissemination on stand-in peers and print slopes as JSON.
+
+Fleets of real sources and followers run in virtual time. Seconds to in force
+and bytes come from virtual time and from the encoded messages; CURVE, TCP and
+IP headers are not in them. Processor time is that of the whole process, the
+stand-in network included, over the hosts and the virtual seconds, so it is an
+upper bound without the transport.
+"""
+
+import asyncio
+import json
+import sys
+import time
+import tracemalloc
+
+from skylarkpitch.config import commands
+from skylarkpitch.dissemination import tree
+from skylarkpitch.peers import directory as directories
+from tests.stand_ins import control_fleet
+from tests.stand_ins import fake_peers
+from tests.stand_ins import virtual_time
+
+CHANGES_A_DAY = 12_000
+CHANGE_PERIOD_S = 86_400 / CHANGES_A_DAY
+HOSTS_A_DOMAIN = 70
+REGIONS = 14
+SETTLE_S = 5.0
+MEASURE_S = 60.0
+WITHIN_DOMAIN_S = 0.0015
+WITHIN_REGION_S = 0.005
+BETWEEN_REGIONS_S = 0.055
+ROUTE_BYTES = 43
+
+
+def fleet_hosts(count: int) -> tuple:
+    """Return five control hosts and ``count`` entry hosts."""
+    control = [
+        fake_peers.host(f'c{n}', f'r{n}', f'c-domain-{n}', ('control',))
+        for n in range(5)
+    ]
+    entry = []
+    for number in range(count):
+        domain = number // HOSTS_A_DOMAIN
+        entry.append(
+            fake_peers.host(
+                f'e{number}', f'r{domain % REGIONS}', f'domain-{domain}'
+            )
+        )
+    return (*control, *entry)
+
+
+class _Meter:
+    """Push changes to a fleet and note when each host has them."""
+
+    def __init__(self, *, hosts: int) -> None:
+        made = fleet_hosts(hosts)
+        self._places = {host.name: host for host in made}
+        self.fleet = control_fleet.Fleet(
+            hosts=made,
+            delay_of=self._delay_s,
+            site_of=lambda host: 'seoul-a',
+        )
+        self.fleet.on_change = self._note
+        self._in_force_s: dict[int, dict[str, float]] = {}
+        self._committed_s: dict[int, float] = {}
+        self._changes = 0
+
+    def _delay_s(self, sender: str, receiver: str) -> float:
+        one, other = self._places[sender], self._places[receiver]
+        if one.failure_domain == other.failure_domain:
+            return WITHIN_DOMAIN_S
+        if one.region == other.region:
+            return WITHIN_REGION_S
+        return BETWEEN_REGIONS_S
+
+    def _note(self, name: str) -> None:
+        version = self.fleet.followers[name].version
+        now_s = asyncio.get_running_loop().time()
+        self._in_force_s.setdefault(version, {}).setdefault(name, now_s)
+
+    async def change(self, *, value_bytes: int) -> int:
+        """Push one changed value of the base and return its version."""
+        base = json.loads(control_fleet.BASE)
+        self._changes += 1
+        base['services']['padding'] = {
+            'routes': [
+                {'prefix': f'/padding/{number:020d}'}
+                for number in range(1 + value_bytes // ROUTE_BYTES)
+            ],
+            'deadline_s': 1 + self._changes / 100,
+        }
+        result = await self.fleet.push(base=json.dumps(base))
+        now_s = asyncio.get_running_loop().time()
+        self._committed_s[result.version] = now_s
+        return result.version
+
+    def in_force_s(self, version: int) -> float:
+        """Return the time until the last host had a version."""
+        reached = {}
+        for known, hosts in self._in_force_s.items():
+            if known >= version:
+                for name, at_s in hosts.items():
+                    reached[name] = min(at_s, reached.get(name, at_s))
+        missing = set(self.fleet.followers) - set(reached)
+        if missing:
+            return float('inf')
+        return max(reached.values()) - self._committed_s[version]
+
+
+def _levels(meter: _Meter) -> dict[str, str]:
+    """Return control, relay, middle or leaf for each host."""
+    fleet = meter.fleet
+    directory = directories.Directory(
+        own='c0', hosts=tuple(fleet.hosts.values())
+    )
+    parents = {n: tree.sources_of(directory, n)[0] for n in fleet.entry}
+    levels = dict.fromkeys(fleet.control, 'control')
+    for name, parent in parents.items():
+        if parent in fleet.control:
+            levels[name] = 'relay'
+        else:
+            asked = name in parents.values()
+            levels[name] = 'middle' if asked else 'leaf'
+    return levels
+
+
+async def measure(
+    *, hosts: int, value_bytes: int, period_s: float
+) -> dict[str, float]:
+    """Return seconds to in force, bytes a second and processor share."""
+    meter = _Meter(hosts=hosts)
+    fleet = meter.fleet
+    await fleet.start()
+    await fleet.push()
+    await asyncio.sleep(SETTLE_S)
+    fleet.network.bytes_sent.clear()
+    fleet.network.bytes_received.clear()
+    fleet.network.messages_sent.clear()
+    versions = []
+    began_s = time.process_time()
+    loop = asyncio.get_running_loop()
+    ends_at_s = loop.time() + MEASURE_S
+    while loop.time() < ends_at_s:
+        versions.append(await meter.change(value_bytes=value_bytes))
+        await asyncio.sleep(period_s)
+    used_s = time.process_time() - began_s
+    await asyncio.sleep(SETTLE_S)
+    times = sorted(meter.in_force_s(version) for version in versions)
+    report = {
+        'hosts': hosts,
+        'value_bytes': value_bytes,
+        'changes_per_s': round(1 / period_s, 3),
+        'in_force_median_s': round(times[len(times) // 2], 3),
+        'in_force_longest_s': round(times[-1], 3),
+        'cpu_percent_a_host': round(
+            100 * used_s / MEASURE_S / len(fleet.hosts), 3
+        ),
+    }
+    report.update(_bytes_by_level(meter))
+    await fleet.stop()
+    return report
+
+
+def _bytes_by_level(meter: _Meter) -> dict[str, float]:
+    network = meter.fleet.network
+    found = {}
+    levels = _levels(meter)
+    for level in sorted(set(levels.values())):
+        names = [name for name in levels if levels[name] == level]
+        total = [
+            network.bytes_sent[name] + network.bytes_received[name]
+            for name in names
+        ]
+        sent = [network.messages_sent[name] for name in names]
+        found[f'{level}_bytes_per_s'] = round(max(total) / MEASURE_S)
+        found[f'{level}_messages_sent_per_s'] = round(max(sent) / MEASURE_S, 1)
+    return found
+
+
+async def catch_up(*, missed: int) -> dict[str, float]:
+    """Return what a host that missed changes needs to catch up."""
+    meter = _Meter(hosts=4)
+    fleet = meter.fleet
+    await fleet.start()
+    await fleet.push()
+    await asyncio.sleep(SETTLE_S)
+    fleet.split(['e3'])
+    for _ in range(missed):
+        await fleet.issue()
+    await asyncio.sleep(SETTLE_S)
+    fleet.network.bytes_received.clear()
+    version = fleet.states['c0'].version
+    loop = asyncio.get_running_loop()
+    fleet.heal()
+    began_s = loop.time()
+    while fleet.followers['e3'].version < version:
+        await asyncio.sleep(0.01)
+    report = {
+        'missed': missed,
+        'seconds': round(loop.time() - began_s, 2),
+        'bytes': fleet.network.bytes_received['e3'],
+    }
+    await fleet.stop()
+    return report
+
+
+async def memory(*, sites: int, keys: int) -> dict[str, float]:
+    """Return the memory of the control state and of one follower's copy."""
+    meter = _Meter(hosts=2)
+    fleet = meter.fleet
+    await fleet.start()
+    overlays = {
+        f'site-{n}': control_fleet.OVERLAYS['seoul-a'] for n in range(sites)
+    }
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    await fleet.push(overlays=overlays)
+    for _ in range(keys):
+        await fleet.issue()
+    await asyncio.sleep(SETTLE_S)
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    holders = len(fleet.control) + len(fleet.followers)
+    snapshot = len(fleet.states['c0'].snapshot())
+    await fleet.stop()
+    return {
+        'sites': sites,
+        'keys': keys,
+        'holders': holders,
+        'bytes_a_holder': round(grown / holders),
+        'snapshot_bytes': snapshot,
+    }
+
+
+def apply_cost() -> dict[str, float]:
+    """Return the time to apply pushes and to check a key."""
+    fleet_overlays = {
+        f'site-{n}': json.dumps(
+            {'services': {'status-desk': {'queue_s': 1 + n / 1000}}}
+        )
+        for n in range(490)
+    }
+    state = control_fleet.states.ControlState()
+    push = commands.PushConfig(
+        operation_id='a',
+        operator='ana',
+        at_s=0.0,
+        against_version=0,
+        base_json=control_fleet.BASE,
+        overlays_json=fleet_overlays,
+    )
+    began_s = time.perf_counter()
+    state.apply(1, commands.encode(push))
+    whole_s = time.perf_counter() - began_s
+    began_s = time.perf_counter()
+    for number in range(100):
+        one = commands.PushOverlay(
+            operation_id=f'o{number}',
+            operator='ana',
+            at_s=0.0,
+            against_version=state.config_version,
+            site='site-1',
+            overlay_json='{}' if number % 2 else fleet_overlays['site-7'],
+        )
+        state.apply(1, commands.encode(one))
+    one_s = (time.perf_counter() - began_s) / 100
+    made = control_fleet.caller_keys.new_key()
+    ring = control_fleet.caller_keys.KeyRing()
+    ring.put(
+        made.key_id,
+        control_fleet.caller_keys.KeyRecord(
+            organisation='a',
+            salt=made.salt,
+            secret_hash=made.secret_hash,
+            issued_at_s=0.0,
+        ),
+    )
+    began_s = time.perf_counter()
+    for _ in range(10_000):
+        ring.organisation_of(made.text)
+    key_s = (time.perf_counter() - began_s) / 10_000
+    return {
+        'push_490_sites_ms': round(whole_s * 1000, 1),
+        'push_one_overlay_ms': round(one_s * 1000, 2),
+        'key_check_us': round(key_s * 1e6, 2),
+    }
+
+
+def main() -> int:
+    """Measure everything and print one JSON object a line."""
+    report: dict[str, object] = {'apply': apply_cost(), 'fleet': []}
+    for hosts, value_bytes, period_s in (
+        (10, 60, CHANGE_PERIOD_S),
+        (70, 60, CHANGE_PERIOD_S),
+        (140, 60, CHANGE_PERIOD_S),
+        (280, 60, CHANGE_PERIOD_S),
+        (70, 1_000, CHANGE_PERIOD_S),
+        (70, 10_000, CHANGE_PERIOD_S),
+        (70, 60, 1.0),
+        (70, 60, 0.2),
+    ):
+        found = virtual_time.run(
+            measure(hosts=hosts, value_bytes=value_bytes, period_s=period_s)
+        )
+        report['fleet'].append(found)
+        print(found, flush=True)
+    report['catch_up'] = [
+        virtual_time.run(catch_up(missed=missed))
+        for missed in (1, 10, 100, 1000, 3000)
+    ]
+    print(report['catch_up'], flush=True)
+    report['memory'] = [
+        virtual_time.run(memory(sites=sites, keys=keys))
+        for sites, keys in ((6, 0), (490, 0), (6, 1000))
+    ]
+    print(json.dumps(report))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/skylarkpitch/config/rules.py
+++ b/src/skylarkpitch/config/rules.py
@@ -65,7 +65,7 @@
         site: _overlay(site, text)
         for site, text in sorted(item.overlays_json.items())
     }
-    _check_sites(base, overlays)
+    _check_sites(base, overlays, _valid_overlays(base, view))
     _check_key_holders(base, view)
     wanted = parts.split(base, ('base',))
     for site, overlay in overlays.items():
@@ -165,13 +165,23 @@
 }
 
 
+def _valid_overlays(base: dict[str, Any], view: views.StateView) -> set[bytes]:
+    """Return the overlays that were checked with this very base before."""
+    if not view.base or documents.canonical(base) != documents.canonical(
+        view.base
+    ):
+        return set()
+    return {documents.canonical(item) for item in view.overlays.values()}
+
+
 def _check_sites(
-    base: dict[str, Any], overlays: Mapping[str, dict[str, Any]]
+    base: dict[str, Any],
+    overlays: Mapping[str, dict[str, Any]],
+    checked: set[bytes],
 ) -> None:
     """Validate every site; equal overlays are checked once."""
     if not overlays:
         deployment.validate_site(base, {}, site='base alone')
-    checked = set()
     for site, overlay in overlays.items():
         text = documents.canonical(overlay)
         if text not in checked:
--- a/src/skylarkpitch/dissemination/source.py
+++ b/src/skylarkpitch/dissemination/source.py
@@ -65,6 +65,7 @@
             'state_whole_answers': 0.0,
             'state_proofs': 0.0,
             'state_proofs_missed': 0.0,
+            'state_differs_from_leader': 0.0,
         }
         super().__init__(**options)
         peers.handle(messages.StateQuestion, self._answer)
@@ -109,6 +110,7 @@
     async def _prove(self) -> None:
         while not self.should_stop:
             began_s = self._clock()
+            self._note_applied()
             period_s = self._pulse().period_s
             try:
                 await self._prove_once(period_s)
@@ -160,6 +162,16 @@
         if isinstance(answer, sentinels.Absent) or answer.age_s < 0:
             self._counters['state_proofs_missed'] += 1
             return
+        if self._differs(answer):
+            self._counters['state_differs_from_leader'] += 1
+            _log.error(
+                'state_differs_from_leader',
+                leader=leader,
+                version=answer.version,
+                remedy='run one release on all control hosts and rejoin '
+                'this one under a new identity',
+            )
+            return
         proven_at_s = freshness.proven_at_s(
             asked_at_s=asked_at_s,
             held_s=answer.held_s,
@@ -168,6 +180,10 @@
         )
         self._take_proof(proven_at_s, answer.version)
 
+    def _differs(self, answer: messages.StateAnswer) -> bool:
+        same_version = answer.version == self._state.version
+        return same_version and answer.digest != self._state.parts.digest(())
+
     def _take_proof(self, proven_at_s: float, version: int) -> None:
         """Count a proof for ``version`` once that version is applied."""
         if version > self._state.version:
--- a/src/skylarkpitch/dissemination/tree.py
+++ b/src/skylarkpitch/dissemination/tree.py
@@ -18,7 +18,7 @@
 __all__ = ['FAN_OUT', 'RELAYS', 'rank', 'relays_of', 'sources_of']
 
 RELAYS = 2
-FAN_OUT = 4
+FAN_OUT = 2
 
 
 def _score(salt: str, name: str) -> bytes:
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -11,6 +11,7 @@
 from skylarkpitch.config import results
 from skylarkpitch.config import state as states
 from skylarkpitch import errors
+from skylarkpitch.settings import deployment
 
 ROOT = pathlib.Path(__file__).parent.parent / 'deployments' / 'mueso'
 BASE = (ROOT / 'base.json').read_text()
@@ -152,6 +153,23 @@
     assert apply(state, item) == result
 
 
+def test_unchanged_sites_are_not_checked_again(state, monkeypatch):
+    checked = []
+    real = deployment.validate_site
+    monkeypatch.setattr(
+        deployment,
+        'validate_site',
+        lambda base, overlay, *, site: (
+            checked.append(site) or real(base, overlay, site=site)
+        ),
+    )
+    overlays = OVERLAYS | {'busan-a': '{"services": {}}'}
+    assert apply(state, push('a', 1, overlays=overlays)).version == 2
+    assert checked == ['busan-a']
+    apply(state, push('b', 2, base=changed_base(links=[])))
+    assert len(checked) > 1
+
+
 def test_equal_numbers_leave_one_winner(state):
     answers = [
         apply(state, push(f'race{n}', 1, base=changed_base(links=[])))
