Keep keyed calls going through the loss of the leader

Cause: in a new test with 55 ms one way, hosts refused valid keys for up to a second when the leader died and another led 3 s later. Control hosts asked the dead leader with a long hold, and hosts waited on one silent or stale source after another, 2 s each.

Now a failure is followed by a round of questions without a hold, and then by held questions at up to four sources that answered, so that the first one with a proof ends the wait. A control host that asks the leader does so again at once after an answer, since the hold sets the pace. Rounds that bring nothing wait up to 2 s, so that a lost quorum does not turn into a storm.

Ruled out: a wait between rounds alone (3 s elections still cost refusals) and a single held question (it may be held by the cut-off leader).

--- a/src/skylarkpitch/dissemination/choice.py
+++ b/src/skylarkpitch/dissemination/choice.py
@@ -39,10 +39,19 @@
             self._start_over()
             return True
         if self._place == 1:
-            spread = self._rng.uniform(0.75, 1.25)
-            self._best_at_s = now_s + BEST_AGAIN_S * spread
+            self._put_off_best(now_s)
         return False
 
+    def stay_with(self, name: str, *, now_s: float) -> None:
+        """Ask a source from now on, if it is still one."""
+        if name in self._names:
+            self._place = self._names.index(name)
+            self._put_off_best(now_s)
+
+    def _put_off_best(self, now_s: float) -> None:
+        spread = self._rng.uniform(0.75, 1.25)
+        self._best_at_s = now_s + BEST_AGAIN_S * spread
+
     def _start_over(self) -> None:
         self._names = self._sources()
         self._place = 0
--- a/src/skylarkpitch/dissemination/follower.py
+++ b/src/skylarkpitch/dissemination/follower.py
@@ -1,5 +1,6 @@
 """Follow the control state on an entry host and pass it on below."""
 
+import asyncio
 from collections.abc import Callable
 import random
 import time
@@ -26,11 +27,13 @@
 __all__ = ['StateFollower']
 
 MAX_HOLD_S = 10.0
-RETRY_S = 0.3
+RETRY_S = 0.25
+LONGEST_RETRY_S = 2.0
 REPORT_S = 0.5
 REPORT_BATCH_S = 0.1
 CUT_OFF_AFTER_S = 10.0
 GATHER_TIMEOUT_S = 1.0
+MAX_HELD_QUESTIONS = 4
 
 _log = structlog.get_logger(__name__)
 
@@ -73,6 +76,9 @@
             host=self._own.name, first_sequence=int(time.time() * 1000)
         )
         self._source: str | None = None
+        self._answering: list[str] = []
+        self._is_served = False
+        self._fruitless_rounds = 0
         self._counters = {
             'state_answers': 0.0,
             'state_source_failures': 0.0,
@@ -141,13 +147,58 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             source = self._choice.current(now_s=self._clock())
-            if source is not None and await self._ask(source):
-                self._source = source
+            if source is not None and await self._ask_in_turn(source):
                 continue
             self._counters['state_source_failures'] += 1
             if self._choice.failed(now_s=self._clock()):
                 await self._gather_if_cut_off()
-                await self.sleep(RETRY_S * self._rng.uniform(0.5, 1.5))
+                await self._wait_for_news()
+
+    async def _ask_in_turn(self, source: str) -> bool:
+        """Ask a source; tell whether it brought anything.
+
+        After a failure the sources are asked without a hold until one of
+        them brings something, so that neither a silent nor a stale one
+        costs much of the lease.
+        """
+        pulse = self._pulse()
+        if not self._is_served:
+            pulse = pulse.without_hold()
+        self._is_served = await self._ask(source, pulse=pulse)
+        if self._is_served:
+            self._source = source
+            self._answering = []
+            self._fruitless_rounds = 0
+        return self._is_served
+
+    async def _wait_for_news(self) -> None:
+        """Wait with questions held by the sources that answered, if any."""
+        answering = list(dict.fromkeys(self._answering))
+        if not answering:
+            await self.sleep(self._retry_s())
+            return
+        pulse = self._pulse()
+        held = {
+            asyncio.create_task(self._ask(name, pulse=pulse)): name
+            for name in answering[:MAX_HELD_QUESTIONS]
+        }
+        try:
+            useful = await _first_useful(set(held))
+        finally:
+            self._answering = []
+            for task in held:
+                task.cancel()
+        if useful is not None:
+            self._is_served = True
+            self._choice.stay_with(held[useful], now_s=self._clock())
+
+    def _retry_s(self) -> float:
+        """Return a random wait that grows with each fruitless round."""
+        longest_s = min(
+            LONGEST_RETRY_S, RETRY_S * 2 ** min(self._fruitless_rounds, 8)
+        )
+        self._fruitless_rounds += 1
+        return longest_s * self._rng.uniform(0.5, 1.0)
 
     @mode.Service.task
     async def _report_regularly(self) -> None:
@@ -179,11 +230,7 @@
         current = leases.leases_in(self._replica.view.base)
         return pulses.pulse_for(current.shortest_s)
 
-    async def _ask(
-        self, source: str, *, pulse: pulses.Pulse | None = None
-    ) -> bool:
-        """Ask one source; tell whether it brought anything."""
-        pulse = pulse or self._pulse()
+    async def _ask(self, source: str, *, pulse: pulses.Pulse) -> bool:
         asked_at_s = self._clock()
         question = self._replica.question(
             now_s=asked_at_s, hold_s=pulse.hold_s
@@ -193,6 +240,7 @@
         )
         if isinstance(answer, sentinels.Absent):
             return False
+        self._answering.append(source)
         self._counters['state_answers'] += 1
         self._counters['state_rows_taken'] += len(answer.rows)
         return self._take(question, answer, asked_at_s)
@@ -288,3 +336,17 @@
             return None
         version, name = max(found)
         return name, version
+
+
+async def _first_useful(
+    pending: set[asyncio.Task[bool]],
+) -> asyncio.Task[bool] | None:
+    """Return the first task that ends with True, or None."""
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task.result():
+                return task
+    return None
--- a/src/skylarkpitch/dissemination/pulse.py
+++ b/src/skylarkpitch/dissemination/pulse.py
@@ -24,6 +24,12 @@
     hold_s: float
     timeout_s: float
 
+    def without_hold(self) -> 'Pulse':
+        """Return the periods for a question to be answered at once."""
+        return dataclasses.replace(
+            self, hold_s=0.0, timeout_s=self.timeout_s - self.hold_s
+        )
+
 
 def pulse_for(key_lease_s: float) -> Pulse:
     """Return the periods for a key lease.
--- a/src/skylarkpitch/dissemination/source.py
+++ b/src/skylarkpitch/dissemination/source.py
@@ -24,6 +24,7 @@
 
 MAX_HOLD_S = 10.0
 MIN_PERIOD_S = 0.05
+RETRY_S = 0.2
 FORWARD_S = 0.2
 DEFAULT_DRIFT_PERCENT = 1.0
 
@@ -52,6 +53,7 @@
         self._clock = clock
         self._waiters = waiters.Waiters()
         self._proven_at_s = freshness.NEVER_S
+        self._is_led = False
         self._unapplied_proof: tuple[int, float] | None = None
         self._book = leases.LeaseBook(started_at_s=clock())
         self._board = reports.ReportBoard(directory=peers.directory)
@@ -109,15 +111,8 @@
     @mode.Service.task
     async def _prove(self) -> None:
         while not self.should_stop:
-            began_s = self._clock()
             self._note_applied()
-            period_s = self._pulse().period_s
-            try:
-                await self._prove_once(period_s)
-            except errors.SkylarkError as error:
-                _log.info('state_proof_failed', error=str(error))
-            left_s = period_s - (self._clock() - began_s)
-            await self.sleep(max(MIN_PERIOD_S, left_s))
+            await self.sleep(await self._prove_once())
 
     @mode.Service.task
     async def _forward_regularly(self) -> None:
@@ -134,19 +129,38 @@
             if host.name != self._peers.directory.own.name:
                 self._peers.send(host.name, copy)
 
-    async def _prove_once(self, timeout_s: float) -> None:
-        proven_at_s = await self._control_log.confirm(timeout_s=timeout_s)
+    async def _prove_once(self) -> float:
+        """Try to prove the state; return the seconds until the next try.
+
+        The leader holds a question until it has a newer proof, which sets
+        the pace of those that ask it.
+        """
+        period_s = self._pulse().period_s
+        began_s = self._clock()
+        proven_at_s = await self._confirm(period_s)
         if not isinstance(proven_at_s, sentinels.Absent):
             self._take_proof(proven_at_s, self._state.version)
-            return
+            return max(MIN_PERIOD_S, period_s - (self._clock() - began_s))
+        self._is_led = await self._ask_leader()
+        if self._is_led:
+            return MIN_PERIOD_S
+        self._counters['state_proofs_missed'] += 1
+        return RETRY_S
+
+    async def _confirm(self, timeout_s: float) -> float | sentinels.Absent:
+        try:
+            return await self._control_log.confirm(timeout_s=timeout_s)
+        except errors.SkylarkError as error:
+            return sentinels.Absent(error.reason, str(error))
+
+    async def _ask_leader(self) -> bool:
+        """Ask for a newer proof; after a failure without a hold."""
         leader = self._control_log.status().leader
         if leader is None or leader == self._peers.directory.own.name:
-            self._counters['state_proofs_missed'] += 1
-            return
-        await self._ask_leader(leader)
-
-    async def _ask_leader(self, leader: str) -> None:
+            return False
         pulse = self._pulse()
+        if not self._is_led:
+            pulse = pulse.without_hold()
         asked_at_s = self._clock()
         known = self._proven_at_s > freshness.NEVER_S
         question = messages.StateQuestion(
@@ -160,8 +174,7 @@
             leader, question, timeout_s=pulse.timeout_s
         )
         if isinstance(answer, sentinels.Absent) or answer.age_s < 0:
-            self._counters['state_proofs_missed'] += 1
-            return
+            return False
         if self._differs(answer):
             self._counters['state_differs_from_leader'] += 1
             _log.error(
@@ -171,28 +184,33 @@
                 remedy='run one release on all control hosts and rejoin '
                 'this one under a new identity',
             )
-            return
+            return False
         proven_at_s = freshness.proven_at_s(
             asked_at_s=asked_at_s,
             held_s=answer.held_s,
             age_s=answer.age_s,
             drift=self._drift,
         )
-        self._take_proof(proven_at_s, answer.version)
+        return self._take_proof(proven_at_s, answer.version)
 
     def _differs(self, answer: messages.StateAnswer) -> bool:
         same_version = answer.version == self._state.version
         return same_version and answer.digest != self._state.parts.digest(())
 
-    def _take_proof(self, proven_at_s: float, version: int) -> None:
-        """Count a proof for ``version`` once that version is applied."""
+    def _take_proof(self, proven_at_s: float, version: int) -> bool:
+        """Count a proof for ``version`` once that version is applied.
+
+        Returns whether it is newer than the one held.
+        """
+        if proven_at_s <= self._proven_at_s:
+            return False
         if version > self._state.version:
             self._unapplied_proof = (version, proven_at_s)
-            return
-        if proven_at_s > self._proven_at_s:
-            self._proven_at_s = proven_at_s
-            self._counters['state_proofs'] += 1
-            self._waiters.wake()
+            return True
+        self._proven_at_s = proven_at_s
+        self._counters['state_proofs'] += 1
+        self._waiters.wake()
+        return True
 
     def _note_applied(self) -> None:
         if self._state.config_version != self._config_version:
--- a/tests/stand_ins/slow_peers.py
+++ b/tests/stand_ins/slow_peers.py
@@ -58,6 +58,8 @@
 
     async def carry(self, sender, receiver, frames, deliver):
         """Deliver frames once, twice or never."""
+        if sender not in self._peers:
+            return
         size = sum(len(frame) for frame in frames)
         self.bytes_sent[sender] += size
         self.messages_sent[sender] += 1
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -18,12 +18,22 @@
 STEP_S = 0.1
 
 
+started = []
+
+
 def in_virtual_time(test):
-    """Run a coroutine test function on a loop with virtual time."""
+    """Run a test on a loop with virtual time and stop its fleets."""
+
+    async def stopping(*args, **kwargs):
+        try:
+            await test(*args, **kwargs)
+        finally:
+            while started:
+                await started.pop().stop()
 
     @functools.wraps(test)
     def wrapped(*args, **kwargs):
-        virtual_time.run(test(*args, **kwargs))
+        virtual_time.run(stopping(*args, **kwargs))
 
     return wrapped
 
@@ -32,6 +42,7 @@
     """Return a started fleet with a configuration in force."""
     hosts = options.pop('hosts', control_fleet.mueso_hosts())
     fleet = control_fleet.Fleet(hosts=hosts, **options)
+    started.append(fleet)
     await fleet.start()
     await fleet.push(base=base)
     await asyncio.sleep(SETTLE_S)
@@ -90,7 +101,21 @@
     assert set(fleet.answers(withdrawn).values()) == {'key_unknown'}
     assert set(fleet.answers(kept).values()) == {'daegu-pans'}
     assert source.withdrawal_status(result.version) == []
-    await fleet.stop()
+
+
+@pytest.mark.parametrize('election_s', [0.5, 1.5, 3.0])
+@in_virtual_time
+async def test_loss_of_the_leader_costs_no_keyed_call(election_s):
+    fleet = await running(delay_s=0.055)
+    key = await fleet.issue()
+    await asyncio.sleep(2)
+    leader, other = fleet.control[:2]
+    await fleet.stop_host(leader)
+    loop = asyncio.get_running_loop()
+    loop.call_later(election_s, fleet.elect, other)
+    for _ in range(100):
+        await asyncio.sleep(STEP_S)
+        assert set(fleet.answers(key).values()) == {'daegu-pans'}
 
 
 @in_virtual_time
@@ -106,7 +131,6 @@
     fleet.heal()
     await asyncio.sleep(SETTLE_S)
     assert set(fleet.answers(key).values()) == {'daegu-pans'}
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -130,7 +154,6 @@
     assert 29 < status.lease_left_s < 30.1
     await asyncio.sleep(status.lease_left_s)
     assert fleet.answers(long)['incheon-b-1'] == 'key_lease_expired'
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -148,7 +171,6 @@
     assert 45 < status.lease_left_s < 55
     await asyncio.sleep(status.lease_left_s)
     assert fleet.answers(key)['incheon-b-1'] == 'key_lease_expired'
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -165,7 +187,6 @@
     assert follower.age_s(1e6) == float('inf')
     await asyncio.sleep(2)
     assert fleet.answers(key)['incheon-b-1'] == 'daegu-pans'
-    await fleet.stop()
 
 
 @pytest.mark.parametrize(
@@ -196,7 +217,6 @@
     await asyncio.sleep(SETTLE_S)
     assert not follower.is_stale
     assert fleet.answers(key)['incheon-b-1'] == 'daegu-pans'
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -226,7 +246,6 @@
     counters = follower.counters()
     assert counters['state_whole_answers_taken'] == wholes
     assert counters['state_rows_taken'] <= rows + 4
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -245,7 +264,6 @@
     assert follower.version == fleet.states[fleet.log.leader].version
     assert len(follower.keys) == 0
     assert follower.counters()['state_whole_answers_taken'] >= 3
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -259,7 +277,6 @@
     await asyncio.sleep(4)
     assert follower.counters()['state_digest_mismatches'] == 1
     assert fleet.answers(key)['incheon-b-1'] == 'daegu-pans'
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -272,7 +289,6 @@
     await asyncio.sleep(LEASE_S)
     assert source.counters()['state_differs_from_leader'] > 1
     assert source.age_s(fleet.now_s(name)) > LEASE_S - 0.5
-    await fleet.stop()
 
 
 @in_virtual_time
@@ -292,7 +308,6 @@
         assert found['busan-a'].applied_version == version
         assert found['daegu-b'].applied_version < version
         assert found['seoul-a'].hosts[0].status == {'calls': 1.0}
-    await fleet.stop()
 
 
 @pytest.mark.parametrize('place', [0, 1, 2, 5])
@@ -314,4 +329,3 @@
         answers = fleet.answers(key)
         del answers[lost]
         assert set(answers.values()) == {'daegu-pans'}
-    await fleet.stop()
