--- /dev/null
+++ b/benchmarks/soaks/consensus.py
@@ -0,0 +1,303 @@
+"""Run the replicated log at random: faults, clients and member changes.
+
+Members run the real engine over a simulated network and disk. Messages are
+lost, doubled and reordered, hosts are cut off, clocks run at different
+rates, processes crash between and within writes, and disks are lost and
+their hosts repaired. What the log promises is checked after every step and,
+at the end, for every acknowledged change.
+"""
+
+import bisect
+import random
+import time
+
+from skylarkpitch import errors
+from tests.stand_ins import simulated_log
+
+VOTERS = ('a', 'b', 'c')
+SPARES = ('d', 'e')
+EPISODE_S = 40.0
+CALM_S = 60.0
+MAX_VOTERS = 5
+MIN_VOTERS = 3
+
+__all__ = ['run']
+
+
+class _Episode:
+    """One cluster from its first start to its last check."""
+
+    def __init__(self, *, seed):
+        self.simulation = simulated_log.Simulation(
+            seed=seed, voters=VOTERS, others=SPARES
+        )
+        self.rng = random.Random(seed ^ 0x5EED)
+        self.acknowledged = []
+        self.uncertain = 0
+        self.reads = 0
+        self._acknowledged_s = []
+        self._stale_reads = []
+        self._number = 0
+        self._calm = False
+
+    def run(self):
+        """Raise ``InvariantError`` when a promise is broken."""
+        simulation = self.simulation
+        simulation.start()
+        simulation.run(3)
+        self._weather()
+        for interval_s, action in (
+            (0.03, self._submit),
+            (0.2, self._confirm),
+            (1.5, self._fault),
+            (0.4, self._operate),
+            (2.5, self._weather),
+        ):
+            self._repeat(interval_s, action)
+        simulation.run(EPISODE_S)
+        self._check_end()
+
+    def _repeat(self, interval_s, action):
+        def repeated():
+            if self._calm and action != self._operate:
+                return
+            action()
+            self._repeat(interval_s, action)
+
+        delay_s = self.rng.uniform(0.2, 1.8) * interval_s
+        self.simulation.after(delay_s, repeated)
+
+    def _running(self):
+        members = self.simulation.members.values()
+        return [member for member in members if member.runs]
+
+    def _weather(self):
+        """Change how the network behaves."""
+        simulation = self.simulation
+        rng = self.rng
+        simulation.loss = rng.choice((0.0, 0.0, 0.02, 0.2))
+        simulation.duplication = rng.choice((0.0, 0.05, 0.3))
+        simulation.delay_s = rng.choice(
+            ((0.001, 0.005), (0.05, 0.06), (0.001, 0.2))
+        )
+
+    def _submit(self):
+        running = self._running()
+        if not running:
+            return
+        leader = self.simulation.leader()
+        member = leader or self.rng.choice(running)
+        if self.rng.random() < 0.1:
+            member = self.rng.choice(running)
+        self._number += 1
+        command = f'c{self._number}'
+        future = self.simulation.submit(member, command)
+        future.add_done_callback(lambda f: self._answered(command, f))
+
+    def _answered(self, command, future):
+        error = future.exception()
+        if error is None:
+            self.acknowledged.append(command)
+            self._acknowledged_s.append(self.simulation.now_s)
+        elif isinstance(error, errors.UncertainError):
+            self.uncertain += 1
+
+    def _confirm(self):
+        running = self._running()
+        if not running:
+            return
+        member = self.simulation.leader() or self.rng.choice(running)
+        future = self.simulation.confirm(member)
+        future.add_done_callback(lambda f: self._confirmed(member, f))
+
+    def _confirmed(self, member, future):
+        if not isinstance(future.result(), float):
+            return
+        self.reads += 1
+        sent_s = member.to_simulated(future.result())
+        count = bisect.bisect_left(self._acknowledged_s, sent_s - 1e-6)
+        missing = set(self.acknowledged[:count])
+        missing.difference_update(member.machine.commands)
+        if missing:
+            self._stale_reads.append((member.name, sorted(missing)))
+
+    def _fault(self):
+        rng = self.rng
+        fault = rng.choice(
+            (self._crash, self._crash_in_write, self._partition, self._heal)
+        )
+        fault()
+        if rng.random() < 0.15:
+            self._lose_disk()
+
+    def _crash(self):
+        running = self._running()
+        if running:
+            self._crash_member(self.rng.choice(running))
+
+    def _crash_member(self, member):
+        self.simulation.crashes += 1
+        member.crash()
+        self._restart_later(member)
+
+    def _crash_in_write(self):
+        running = self._running()
+        if not running:
+            return
+        member = self.rng.choice(running)
+        member.folder.crash_soon(self.rng.randrange(4))
+
+    def _restart_later(self, member):
+        self.simulation.after(self.rng.uniform(0.1, 3), member.start)
+
+    def _partition(self):
+        simulation = self.simulation
+        names = list(simulation.members)
+        if self.rng.random() < 0.5:
+            simulation.isolate(self.rng.choice(names))
+            return
+        one, other = self.rng.sample(names, 2)
+        simulation.cut_pairs.add((one, other))
+
+    def _heal(self):
+        self.simulation.heal()
+
+    def _lose_disk(self):
+        """Lose a disk, if a quorum of the voters still has its own."""
+        member = self.rng.choice(list(self.simulation.members.values()))
+        if not self._may_lose(member.name):
+            return
+        self._crash_member(member)
+        member.wipe()
+
+    def _may_lose(self, name):
+        # A change of members that is not committed yet may remove a voter
+        # that holds entries; the quorum must be there before and after it.
+        for member in self._running():
+            state = member.engine.core.state
+            if state.members_index > state.commit_index:
+                return False
+        for member in self._running():
+            voters = member.engine.core.state.members.voters
+            left = [v for v in voters if self._is_intact(v, name)]
+            if voters and len(left) < len(voters) // 2 + 1:
+                return False
+        return True
+
+    def _is_intact(self, identity, lost):
+        host, _, incarnation = identity.rpartition('/')
+        journal = self.simulation.members[host].folder.files.get('journal')
+        return host != lost and bool(
+            journal and incarnation.encode() in journal
+        )
+
+    def _operate(self):
+        """Add hosts that are no members; sometimes remove one."""
+        leader = self.simulation.leader()
+        if leader is None:
+            return
+        members = leader.engine.core.state.members
+        identities = (*members.voters, *members.learners)
+        outside = [
+            member
+            for member in self._running()
+            if member.identity not in identities
+        ]
+        hosts = simulated_log.hosts_of(members.voters)
+        repaired = [member for member in outside if member.name in hosts]
+        if len(members.voters) >= MAX_VOTERS:
+            outside = repaired
+        if outside:
+            self._change_by(leader, self._adding(self.rng.choice(outside)))
+        elif len(members.voters) > MIN_VOTERS and self.rng.random() < 0.3:
+            removed = self.rng.choice(members.voters)
+            self._change_by(
+                leader,
+                lambda core, now_s: core.remove(removed, now_s=now_s),
+            )
+
+    def _adding(self, member):
+        identity = member.identity
+        return lambda core, now_s: core.add_learner(identity, now_s=now_s)
+
+    def _change_by(self, leader, change):
+        def attempt(now_s):
+            try:
+                change(leader.engine.core, now_s)
+            except errors.SkylarkError:
+                pass
+
+        leader.step(attempt)
+
+    def _check_end(self):
+        """Let everything heal; then everyone must hold everything."""
+        simulation = self.simulation
+        self._calm = True
+        simulation.heal()
+        simulation.loss = 0.0
+        simulation.duplication = 0.0
+        simulation.delay_s = (0.001, 0.02)
+        for member in simulation.members.values():
+            member.folder.crash_soon(None)
+            member.start()
+        if not simulation.run(CALM_S, until=self._converged):
+            raise errors.InvariantError('the members did not converge')
+        if self._stale_reads:
+            raise errors.InvariantError(
+                f'confirmed states lacked changes: {self._stale_reads[:3]}'
+            )
+        committed = set(simulation.checker.commands_committed())
+        lost = set(self.acknowledged) - committed
+        if lost:
+            raise errors.InvariantError(f'{sorted(lost)} were lost')
+        simulation.checker.check_logs_match()
+        for member in self._running():
+            simulation.checker.check_machine(member)
+
+    def _converged(self):
+        leader = self.simulation.leader()
+        if leader is None:
+            return False
+        core = leader.engine.core
+        last_index = core.state.log.last_index
+        if any(not self._is_intact(i, '') for i in core.state.members.voters):
+            return False
+        hosts = simulated_log.hosts_of(core.state.members.voters)
+        members = [self.simulation.members[host] for host in hosts]
+        return core.state.commit_index == last_index and all(
+            member.runs and member.engine.applied_index == last_index
+            for member in members
+        )
+
+
+def run(*, seed: int, seconds: float) -> dict:
+    """Run episodes for so many seconds and return the counts."""
+    rng = random.Random(seed)
+    end_s = time.monotonic() + seconds
+    totals = dict.fromkeys(
+        ('episodes', 'steps', 'crashes', 'elections', 'commits'), 0
+    )
+    totals.update(acknowledged=0, uncertain=0, reads=0, violations=0)
+    failures = []
+    while time.monotonic() < end_s:
+        episode_seed = rng.randrange(2**32)
+        episode = _Episode(seed=episode_seed)
+        try:
+            episode.run()
+        except errors.SkylarkError as error:
+            totals['violations'] += 1
+            failures.append(f'episode {episode_seed}: {error}')
+        _add(totals, episode)
+    return {**totals, 'failures': failures[:5]}
+
+
+def _add(totals: dict, episode: _Episode) -> None:
+    simulation = episode.simulation
+    totals['episodes'] += 1
+    totals['steps'] += simulation.steps
+    totals['crashes'] += simulation.crashes
+    totals['elections'] += simulation.checker.elections()
+    totals['commits'] += simulation.checker.commits
+    totals['acknowledged'] += len(episode.acknowledged)
+    totals['uncertain'] += episode.uncertain
+    totals['reads'] += episode.reads
--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -257,6 +257,8 @@
         self._advance(now_s)
 
     def _advance(self, now_s: float) -> None:
+        if self.is_leader:
+            membership.leave_if_removed(self._state, now_s=now_s)
         if self.is_leader:
             reads.start_round(self._state, now_s=now_s)
             reads.settle(self._state)
@@ -302,20 +304,7 @@
 
     def hand_over(self) -> bool:
         """Ask the voter that holds most to take over; tell if one can."""
-        state = self._state
-        if not self.is_leader:
-            return False
-        complete = [
-            voter
-            for voter in state.other_voters()
-            if voter in state.progress
-            and state.progress[voter].match_index == state.log.last_index
-        ]
-        if not complete:
-            return False
-        best = max(complete, key=lambda i: state.progress[i].contact_s)
-        state.before.append(messages.Transfer(**state.header(best)))
-        return True
+        return self.is_leader and membership.hand_over(self._state)
 
     def _check_leads(self) -> None:
         state = self._state
--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import dataclasses
 import random
+from typing import Any
 
 import structlog
 
@@ -19,7 +20,7 @@
 from skylarkpitch import errors
 from skylarkpitch.messages import consensus as messages
 
-__all__ = ['Engine', 'Limits']
+__all__ = ['Engine', 'Limits', 'Threads']
 
 APPLY_SLICE_ENTRIES = 500
 
@@ -35,11 +36,39 @@
     kept_entries: int = 500
 
 
+class Threads:
+    """Sync on one thread and save snapshots on another.
+
+    Neither holds up the event loop, nor a snapshot the syncs.
+    """
+
+    def __init__(self) -> None:
+        self._syncing = concurrent.futures.ThreadPoolExecutor(1)
+        self._saving = concurrent.futures.ThreadPoolExecutor(1)
+
+    async def sync(
+        self, function: Callable[[Any], None], argument: Any
+    ) -> None:
+        """Call a function and wait for it."""
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._syncing, function, argument)
+
+    def save(
+        self, function: Callable[..., None], *arguments: Any
+    ) -> concurrent.futures.Future[None]:
+        """Call a function and return its outcome to come."""
+        return self._saving.submit(function, *arguments)
+
+    def close(self) -> None:
+        """Wait for what runs."""
+        self._syncing.shutdown(wait=True)
+        self._saving.shutdown(wait=True)
+
+
 class Engine:
     """One member: its core and what the core's output is done to.
 
-    Syncs run on one thread and snapshots are saved on another, so that
-    neither holds up the event loop. No two steps may run at once.
+    No two steps may run at once.
     """
 
     def __init__(
@@ -51,6 +80,7 @@
         clock: Callable[[], float],
         on_applied: Callable[[], None],
         limits: Limits,
+        threads: Threads | None = None,
     ) -> None:
         self._folder = folder
         self._machine = state_machine
@@ -58,9 +88,8 @@
         self._clock = clock
         self._on_applied = on_applied
         self._limits = limits
-        self._syncing = concurrent.futures.ThreadPoolExecutor(1)
-        self._saving = concurrent.futures.ThreadPoolExecutor(1)
-        self._saved: asyncio.Future[None] | None = None
+        self._threads = threads or Threads()
+        self._saved: concurrent.futures.Future[None] | None = None
         self._saved_info: messages.SnapshotInfo | None = None
         self.waiting = waiters.Waiting()
         self.applied_index = 0
@@ -94,8 +123,7 @@
 
     def close(self) -> None:
         """Wait for the threads and close the data folder."""
-        self._syncing.shutdown(wait=True)
-        self._saving.shutdown(wait=True)
+        self._threads.close()
         self._folder.close()
 
     async def step(self, inbox: list[Callable[[float], None]]) -> None:
@@ -119,7 +147,7 @@
     async def _act(self, output: states.Output) -> None:
         self._send_all(output.before)
         if output.write is not None:
-            await self._on_thread(self.journal.write, output.write)
+            await self._threads.sync(self.journal.write, output.write)
             if output.write.snapshot is not None:
                 self._restore(
                     output.write.snapshot, output.write.snapshot_data
@@ -199,8 +227,8 @@
             members_index=members_index,
             data=data,
         )
-        self._saved = asyncio.get_running_loop().run_in_executor(
-            self._saving, self.journal.snapshots.save, self._saved_info, data
+        self._saved = self._threads.save(
+            self.journal.snapshots.save, self._saved_info, data
         )
 
     async def _rebase(self) -> None:
@@ -212,7 +240,7 @@
         self.core.compact(info, keep=self._limits.kept_entries)
         self.snapshot_index = info.index
         state = self.core.state
-        await self._on_thread(
+        await self._threads.sync(
             self.journal.rebase,
             states.Rebase(
                 base_index=state.log.base_index,
@@ -228,9 +256,3 @@
             base_index=state.log.base_index,
             snapshot_bytes=info.size_bytes,
         )
-
-    async def _on_thread(
-        self, function: Callable[..., None], argument: object
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._syncing, function, argument)
--- a/src/skylarkpitch/consensus/membership.py
+++ b/src/skylarkpitch/consensus/membership.py
@@ -12,7 +12,13 @@
 from skylarkpitch.consensus import state as states
 from skylarkpitch.messages import consensus as messages
 
-__all__ = ['add_learner', 'on_tick', 'remove']
+__all__ = [
+    'add_learner',
+    'hand_over',
+    'leave_if_removed',
+    'on_tick',
+    'remove',
+]
 
 
 def add_learner(state: states.State, identity: str, *, now_s: float) -> int:
@@ -42,18 +48,38 @@
 
 
 def on_tick(state: states.State, *, now_s: float) -> None:
-    """Promote a learner that caught up; leave once removed."""
+    """Promote a learner that has caught up."""
     if not _is_ready(state):
         return
-    if not state.is_voter:
-        election.follow(state, term=state.term, leader=None, now_s=now_s)
-        return
     for learner in state.members.learners:
         if _caught_up(state, learner, now_s):
             _promote(state, learner, now_s)
             return
 
 
+def leave_if_removed(state: states.State, *, now_s: float) -> None:
+    """Lead no longer once the own removal is committed."""
+    if state.is_voter or state.members_index > state.commit_index:
+        return
+    hand_over(state)
+    election.follow(state, term=state.term, leader=None, now_s=now_s)
+
+
+def hand_over(state: states.State) -> bool:
+    """Ask a voter that holds everything to take over; tell if one does."""
+    complete = [
+        voter
+        for voter in state.other_voters()
+        if voter in state.progress
+        and state.progress[voter].match_index == state.log.last_index
+    ]
+    if not complete:
+        return False
+    best = max(complete, key=lambda i: state.progress[i].contact_s)
+    state.before.append(messages.Transfer(**state.header(best)))
+    return True
+
+
 def _promote(state: states.State, learner: str, now_s: float) -> None:
     lost = member_sets.others_of_host(state.members, learner)
     if lost:
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -57,8 +57,17 @@
 def send_entries(state: states.State, *, now_s: float) -> None:
     """Send what the members lack, and nothing to those that lack nothing."""
     for other, item in state.progress.items():
-        if not item.probing and item.next_index <= state.log.last_index:
-            _send(state, other, now_s)
+        if not item.probing:
+            _send_more(state, other, now_s)
+
+
+def _send_more(state: states.State, other: str, now_s: float) -> None:
+    """Send what a member lacks; heartbeats go with the rounds only."""
+    item = state.progress[other]
+    if item.next_index <= state.log.base_index:
+        _send_chunk(state, other, now_s)
+    elif _next_entries(state, item):
+        _send(state, other, now_s)
 
 
 def _send(state: states.State, other: str, now_s: float) -> None:
@@ -223,8 +232,7 @@
     item.match_index = max(item.match_index, reply.index)
     item.next_index = max(item.next_index, item.match_index + 1)
     settle_commit(state, now_s=now_s)
-    if item.next_index <= state.log.last_index:
-        _send(state, reply.sender, now_s)
+    _send_more(state, reply.sender, now_s)
 
 
 def _step_back(
@@ -238,8 +246,7 @@
         return
     item.probing = True
     item.next_index = reply.index + 1
-    if item.next_index > state.log.base_index:
-        _send(state, reply.sender, now_s)
+    _send_more(state, reply.sender, now_s)
 
 
 def note_contact(
--- /dev/null
+++ b/tests/stand_ins/simulated_log.py
@@ -0,0 +1,437 @@
+"""Members of the replicated log over simulated time, network and disks.
+
+The members run the real engine, core, journal and snapshots; only time,
+the network, the threads and the disk are simulated. Everything is drawn
+from one seed.
+"""
+
+import concurrent.futures
+import heapq
+import itertools
+import random
+
+from skylarkpitch.consensus import engine as engines
+from skylarkpitch.consensus import founding
+from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.consensus import state as states
+from skylarkpitch import errors
+from skylarkpitch.messages import consensus as messages
+from tests.stand_ins import counting_machine
+from tests.stand_ins import memory_folder
+
+FOUNDING_INTERVAL_S = 0.2
+RESTART_S = 1.0
+LIMITS = engines.Limits(snapshot_entries=40, kept_entries=15)
+
+
+class _NoThreads:
+    """Do at once what the engine has threads for."""
+
+    async def sync(self, function, argument):
+        function(argument)
+
+    def save(self, function, *arguments):
+        future = concurrent.futures.Future()
+        function(*arguments)
+        future.set_result(None)
+        return future
+
+    def close(self):
+        pass
+
+
+class Member:
+    """One host: its disk, and its process while it runs."""
+
+    def __init__(self, *, simulation, name):
+        self.name = name
+        self.folder = None
+        self.engine = None
+        self.machine = None
+        self.rate = simulation.rng.uniform(0.95, 1.05)
+        self.offset_s = simulation.rng.uniform(0, 1000)
+        self.wake_s = None
+        self._simulation = simulation
+        self.wipe()
+
+    def wipe(self):
+        """Lose everything on the disk; only while not running."""
+        rng = random.Random(self._simulation.rng.random())
+        self.folder = memory_folder.MemoryFolder(rng=rng)
+
+    @property
+    def runs(self):
+        return self.engine is not None
+
+    @property
+    def identity(self):
+        return self.engine.core.state.identity
+
+    @property
+    def leads(self):
+        return self.runs and self.engine.core.is_leader
+
+    def clock(self):
+        """Return the host's own monotonic time."""
+        return self.offset_s + self.rate * self._simulation.now_s
+
+    def to_simulated(self, own_s):
+        """Return the simulated time of an own time."""
+        return (own_s - self.offset_s) / self.rate
+
+    def start(self):
+        """Start the process, unless it runs."""
+        if self.runs:
+            return
+        simulation = self._simulation
+        self.machine = counting_machine.CountingMachine()
+        engine = engines.Engine(
+            folder=self.folder,
+            state_machine=self.machine,
+            send=lambda host, item: simulation.send(self.name, host, item),
+            clock=self.clock,
+            on_applied=lambda: None,
+            limits=simulation.limits,
+            threads=_NoThreads(),
+        )
+        try:
+            engine.open(
+                host=self.name,
+                rng=random.Random(simulation.rng.random()),
+                timing=simulation.timing,
+            )
+        except memory_folder.CrashError:
+            return
+        self.engine = engine
+        self.step()
+        simulation.after(FOUNDING_INTERVAL_S, self.look_for_founders)
+
+    def crash(self):
+        if self.runs:
+            self.engine.waiting.abandon()
+            self.engine = None
+
+    def step(self, *inbox):
+        """Run one step of the engine to its end."""
+        if not self.runs:
+            return
+        self._simulation.steps += 1
+        coroutine = self.engine.step(list(inbox))
+        try:
+            while True:
+                coroutine.send(None)
+        except StopIteration:
+            pass
+        except memory_folder.CrashError:
+            self._simulation.crashes += 1
+            self.crash()
+            self._simulation.after(RESTART_S, self.start)
+            return
+        self._simulation.checker.check(self)
+        self._wake_when_due()
+
+    def _wake_when_due(self):
+        due_s = self.to_simulated(self.engine.core.next_due_s())
+        if self.wake_s is None or due_s < self.wake_s:
+            self.wake_s = due_s
+            self._simulation.at(due_s + 1e-6, self._wake)
+
+    def _wake(self):
+        self.wake_s = None
+        if not self.runs:
+            return
+        if self.clock() >= self.engine.core.next_due_s():
+            self.step()
+        else:
+            self._wake_when_due()
+
+    def receive(self, message):
+        self.step(lambda now_s: self.engine.core.receive(message, now_s=now_s))
+
+    def introduction(self):
+        state = self.engine.core.state
+        return messages.Introduction(
+            identity=state.identity,
+            cluster=state.cluster,
+            founders=state.founders,
+            voters=self._simulation.voters,
+        )
+
+    def look_for_founders(self):
+        if not self.runs or self.engine.core.state.cluster:
+            return
+        simulation = self._simulation
+        others = [m for m in simulation.members.values() if m is not self]
+        answers = {
+            other.name: other.introduction()
+            for other in others
+            if other.runs and not simulation.is_cut(self.name, other.name)
+        }
+        found = founding.decide(
+            identity=self.identity,
+            voters=simulation.voters,
+            control_hosts=[other.name for other in others],
+            answers=answers,
+        )
+        if isinstance(found, tuple):
+            self.step(lambda now_s: self.engine.core.found(found, now_s=now_s))
+        simulation.after(FOUNDING_INTERVAL_S, self.look_for_founders)
+
+
+class Simulation:
+    """Time, network and members."""
+
+    def __init__(self, *, seed, voters, others=(), limits=LIMITS, timing=None):
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.steps = 0
+        self.crashes = 0
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay_s = (0.001, 0.02)
+        self.cut_pairs = set()
+        self.voters = tuple(voters)
+        self.limits = limits
+        self.timing = timing or states.Timing()
+        self.checker = Checker(simulation=self)
+        self._events = []
+        self._numbers = itertools.count()
+        self.members = {
+            name: Member(simulation=self, name=name)
+            for name in (*voters, *others)
+        }
+
+    def start(self):
+        for member in self.members.values():
+            member.start()
+
+    def at(self, when_s, action):
+        event = (max(when_s, self.now_s), next(self._numbers), action)
+        heapq.heappush(self._events, event)
+
+    def after(self, delay_s, action):
+        self.at(self.now_s + delay_s, action)
+
+    def run(self, seconds, *, until=lambda: False):
+        """Pass simulated time; return whether the condition came true."""
+        end_s = self.now_s + seconds
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self._events)
+            action()
+            if until():
+                return True
+        self.now_s = end_s
+        return until()
+
+    def is_cut(self, one, other):
+        return (one, other) in self.cut_pairs
+
+    def cut(self, one, other):
+        self.cut_pairs |= {(one, other), (other, one)}
+
+    def isolate(self, name):
+        for other in self.members:
+            if other != name:
+                self.cut(name, other)
+
+    def heal(self):
+        self.cut_pairs.clear()
+
+    def send(self, sender, host, message):
+        copies = 1 + (self.rng.random() < self.duplication)
+        for _ in range(copies):
+            if self.rng.random() >= self.loss:
+                delay_s = self.rng.uniform(*self.delay_s)
+                self.after(
+                    delay_s, lambda: self._deliver(sender, host, message)
+                )
+
+    def _deliver(self, sender, host, message):
+        if host in self.members and not self.is_cut(sender, host):
+            self.members[host].receive(message)
+
+    def leader(self):
+        """Return the leader of the latest term, if there is one."""
+        leaders = [m for m in self.members.values() if m.leads]
+        return max(
+            leaders, key=lambda m: m.engine.core.state.term, default=None
+        )
+
+    def settled_leader(self, *, within_s=20):
+        """Pass time until a leader has committed an entry of its term."""
+
+        def settled():
+            leader = self.leader()
+            if leader is None:
+                return False
+            state = leader.engine.core.state
+            return state.log.term_at(state.commit_index) == state.term
+
+        if not self.run(within_s, until=settled):
+            raise AssertionError(f'no leader within {within_s} s')
+        return self.leader()
+
+    def submit(self, member, command):
+        """Propose a command at a member and return its future."""
+        future = concurrent.futures.Future()
+
+        def propose(now_s):
+            core = member.engine.core
+            try:
+                index = core.propose(command.encode())
+            except errors.NotLeaderError as error:
+                future.set_exception(error)
+                return
+            member.engine.waiting.add_proposal(
+                index, term=core.state.term, future=future
+            )
+
+        member.step(propose)
+        return future
+
+    def commit(self, *commands):
+        """Submit commands one by one to the leader until each is taken."""
+        for command in commands:
+            taken = False
+            while not taken:
+                future = self.submit(self.settled_leader(), command)
+                self.run(5, until=future.done)
+                taken = future.done() and future.exception() is None
+
+    def confirm(self, member):
+        """Ask a member whether its state is current; return the future."""
+        future = concurrent.futures.Future()
+
+        def ask(now_s):
+            member.engine.waiting.add_read(future)
+            try:
+                member.engine.core.ask(future, now_s=now_s)
+            except errors.NotLeaderError:
+                future.set_result(None)
+
+        member.step(ask)
+        return future
+
+    def change(self, change):
+        """Apply ``change(core, now_s)`` at the leader once it is allowed."""
+
+        def attempt():
+            leader = self.leader()
+            if leader is None:
+                return False
+            try:
+                leader.step(lambda now_s: change(leader.engine.core, now_s))
+            except errors.SkylarkError:
+                return False
+            return leader.runs
+
+        for _ in range(200):
+            if attempt():
+                return
+            self.run(0.1)
+        raise AssertionError('the change of members was never allowed')
+
+    def add(self, name):
+        """Add a running host as a learner."""
+        identity = self.members[name].identity
+        self.change(
+            lambda core, now_s: core.add_learner(identity, now_s=now_s)
+        )
+        return identity
+
+    def voters_now(self):
+        """Return the committed voters that the leader knows."""
+        leader = self.leader()
+        if leader is None:
+            return ()
+        core = leader.engine.core
+        return core.members_at(core.state.commit_index)[1].voters
+
+
+class Checker:
+    """Check over all members what the log promises."""
+
+    def __init__(self, *, simulation):
+        self._simulation = simulation
+        self._leaders = {}
+        self._committed = {}
+        self._checked = {}
+        self.commits = 0
+
+    def check(self, member):
+        """Check one member after a step; raises ``InvariantError``."""
+        state = member.engine.core.state
+        if member.leads:
+            leader = self._leaders.setdefault(state.term, state.identity)
+            self._require(
+                leader == state.identity, f'two leaders in term {state.term}'
+            )
+        self._require(
+            state.commit_index <= state.log.last_index,
+            f'{state.identity} committed what it does not hold',
+        )
+        self._check_committed(member, state)
+
+    def _check_committed(self, member, state):
+        key = id(member.engine)
+        start = max(self._checked.get(key, 0), state.log.base_index)
+        for entry in state.log.after(start, up_to=state.commit_index):
+            known = self._committed.setdefault(entry.index, entry)
+            self._require(
+                known == entry,
+                f'entry {entry.index} was committed twice: {known}, {entry}',
+            )
+        self._checked[key] = max(start, state.commit_index)
+        self.commits = max(self.commits, state.commit_index)
+
+    def check_machine(self, member):
+        """Check that a member applied exactly the committed commands."""
+        applied = member.engine.applied_index
+        expected = [
+            self._committed[index].data.decode()
+            for index in range(1, applied + 1)
+            if self._committed[index].kind is messages.EntryKind.COMMAND
+        ]
+        self._require(
+            member.machine.commands == expected,
+            f'{member.name} applied {member.machine.commands[-3:]}',
+        )
+
+    def check_logs_match(self):
+        """Check that logs agree before an entry that they have alike."""
+        running = [m for m in self._simulation.members.values() if m.runs]
+        for one, other in itertools.combinations(running, 2):
+            self._check_pair(
+                one.engine.core.state.log, other.engine.core.state.log
+            )
+
+    def _check_pair(self, one, other):
+        low = max(one.base_index, other.base_index)
+        high = min(one.last_index, other.last_index)
+        alike = False
+        for index in range(high, low, -1):
+            same = one.term_at(index) == other.term_at(index)
+            alike = alike or same
+            self._require(same or not alike, f'logs differ at {index}')
+
+    def elections(self):
+        """Return how many terms had a leader."""
+        return len(self._leaders)
+
+    def commands_committed(self):
+        """Return the committed commands in order."""
+        return [
+            entry.data.decode()
+            for _, entry in sorted(self._committed.items())
+            if entry.kind is messages.EntryKind.COMMAND
+        ]
+
+    @staticmethod
+    def _require(condition, message):
+        if not condition:
+            raise errors.InvariantError(message)
+
+
+def hosts_of(identities):
+    """Return the host names of identities."""
+    return {member_sets.host_of(identity) for identity in identities}
--- a/tests/test_consensus_service.py
+++ b/tests/test_consensus_service.py
@@ -1,10 +1,15 @@
 """Run members of the replicated log over fake peers and real files."""
 
 import asyncio
+import errno
 import time
 
 import pytest
 
+from skylarkpitch.consensus import engine as engines
+from skylarkpitch.consensus import folder as folders
+from skylarkpitch.consensus import members
+from skylarkpitch import errors
 from skylarkpitch import sentinels
 from tests.stand_ins import log_cluster
 
@@ -56,3 +61,116 @@
         await cluster.stop()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('number', 'reason'),
+    [(errno.ENOSPC, 'disk_full'), (errno.EROFS, 'disk_read_only')],
+)
+def test_member_whose_disk_fails_takes_part_in_nothing(
+    tmp_path, monkeypatch, number, reason
+):
+    async def run():
+        cluster = log_cluster.LogCluster(folder=tmp_path, voters='abc')
+        await cluster.start()
+        await cluster.submit('one')
+        old = await cluster.elected()
+        failing = cluster.logs[old]._engine._folder
+
+        def append(name, data):
+            raise folders.explain(OSError(number, 'x'), failing.path)
+
+        monkeypatch.setattr(failing, 'append', append)
+        with pytest.raises(errors.UncertainError):
+            await cluster.logs[old].submit(b'two', timeout_s=1)
+        assert cluster.logs[old].status().role == 'failed'
+        assert cluster.logs[old].counters()['failed'] == 1
+        with pytest.raises(errors.NotLeaderError, match='restart this host'):
+            await cluster.logs[old].submit(b'two', timeout_s=1)
+        answer = await cluster.logs[old].confirm(timeout_s=1)
+        assert (answer.reason, answer.detail) == ('journal_failed', reason)
+        rest = [name for name in 'abc' if name != old]
+        await cluster.submit('two', among=rest)
+        await cluster.stop()
+
+    asyncio.run(run())
+
+
+def test_host_with_a_lost_disk_is_added_again(tmp_path):
+    async def run():
+        limits = engines.Limits(snapshot_entries=20, kept_entries=5)
+        cluster = log_cluster.LogCluster(
+            folder=tmp_path, voters='abc', limits=limits
+        )
+        await cluster.start()
+        commands = [f'c{number}' for number in range(60)]
+        await cluster.submit(*commands)
+        leader = await cluster.elected()
+        lost = next(name for name in 'abc' if name != leader)
+        before = cluster.logs[lost].status().member
+        await cluster.stop(lost)
+        cluster.wipe(lost)
+        await cluster.start(lost)
+        assert cluster.logs[lost].status().role == 'unjoined'
+        added = await cluster.logs[leader].add_member(lost)
+        assert added != before
+        await cluster.until(
+            lambda: added in cluster.logs[leader].status().voters
+        )
+        status = cluster.logs[leader].status()
+        assert before not in status.voters
+        assert status.learners == ()
+        await cluster.until(
+            lambda: cluster.machines[lost].commands == commands
+        )
+        await cluster.stop()
+
+    asyncio.run(run())
+
+
+def test_errors_of_the_state_machine_reach_the_caller(tmp_path):
+    async def run():
+        cluster = log_cluster.LogCluster(folder=tmp_path, voters='a')
+        await cluster.start()
+        await cluster.elected()
+
+        def refuse(index, command):
+            raise errors.ConflictError('race lost', current_version=7)
+
+        cluster.machines['a'].apply = refuse
+        with pytest.raises(errors.ConflictError, match='race lost'):
+            await cluster.logs['a'].submit(b'one', timeout_s=1)
+        await cluster.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('host', 'remedy'),
+    [('d', 'start it with the control role'), ('b', 'a member already')],
+)
+def test_member_that_cannot_be_added_is_refused(tmp_path, host, remedy):
+    async def run():
+        cluster = log_cluster.LogCluster(folder=tmp_path, voters='abc')
+        await cluster.start()
+        await cluster.submit('one')
+        leader = await cluster.elected()
+        host_there = 'a' if leader == 'b' and host == 'b' else host
+        with pytest.raises(members.MemberChangeError, match=remedy):
+            await cluster.logs[leader].add_member(host_there)
+        await cluster.stop()
+
+    asyncio.run(run())
+
+
+def test_leader_that_resigns_leads_no_longer(tmp_path):
+    async def run():
+        cluster = log_cluster.LogCluster(folder=tmp_path, voters='abc')
+        await cluster.start()
+        await cluster.submit('one')
+        old = await cluster.elected()
+        assert await cluster.logs[old].resign()
+        assert await cluster.elected() != old
+        await cluster.stop()
+
+    asyncio.run(run())
