Wait for a ticket when nothing runs here that tells the rate

Cause: a host whose last upstream of a service was drained refused every call of it (no_room) although the next host had room: with no running call the rate at which slots come free was taken as zero, so any wait seemed too long. Ruled out: shares, hold-offs, tickets (each lent when asked). Conclusion: an unknown rate is unknown, and the queue's bound decides.

--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -364,6 +364,9 @@
             return None
         running = self._membership.pool.in_use(service)
         running += self._borrower.running(service)
+        if not running:
+            # Nothing here tells how fast other hosts would lend slots.
+            return None
         return running / max(hold_s, SHORTEST_HOLD_S)
 
 
