Bring about answers that break off, cross, linger or lie

Raw upstreams give truncated, oversize, doubly framed and leftover answers; raw callers send smuggling shapes and ambiguous targets.

--- a/src/skylarkpitch/requests/path.py
+++ b/src/skylarkpitch/requests/path.py
@@ -73,7 +73,7 @@
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
-        self.running = 0
+        self._handling = 0
         self._limiter = limiter
         self._ledger = ledger
         self._settings = settings
@@ -97,6 +97,11 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._counts: dict[str, float] = {}
 
+    @property
+    def running(self) -> int:
+        """Return how many calls and ends of claims are in progress."""
+        return self._handling + len(self._tasks)
+
     async def start(self) -> None:
         """Do nothing yet: sessions open with the first exchange."""
 
@@ -124,7 +129,7 @@
         """
         call = _Call(started_s=self._clock())
         busy = self._busy()
-        self.running += 1
+        self._handling += 1
         try:
             if busy is not None:
                 response = self._refuse(call, busy)
@@ -134,7 +139,7 @@
             call.reason = 'cancelled'
             raise
         finally:
-            self.running -= 1
+            self._handling -= 1
             if call.body is not None:
                 self._bodies.free(call.body)
             self._report(call)
@@ -145,7 +150,7 @@
     def _busy(self) -> sentinels.Absent | None:
         if self._is_stopping():
             return sentinels.Absent('stopping')
-        if self.running >= self._settings.max_running_calls:
+        if self._handling >= self._settings.max_running_calls:
             return sentinels.Absent('host_busy')
         return None
 
--- a/tests/stand_ins/request_ports.py
+++ b/tests/stand_ins/request_ports.py
@@ -139,7 +139,9 @@
 
     async def connected(reader, writer):
         tasks.add(asyncio.current_task())
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        with contextlib.suppress(
+            ConnectionError, EOFError, asyncio.CancelledError
+        ):
             await script(reader, writer)
         writer.close()
 
--- /dev/null
+++ b/tests/test_requests_exchange.py
@@ -0,0 +1,471 @@
+"""Tests of exchanges with upstreams that misbehave."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from tests.stand_ins import request_ports
+from tests import test_requests_path
+
+KEY = test_requests_path.KEY
+OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n'
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 20))
+
+
+async def read_request(reader):
+    """Read one request and return its head and body."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    length = 0
+    for line in head.lower().split(b'\r\n'):
+        if line.startswith(b'content-length:'):
+            length = int(line.split(b':')[1])
+    return head, await reader.readexactly(length)
+
+
+def answering(*answers, then_close=False, seen=None):
+    """Return a script that gives the answers in turn, the last for ever."""
+    left = list(answers)
+
+    async def script(reader, writer):
+        while True:
+            request = await read_request(reader)
+            if seen is not None:
+                seen.append(request)
+            writer.write(left.pop(0) if len(left) > 1 else left[0])
+            await writer.drain()
+            if then_close:
+                return
+
+    return script
+
+
+@contextlib.asynccontextmanager
+async def raw_bench(script, **limits):
+    async with (
+        request_ports.raw_serving(script) as url,
+        test_requests_path.benched(url, **limits) as bench,
+    ):
+        yield bench
+
+
+async def get(bench, target='/svc/a', method='GET', **options):
+    headers = {**KEY, **options.pop('headers', {})}
+    async with bench.caller.request(
+        method, target, headers=headers, **options
+    ) as answer:
+        return answer, await answer.read()
+
+
+@pytest.mark.parametrize(
+    'answer, reason',
+    [
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc', 'failed'),
+        (b'HTTP/1.1 200 OK\r\n\r\nabc', 'malformed'),
+        (b'HTTP/1.1 200 OK\r\nContent-', 'failed'),
+        (b'', 'failed'),
+        (b'rubbish\r\n\r\n', 'malformed'),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc',
+            'failed',
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc',
+            'malformed',
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n'
+            b'\r\nabcd',
+            'malformed',
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n',
+            'malformed',
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\nabc',
+            'malformed',
+        ),
+        (
+            b'HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade'
+            b'\r\n\r\n',
+            'malformed',
+        ),
+    ],
+)
+def test_unusable_answer_is_an_unknown_outcome(answer, reason):
+    script = answering(answer, then_close=True)
+
+    async def go():
+        async with raw_bench(script, max_answer_bytes=2000) as bench:
+            return await get(bench), bench
+
+    (response, _), bench = run(go())
+    assert response.status == 502
+    assert response.headers['Skylark-Reason'] == f'upstream_{reason}'
+    assert response.headers['Skylark-Outcome'] == 'unknown'
+    assert [slot.ends for slot in bench.room.slots] == [['failed']]
+
+
+@pytest.mark.parametrize(
+    'head', [b'Content-Length: 300000', b'Transfer-Encoding: chunked']
+)
+def test_long_answer_that_breaks_off_never_looks_whole(head):
+    async def script(reader, writer):
+        await read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\n' + head + b'\r\n\r\n')
+        writer.write(b'%x\r\n' % 200000 if b'chunked' in head else b'')
+        writer.write(b'x' * 200000)
+        await writer.drain()
+
+    async def go():
+        async with raw_bench(script) as bench:
+            with pytest.raises(aiohttp.ClientError):
+                await get(bench)
+            await asyncio.sleep(0)
+        assert [slot.ends for slot in bench.room.slots] == [['failed']]
+        assert bench.done[0].reason == 'broken_off'
+
+    run(go())
+
+
+def test_late_leftovers_never_reach_the_next_caller():
+    async def script(reader, writer):
+        await read_request(reader)
+        writer.write(OK + b'ok')
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        writer.write(OK + b'no')
+        await writer.drain()
+        await read_request(reader)
+        writer.write(OK + b'xx')
+        await writer.drain()
+
+    async def go():
+        async with raw_bench(script) as bench:
+            bodies = []
+            for _ in range(3):
+                bodies.append((await get(bench))[1])
+                await asyncio.sleep(0.06)
+        assert bodies == [b'ok', b'ok', b'ok']
+
+    run(go())
+
+
+def test_pipelined_leftovers_never_reach_the_next_caller():
+    script = answering(OK + b'ok' + OK + b'no')
+
+    async def go():
+        async with raw_bench(script) as bench:
+            bodies = [(await get(bench))[1] for _ in range(4)]
+        assert bodies == [b'ok'] * 4
+
+    run(go())
+
+
+def test_answer_after_the_deadline_reaches_nobody():
+    connections = []
+
+    async def script(reader, writer):
+        connections.append(writer)
+        await read_request(reader)
+        if len(connections) == 1:
+            await asyncio.sleep(0.15)
+            writer.write(OK + b'no')
+            await writer.drain()
+            connections.append(await reader.read())
+            return
+        writer.write(OK + b'ok')
+        await reader.read()
+
+    async def go():
+        async with raw_bench(script) as bench:
+            late, _ = await get(bench, headers={'Skylark-Deadline-Ms': '50'})
+            assert late.status == 504
+            assert late.headers['Skylark-Outcome'] == 'unknown'
+            assert (await get(bench))[1] == b'ok'
+            assert bench.room.slots[0].ends == ['timed_out']
+
+    run(go())
+
+
+def test_nothing_is_sent_again_by_the_client_library():
+    seen = []
+
+    async def script(reader, writer):
+        seen.append(await read_request(reader))
+
+    async def go():
+        async with raw_bench(script) as bench:
+            for method in ('GET', 'DELETE', 'POST'):
+                answer, _ = await get(bench, '/svc/book', method)
+                assert answer.headers['Skylark-Outcome'] == 'unknown'
+        assert len(seen) == 3
+
+    run(go())
+
+
+def test_idempotent_call_is_retried_elsewhere():
+    async def go():
+        async with (
+            request_ports.raw_serving(answering(b'', then_close=True)) as bad,
+            request_ports.raw_serving(answering(OK + b'ok')) as good,
+            test_requests_path.benched(bad, good) as bench,
+        ):
+            assert (await get(bench))[1] == b'ok'
+            assert bench.path.counters()['retries'] == 1
+            answer, _ = await get(bench, '/svc/book', 'POST')
+            assert answer.status == 502
+
+    run(go())
+
+
+def test_retry_budget_bounds_retries():
+    script = answering(b'', then_close=True)
+
+    async def go():
+        async with (
+            request_ports.raw_serving(script) as one,
+            request_ports.raw_serving(script) as two,
+            test_requests_path.benched(one, two) as bench,
+        ):
+            for _ in range(50):
+                await get(bench)
+            assert bench.path.counters()['retries'] <= 10 + 0.1 * 50
+
+    run(go())
+
+
+def test_caller_that_goes_away_frees_the_slot_and_closes_upstream():
+    closed = asyncio.Event()
+
+    async def script(reader, writer):
+        await read_request(reader)
+        await reader.read()
+        closed.set()
+
+    async def go():
+        async with raw_bench(script) as bench:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(get(bench), 0.1)
+            await asyncio.wait_for(closed.wait(), 5)
+            while not bench.done:
+                await asyncio.sleep(0.01)
+        assert [slot.ends for slot in bench.room.slots] == [['cancelled']]
+        assert bench.path.running == 0
+
+    run(go())
+
+
+def test_claimed_call_runs_on_when_its_caller_goes_away():
+    async def slow(request):
+        await asyncio.sleep(0.15)
+        return web.Response(body=b'booked')
+
+    async def go():
+        headers = {'Idempotency-Key': 'i1'}
+        async with (
+            request_ports.serving(slow) as url,
+            test_requests_path.benched(url) as bench,
+        ):
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(
+                    get(bench, '/svc/book', 'POST', headers=headers), 0.1
+                )
+            while 'record' not in bench.ledger.calls:
+                await asyncio.sleep(0.01)
+            resent = await get(bench, '/svc/book', 'POST', headers=headers)
+        assert resent[1] == b'booked'
+        assert bench.room.slots[0].ends == ['answered']
+
+    run(go())
+
+
+def test_upstream_cannot_forge_the_system_s_headers():
+    script = answering(
+        b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nSkylark-Outcome: not-run'
+        b'\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n'
+        b'Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n\r\nok'
+    )
+
+    async def go():
+        async with raw_bench(script) as bench:
+            return await get(bench)
+
+    answer, _ = run(go())
+    assert 'Skylark-Outcome' not in answer.headers
+    assert 'X-Hop' not in answer.headers
+    assert answer.headers['X-Kept'] == '2'
+    assert answer.headers.getall('Set-Cookie') == ['a=1', 'b=2']
+
+
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+@pytest.mark.parametrize('status', [200, 204, 304, 404])
+def test_bodiless_answers_keep_their_headers(method, status):
+    body = b'' if method == 'HEAD' or status in (204, 304) else b'ok'
+    length = b'' if status == 204 else b'Content-Length: 2\r\n'
+    script = answering(
+        b'HTTP/1.1 %d X\r\nETag: "e"\r\n%s\r\n%s' % (status, length, body)
+    )
+
+    async def go():
+        async with raw_bench(script) as bench:
+            first = await get(bench, method=method)
+            return first, await get(bench, method=method)
+
+    for answer, read in run(go()):
+        assert answer.status == status
+        assert read == body
+        assert answer.headers['ETag'] == '"e"'
+        if status not in (204, 304):
+            assert answer.headers['Content-Length'] == '2'
+
+
+def test_large_bodies_stream_both_ways_in_bounded_memory():
+    size = 8 * 1024 * 1024
+
+    async def mirror(request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        async for chunk in request.content.iter_any():
+            await response.write(chunk)
+        return response
+
+    async def go():
+        async with (
+            request_ports.serving(mirror) as url,
+            test_requests_path.benched(url) as bench,
+        ):
+            _, body = await get(
+                bench, method='PUT', data=b'0123456789abcdef' * (size // 16)
+            )
+            assert len(body) == size
+            assert bench.path.counters()['held_body_bytes'] == 0
+            assert bench.room.slots[0].ends == ['answered']
+
+    run(go())
+
+
+async def raw_exchange(url, request):
+    host, port = url.removeprefix('http://').split(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(request)
+    await writer.drain()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(1):
+            return await reader.read(65536)
+    return b''
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello',
+        b'Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello',
+        b'Content-Length: 5, 5\r\n\r\nhello',
+        b'Content-Length: +5\r\n\r\nhello',
+        b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n',
+        b'Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n',
+        b'Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n',
+        b'Transfer-Encoding: chunked\r\n\r\n-1\r\nhello\r\n0\r\n\r\n',
+        b'Transfer-Encoding: chunked\r\n\r\n5;\nx\r\nhello\r\n0\r\n\r\n',
+        b'X-A: 1\r\n X-B: 2\r\nContent-Length: 0\r\n\r\n',
+        b'X-A: a\rSkylark-Organisation: org-b\r\nContent-Length: 0\r\n\r\n',
+        b'Skylark-Key: key-b\r\nContent-Length: 0\r\n\r\n',
+        b'Idempotency-Key: a\r\nIdempotency-Key: b\r\n'
+        b'Content-Length: 0\r\n\r\n',
+    ],
+)
+def test_ambiguous_framing_reaches_no_upstream(framing):
+    seen = []
+
+    async def go():
+        script = answering(OK + b'ok', seen=seen)
+        async with raw_bench(script) as bench:
+            return await raw_exchange(
+                bench.url,
+                b'PUT /svc/a HTTP/1.1\r\nHost: x\r\nSkylark-Key: key-a\r\n'
+                + framing,
+            )
+
+    answer = run(go())
+    assert b' 400 ' in answer.split(b'\r\n')[0] + b' '
+    assert all(body == b'' for _, body in seen) and len(seen) <= 1
+    assert not any(b'org-b' in head for head, _ in seen)
+
+
+@pytest.mark.parametrize(
+    'target',
+    [
+        '/svc/open/../a',
+        '/svc/open/%2e%2e/a',
+        '/svc/open/..;x/a',
+        '/svc/open//x',
+        '/svc/open%2f..%2fa',
+        '/svc/open\\..\\a',
+        '/svc/open/%00',
+        '/svc/open/%252e%252e/a',
+        '/svc/open/x#y',
+        'http://elsewhere/svc/open',
+        '*',
+    ],
+)
+def test_ambiguous_target_reaches_no_upstream(target):
+    seen = []
+
+    async def go():
+        async with raw_bench(answering(OK + b'ok', seen=seen)) as bench:
+            return await raw_exchange(
+                bench.url, f'GET {target} HTTP/1.1\r\nHost: x\r\n\r\n'.encode()
+            )
+
+    answer = run(go())
+    assert answer.split(b' ')[1] in (b'400', b'404')
+    assert seen == []
+
+
+def test_slow_caller_is_cut_off_in_time():
+    async def go():
+        script = answering(OK + b'ok')
+        async with raw_bench(script, body_timeout_s=0.1) as bench:
+            answer = await raw_exchange(
+                bench.url,
+                b'PUT /svc/a HTTP/1.1\r\nHost: x\r\nSkylark-Key: key-a\r\n'
+                b'Content-Length: 100\r\n\r\nabc',
+            )
+            assert b' 408 ' in answer.split(b'\r\n')[0]
+            assert b'body_timeout' in answer
+            assert bench.path.counters()['held_body_bytes'] == 0
+            assert bench.room.slots == []
+
+    run(go())
+
+
+@pytest.mark.parametrize('chunked', [True, False])
+def test_body_over_the_limit_is_refused(chunked):
+    async def body():
+        for _ in range(3):
+            yield b'x' * 1000
+
+    async def go():
+        async with raw_bench(
+            answering(OK + b'ok'), max_body_bytes=2000
+        ) as bench:
+            return await get(
+                bench,
+                '/svc/book',
+                'POST',
+                headers={'Idempotency-Key': 'i1'},
+                data=body() if chunked else b'x' * 3000,
+            )
+
+    answer, _ = run(go())
+    assert answer.headers['Skylark-Reason'] == 'body_too_large'
+    assert answer.headers['Skylark-Outcome'] == 'not-run'
