Contain requests that crash upstreams

A request is known by organisation, method, target and body. Three distinct upstreams that die while running it, without an answer in between, have it refused on every entry host for crash_quarantine_s. Suspects stay off the upstreams that died of them and off those that run another suspect, so that neighbours are told apart; an upstream that also died without the request does not count against it.

For the daemon: hand RequestPath crash_watch=CrashWatch(peers=..., quarantine_s=<policy.crash_quarantine_s>); without it suspicion stays within the host.

Ruled out: a slot with no neighbours at all, which Room.take cannot give.

--- a/benchmarks/models/claim_ledger.py
+++ b/benchmarks/models/claim_ledger.py
@@ -53,6 +53,9 @@
     copy_quorum: int = quorums.copy_quorum(len(MEMBERS))
 
 
+PROTOCOL = _Rules()
+
+
 def _put(items: tuple, index: int, item) -> tuple:
     return (*items[:index], item, *items[index + 1 :])
 
@@ -184,7 +187,7 @@
 
 
 def _protocol(
-    *, claimers: int, restarts: int, rules: _Rules = _Rules()
+    *, claimers: int, restarts: int, rules: _Rules = PROTOCOL
 ) -> minicheck.Protocol:
     initial = _State(
         members=tuple(_Member() for _ in MEMBERS),
--- a/benchmarks/models/ledger_change.py
+++ b/benchmarks/models/ledger_change.py
@@ -49,6 +49,9 @@
     releases: bool = True
 
 
+PROTOCOL = _Rules()
+
+
 def _put(items: tuple, index: int, item) -> tuple:
     return (*items[:index], item, *items[index + 1 :])
 
@@ -161,7 +164,7 @@
 
 
 def _protocol(
-    *, epochs: tuple[int, ...], rules: _Rules = _Rules()
+    *, epochs: tuple[int, ...], rules: _Rules = PROTOCOL
 ) -> minicheck.Protocol:
     initial = _State(
         members=tuple(_Member() for _ in NAMES),
--- a/src/skylarkpitch/messages/requests.py
+++ b/src/skylarkpitch/messages/requests.py
@@ -116,9 +116,12 @@
 
 @codec.message('requests.crash_report')
 class CrashReport:
-    """Tell other hosts of upstreams that died while running a request."""
+    """Tell other hosts of upstreams that died while running a request.
+
+    Without ``upstreams`` the request was answered and is cleared. With
+    ``quarantine_s`` above 0 it is refused for that time.
+    """
 
     fingerprint: bytes
-    service: str
-    upstreams: tuple[str, ...]
+    upstreams: tuple[str, ...] = ()
     quarantine_s: float = 0.0
--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -6,6 +6,7 @@
 from skylarkpitch import ports
 from skylarkpitch.requests import admission
 from skylarkpitch.requests import bodies
+from skylarkpitch.requests import crash_watch as crash_watches
 from skylarkpitch.requests import exchange
 from skylarkpitch.requests import headers as header_rules
 from skylarkpitch.requests import refusals
@@ -27,6 +28,7 @@
     """
 
     sent: bool
+    died: bool = False
     answer: exchange.Answer | None = None
     refusal: refusals.Refusal | None = None
     finish: Callable[[ports.Exchange], None] = lambda result: None
@@ -41,17 +43,22 @@
         room: ports.Room,
         admitter: admission.Admission,
         exchanger: exchange.Exchanger,
+        crash_watch: crash_watches.CrashWatch,
         clock: Callable[[], float],
     ) -> None:
         self._room = room
         self._admitter = admitter
         self._exchanger = exchanger
+        self._crash_watch = crash_watch
         self._clock = clock
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self.retries = 0
 
     async def run(
-        self, call: admission.Admitted, body: bodies.CallerBody
+        self,
+        call: admission.Admitted,
+        body: bodies.CallerBody,
+        request_id: bytes,
     ) -> Ended:
         """Return the answer of the first upstream that gives a good one.
 
@@ -65,14 +72,19 @@
         sent = False
         ended = None
         for attempt in range(1, MAX_ATTEMPTS + 1):
-            slot = await self._slot(call, body, excluded)
+            avoided = self._crash_watch.avoided(request_id)
+            slot = await self._slot(call, body, excluded | avoided)
             if sentinels.is_absent(slot):
                 refused = refusals.from_absent(slot)
                 return ended or Ended(sent=False, refusal=refused)
             if ended is not None and ended.answer is not None:
                 ended.answer.close()
-            ended = await self._attempt(call, body, slot, sent=sent)
+            with self._crash_watch.running(request_id, slot.upstream):
+                ended = await self._attempt(call, body, slot, sent=sent)
             sent = ended.sent
+            self._judge(request_id, slot.upstream, ended)
+            if self._crash_watch.quarantine_left_s(request_id) > 0:
+                break
             excluded |= {slot.upstream}
             if attempt == MAX_ATTEMPTS or not _wants_retry(ended):
                 break
@@ -83,6 +95,12 @@
             self.retries += 1
         return ended
 
+    def _judge(self, request_id: bytes, upstream: str, ended: Ended) -> None:
+        if ended.died:
+            self._crash_watch.died(request_id, upstream)
+        elif ended.answer is not None:
+            self._crash_watch.answered(request_id)
+
     async def _slot(
         self,
         call: admission.Admitted,
@@ -163,7 +181,7 @@
         failure.message,
         outcome=refusals.Outcome.UNKNOWN if sent else None,
     )
-    return Ended(sent=sent, refusal=refusal)
+    return Ended(sent=sent, died=failure.died, refusal=refusal)
 
 
 def _outgoing(
--- /dev/null
+++ b/src/skylarkpitch/requests/crash_watch.py
@@ -0,0 +1,141 @@
+"""Share suspicions of crashing requests between entry hosts."""
+
+import collections
+from collections.abc import Callable
+import contextlib
+import hashlib
+import time
+
+import structlog
+
+from skylarkpitch.messages import requests as messages
+from skylarkpitch.peers import network
+from skylarkpitch.requests import crash_suspicion
+
+__all__ = ['CrashWatch', 'fingerprint']
+
+MAX_QUARANTINE_S = 86_400.0
+
+_log = structlog.get_logger(__name__)
+
+
+def fingerprint(
+    organisation: str | None, method: str, target: str, body: bytes
+) -> bytes:
+    """Return what a request is known by: whose it is, and what it asks."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (organisation or '', method, target):
+        digest.update(part.encode() + b'\0')
+    digest.update(body)
+    return digest.digest()
+
+
+class CrashWatch:
+    """Count deaths of upstreams by request, here and on other hosts."""
+
+    def __init__(
+        self,
+        *,
+        quarantine_s: Callable[[], float],
+        peers: network.Peers | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._quarantine_s = quarantine_s
+        self._peers = peers
+        self._clock = clock
+        self._suspicions = crash_suspicion.Suspicions()
+        self._apart: collections.Counter[str] = collections.Counter()
+        self._counts = {'deaths': 0, 'quarantined': 0, 'refused': 0}
+        if peers is not None:
+            peers.handle(messages.CrashReport, self._on_report)
+
+    def counters(self) -> dict[str, float]:
+        """Return deaths, quarantines and refusals."""
+        return {'suspects': len(self._suspicions), **self._counts}
+
+    def quarantine_left_s(self, request: bytes) -> float:
+        """Return for how long a request is refused; 0 when it is not."""
+        left_s = self._suspicions.quarantine_left_s(
+            request, now_s=self._clock()
+        )
+        self._counts['refused'] += left_s > 0
+        return left_s
+
+    def avoided(self, request: bytes) -> frozenset[str]:
+        """Return the upstreams that a request must not run on.
+
+        A suspect stays off those that died of it, and off those that run
+        another suspect of this host.
+        """
+        died_on = self._suspicions.died_on(request, now_s=self._clock())
+        if not died_on:
+            return frozenset()
+        return died_on | frozenset(+self._apart)
+
+    @contextlib.contextmanager
+    def running(self, request: bytes, upstream: str):
+        """Keep other suspects off an upstream while a suspect runs there."""
+        if not self._suspicions.died_on(request, now_s=self._clock()):
+            yield
+            return
+        self._apart[upstream] += 1
+        try:
+            yield
+        finally:
+            self._apart[upstream] -= 1
+
+    def died(self, request: bytes, upstream: str) -> None:
+        """Count a death here and tell the other hosts."""
+        quarantined = self._count(request, upstream)
+        self._tell(
+            messages.CrashReport(
+                fingerprint=request,
+                upstreams=(upstream,),
+                quarantine_s=self._quarantine_s() if quarantined else 0.0,
+            )
+        )
+
+    def answered(self, request: bytes) -> None:
+        """Clear a request that got an answer."""
+        if self._suspicions.answered(request):
+            self._tell(messages.CrashReport(fingerprint=request))
+
+    def _count(self, request: bytes, upstream: str) -> bool:
+        self._counts['deaths'] += 1
+        quarantined = self._suspicions.died(
+            request,
+            upstream,
+            now_s=self._clock(),
+            quarantine_s=self._quarantine_s(),
+        )
+        if quarantined:
+            self._counts['quarantined'] += 1
+            _log.warning(
+                'request_quarantined',
+                fingerprint=request.hex(),
+                upstream=upstream,
+                quarantine_s=self._quarantine_s(),
+            )
+        return quarantined
+
+    def _tell(self, report: messages.CrashReport) -> None:
+        if self._peers is None:
+            return
+        directory = self._peers.directory
+        for host in directory.with_role('entry'):
+            if host.name != directory.own.name:
+                self._peers.send(host.name, report)
+
+    async def _on_report(
+        self, sender: str, report: messages.CrashReport
+    ) -> None:
+        for upstream in report.upstreams:
+            self._count(report.fingerprint, upstream)
+        if not report.upstreams:
+            self._suspicions.answered(report.fingerprint)
+        if report.quarantine_s > 0:
+            self._suspicions.quarantine(
+                report.fingerprint,
+                now_s=self._clock(),
+                quarantine_s=min(report.quarantine_s, MAX_QUARANTINE_S),
+            )
--- a/src/skylarkpitch/requests/path.py
+++ b/src/skylarkpitch/requests/path.py
@@ -8,18 +8,17 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import hashlib
 import random
 import time
 from typing import Any
 
 from aiohttp import web
-import structlog
 
 from skylarkpitch import ports
 from skylarkpitch.requests import admission
 from skylarkpitch.requests import attempts
 from skylarkpitch.requests import bodies
+from skylarkpitch.requests import crash_watch as crash_watches
 from skylarkpitch.requests import exchange
 from skylarkpitch.requests import refusals
 from skylarkpitch.requests import responses
@@ -29,7 +28,7 @@
 
 __all__ = ['Done', 'RequestPath']
 
-_log = structlog.get_logger(__name__)
+DEFAULT_QUARANTINE_S = 300.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +69,7 @@
         settings: daemon.LimitSettings,
         is_stopping: Callable[[], bool],
         on_done: Callable[[Done], None] = lambda done: None,
+        crash_watch: crash_watches.CrashWatch | None = None,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
@@ -88,10 +88,14 @@
         )
         self._bodies = bodies.BodyReader(settings=settings)
         self._exchanger = exchange.Exchanger(settings=settings, clock=clock)
+        self._crash_watch = crash_watch or crash_watches.CrashWatch(
+            quarantine_s=lambda: DEFAULT_QUARANTINE_S, clock=clock
+        )
         self._attempts = attempts.Attempts(
             room=room,
             admitter=self._admission,
             exchanger=self._exchanger,
+            crash_watch=self._crash_watch,
             clock=clock,
         )
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -117,6 +121,7 @@
             'running': self.running,
             'held_body_bytes': self._bodies.buffered_bytes,
             'retries': self._attempts.retries,
+            **self._crash_watch.counters(),
             **self._counts,
         }
 
@@ -166,12 +171,17 @@
         if sentinels.is_absent(body):
             return self._refuse(call, body)
         call.body = body
+        request_id = _fingerprint(admitted, body)
+        left_s = self._crash_watch.quarantine_left_s(request_id)
+        if left_s > 0:
+            absent = sentinels.Absent('crash_suspect', f'for {left_s:.0f} s')
+            return self._refuse(call, absent)
         spent = await self._spend(admitted)
         if sentinels.is_absent(spent):
             return self._refuse(call, spent)
         if claims:
-            return await self._claimed(request, call, admitted, body)
-        ended = await self._attempts.run(admitted, body)
+            return await self._claimed(request, call, request_id)
+        ended = await self._attempts.run(admitted, body, request_id)
         return await self._respond(request, call, ended)
 
     async def _spend(
@@ -190,20 +200,22 @@
         self,
         request: web.Request,
         call: _Call,
-        admitted: admission.Admitted,
-        body: bodies.CallerBody,
+        request_id: bytes,
     ) -> web.StreamResponse:
+        admitted, body = call.admitted, call.body
         claim = await self._ledger.claim(
             organisation=admitted.caller.organisation or '',
             operation_id=admitted.operation_id or '',
-            fingerprint=_fingerprint(admitted, body.head),
+            fingerprint=request_id,
             deadline_s=admitted.deadline_s,
         )
         if sentinels.is_absent(claim):
             return self._refuse(call, claim)
         if isinstance(claim, ports.Recorded):
             return self._replay(call, claim)
-        task = self._spawn(self._run_claimed(admitted, body, claim))
+        task = self._spawn(
+            self._run_claimed(admitted, body, claim, request_id)
+        )
         try:
             ended = await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -216,9 +228,10 @@
         admitted: admission.Admitted,
         body: bodies.CallerBody,
         claim: ports.Claimed,
+        request_id: bytes,
     ) -> attempts.Ended:
         try:
-            ended = await self._attempts.run(admitted, body)
+            ended = await self._attempts.run(admitted, body, request_id)
         except BaseException:
             self._spawn(self._ledger.lose(claim))
             raise
@@ -320,9 +333,12 @@
     ended.finish(ports.Exchange.CANCELLED)
 
 
-def _fingerprint(admitted: admission.Admitted, body: bytes) -> bytes:
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (admitted.method, admitted.target):
-        digest.update(part.encode() + b'\0')
-    digest.update(body)
-    return digest.digest()
+def _fingerprint(
+    admitted: admission.Admitted, body: bodies.CallerBody
+) -> bytes:
+    return crash_watches.fingerprint(
+        admitted.caller.organisation,
+        admitted.method,
+        admitted.target,
+        body.head,
+    )
--- /dev/null
+++ b/tests/test_requests_crash.py
@@ -0,0 +1,144 @@
+"""Tests of crash suspicion: rules, sharing, and the path's use of it."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from skylarkpitch.requests import crash_suspicion
+from skylarkpitch.requests import crash_watch
+from tests.stand_ins import fake_peers
+from tests.stand_ins import request_ports
+from tests import test_requests_exchange as exchanges
+from tests import test_requests_path
+
+
+def quarantined(deaths, *, at_s=100.0):
+    """Count deaths (second, request, upstream); return who is refused."""
+    suspicions = crash_suspicion.Suspicions()
+    for now_s, request, upstream in deaths:
+        if upstream is None:
+            suspicions.answered(request)
+        else:
+            suspicions.died(request, upstream, now_s=now_s, quarantine_s=300)
+    return {
+        request
+        for _, request, _ in deaths
+        if suspicions.quarantine_left_s(request, now_s=at_s) > 0
+    }
+
+
+@pytest.mark.parametrize(
+    'deaths, refused',
+    [
+        ([(1, b'p', 'u1'), (2, b'p', 'u2'), (3, b'p', 'u3')], {b'p'}),
+        ([(1, b'p', 'u1'), (2, b'p', 'u2')], set()),
+        ([(1, b'p', 'u1'), (9, b'p', 'u1'), (20, b'p', 'u1')], set()),
+        (
+            [(1, b'p', 'u1'), (2, b'p', 'u2'), (3, b'p', None)]
+            + [(4, b'p', 'u3')],
+            set(),
+        ),
+        ([(-200, b'p', 'u1'), (1, b'p', 'u2'), (2, b'p', 'u3')], set()),
+        # A bad upstream dies with other requests; one of them counts.
+        (
+            [(t, f'q{t}'.encode(), 'bad') for t in (1, 5, 9)]
+            + [(12, b'p', 'bad'), (13, b'p', 'u1'), (14, b'p', 'u2')],
+            set(),
+        ),
+        # Neighbours die along and are answered elsewhere.
+        (
+            [(1, b'p', 'u1'), (1, b'n', 'u1'), (2, b'n', None)]
+            + [(2, b'p', 'u2'), (2, b'm', 'u2'), (3, b'p', 'u3')],
+            {b'p'},
+        ),
+    ],
+)
+def test_quarantine(deaths, refused):
+    assert quarantined(deaths) == refused
+
+
+def test_quarantine_ends():
+    suspicions = crash_suspicion.Suspicions()
+    suspicions.quarantine(b'p', now_s=0, quarantine_s=10)
+    assert suspicions.quarantine_left_s(b'p', now_s=9) == 1
+    assert suspicions.quarantine_left_s(b'p', now_s=10) == 0
+    assert len(suspicions) == 0
+
+
+def test_suspects_run_apart():
+    watch = crash_watch.CrashWatch(quarantine_s=lambda: 300)
+    watch.died(b'p', 'u1')
+    watch.died(b'n', 'u1')
+    assert watch.avoided(b'p') == {'u1'}
+    with watch.running(b'p', 'u2'):
+        assert watch.avoided(b'n') == {'u1', 'u2'}
+        assert watch.avoided(b'other') == frozenset()
+    assert watch.avoided(b'n') == {'u1'}
+
+
+def test_hosts_share_deaths_quarantine_and_clearing():
+    async def go():
+        names = ('h1', 'h2', 'h3')
+        network = fake_peers.FakeNetwork(
+            hosts=[fake_peers.host(name) for name in names]
+        )
+        one, two, three = (
+            crash_watch.CrashWatch(
+                quarantine_s=lambda: 300, peers=network.join(name)
+            )
+            for name in names
+        )
+        one.died(b'n', 'u1')
+        one.died(b'p', 'u1')
+        await asyncio.sleep(0.02)
+        assert two.avoided(b'n') == {'u1'}
+        three.answered(b'n')
+        two.died(b'p', 'u2')
+        await asyncio.sleep(0.02)
+        assert two.avoided(b'n') == frozenset()
+        three.died(b'p', 'u3')
+        await asyncio.sleep(0.02)
+        for watch in (one, two, three):
+            assert 299 < watch.quarantine_left_s(b'p') <= 300
+
+    asyncio.run(go())
+
+
+def test_poisonous_request_is_contained_and_neighbours_are_answered():
+    runs = []
+
+    async def script(reader, writer):
+        while True:
+            head, _ = await exchanges.read_request(reader)
+            if b'poison' in head:
+                runs.append(head)
+                writer.transport.abort()
+                return
+            writer.write(exchanges.OK + b'ok')
+
+    async def go():
+        async with contextlib.AsyncExitStack() as stack:
+            urls = [
+                await stack.enter_async_context(
+                    request_ports.raw_serving(script)
+                )
+                for _ in range(5)
+            ]
+            bench = await stack.enter_async_context(
+                test_requests_path.benched(*urls)
+            )
+            seen = []
+            for _ in range(4):
+                answer, _ = await exchanges.get(bench, '/svc/poison')
+                seen.append(
+                    (
+                        answer.status,
+                        answer.headers['Skylark-Outcome'],
+                    )
+                )
+                assert (await exchanges.get(bench))[1] == b'ok'
+        assert seen == [(502, 'unknown')] + [(422, 'not-run')] * 3
+        assert len(runs) == crash_suspicion.DEATHS_TO_QUARANTINE
+
+    asyncio.run(asyncio.wait_for(go(), 20))
