Count deaths of upstreams by request on every entry host

Cause: the crash watch of the request path was not yet assembled, so each host would have run a suspect request on its own account. Conclusion: it is built in the entry role with the configured quarantine and shares what it sees over the peer transport.

--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -24,6 +24,7 @@
 from skylarkpitch.observability import histograms
 from skylarkpitch.observability import metrics
 from skylarkpitch.peers import network
+from skylarkpitch.requests import crash_watch
 from skylarkpitch.requests import ledger_service
 from skylarkpitch.requests import path as request_path
 from skylarkpitch.requests import relay
@@ -38,6 +39,7 @@
 IDLE_BEFORE_STOP_S = 0.5
 LOOKUP_MARGIN_S = 0.5
 DEFAULT_RETENTION_S = 86_400.0
+DEFAULT_QUARANTINE_S = 300.0
 
 _log = structlog.get_logger(__name__)
 
@@ -123,8 +125,12 @@
                 directory, region
             ),
             epoch=lambda: 0,
-            retention_s=self._retention_s,
-            opened_s=self._ledger_opened_s,
+            retention_s=lambda: self._policy(
+                'ledger_retention_s', otherwise=DEFAULT_RETENTION_S
+            ),
+            opened_s=lambda: self._policy(
+                'ledger_opened_at_s', otherwise=math.inf
+            ),
             rng=self._rng,
         )
         self._lookup = lookup.LookupService(
@@ -143,6 +149,7 @@
             settings=self._settings.limits,
             is_stopping=lambda: self._chart.state == 'stopped',
             on_done=self._on_done,
+            crash_watch=self._crash_watch(),
             rng=self._rng,
         )
         self._relay = relay.RelayServer(
@@ -152,6 +159,14 @@
             settings=self._settings.limits,
         )
 
+    def _crash_watch(self) -> crash_watch.CrashWatch:
+        return crash_watch.CrashWatch(
+            quarantine_s=lambda: self._policy(
+                'crash_quarantine_s', otherwise=DEFAULT_QUARANTINE_S
+            ),
+            peers=self._peers,
+        )
+
     def on_init_dependencies(self) -> list[mode.Service]:
         """Return the parts in the order in which they start."""
         parts = [
@@ -187,7 +202,8 @@
         _log.info('host_leaving', running=self._path.running)
         self._board.beat()
         self._room.stop_granting()
-        wait_s = self._lookup_lifetime_s() + LOOKUP_MARGIN_S
+        wait_s = self._policy('lookup_lifetime_s', otherwise=0.0)
+        wait_s += hosts.HEARTBEAT_S + LOOKUP_MARGIN_S
         await asyncio.gather(
             asyncio.sleep(wait_s),
             self._membership.hand_over(timeout_s=wait_s),
@@ -204,23 +220,11 @@
             busy = self._path.running or self._relay.running
             idle_s = 0.0 if busy else idle_s + DRAIN_POLL_S
 
-    def _lookup_lifetime_s(self) -> float:
-        config = self._follower.site_config()
-        if sentinels.is_absent(config):
-            return 0.0
-        return config.policy.lookup_lifetime_s + hosts.HEARTBEAT_S
-
-    def _ledger_opened_s(self) -> float:
-        config = self._follower.site_config()
-        if sentinels.is_absent(config):
-            return math.inf
-        return config.policy.ledger_opened_at_s
-
-    def _retention_s(self) -> float:
+    def _policy(self, field: str, *, otherwise: float) -> float:
         config = self._follower.site_config()
         if sentinels.is_absent(config):
-            return DEFAULT_RETENTION_S
-        return config.policy.ledger_retention_s
+            return otherwise
+        return getattr(config.policy, field)
 
     def _on_state(self) -> None:
         has_config = not sentinels.is_absent(self._follower.site_config())
