--- /dev/null
+++ b/benchmarks/soaks/limits.py
@@ -0,0 +1,274 @@
+"""Run the escrow of limits through faults drawn from a seed.
+
+Hosts of several failure domains spend, ask and lend with the real core.
+Messages are lost, doubled, late and reordered; hosts restart without memory;
+clocks run at the ends of the allowed drift; limits change and reach each
+host at its own time within the key lease, after which a host that lags
+refuses every call. In true time, the shares in use never sum to more than
+the limit, and an ideal bucket of the whole limit never runs dry.
+"""
+
+import heapq
+import itertools
+import random
+import time
+
+from skylarkpitch import errors
+from skylarkpitch.limits import book as books
+from skylarkpitch.limits import holders as holder_tables
+from skylarkpitch.limits import shares
+from skylarkpitch.peers import directory as directories
+
+__all__ = ['Trial', 'run']
+
+STEPS_A_TRIAL = 3000
+ORGANISATION = 'org'
+BOUNDS = books.Bounds(lease_s=2.0, drift=0.05, key_lease_s=3.0)
+LONGEST_DELAY_S = 5.0
+LOSS = 0.15
+DOUBLING = 0.15
+ROUNDING = 1e-3
+
+
+def _host(name: str, failure_domain: str) -> directories.Host:
+    return directories.Host(
+        name=name,
+        region='r',
+        failure_domain=failure_domain,
+        roles=('entry',),
+        peers_address='127.0.0.1:1',
+        callers_address=None,
+        relay_address=None,
+        public_key=name,
+    )
+
+
+class _Host:
+    """One run of a host: its book and its clock."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        hosts: list[directories.Host],
+        limit: shares.Share,
+        rng: random.Random,
+        true_s: float,
+    ) -> None:
+        self.name = name
+        self._rate = rng.choice((1 - BOUNDS.drift, 1, 1 + BOUNDS.drift))
+        self._offset_s = rng.uniform(0, 1000)
+        directory = directories.Directory(own=name, hosts=hosts)
+        self.book = books.Book(
+            holders=holder_tables.Holders(directory=directory),
+            incarnation=rng.getrandbits(62),
+            now_s=self.clock(true_s),
+        )
+        self.limit = limit
+        self.apply(limit, true_s)
+
+    def clock(self, true_s: float) -> float:
+        """Return the host's own time."""
+        return self._offset_s + true_s * self._rate
+
+    def apply(self, limit: shares.Share, true_s: float) -> None:
+        """Bring a limit into force at this host."""
+        self.limit = limit
+        now_s = self.clock(true_s)
+        self.book.configure({ORGANISATION: limit}, BOUNDS, now_s=now_s)
+
+    def own(self, true_s: float) -> shares.Share:
+        """Return the share in use at a moment."""
+        account = self.book.organisations()[ORGANISATION].account
+        account.settle(now_s=self.clock(true_s))
+        return account.own.at_least(shares.NOTHING)
+
+
+class Trial:
+    """Run one fleet; every choice comes from ``seed``."""
+
+    def __init__(self, *, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.true_s = 0.0
+        self.counts = {
+            'spent': 0,
+            'refused': 0,
+            'messages': 0,
+            'restarts': 0,
+            'changes': 0,
+            'violations': 0,
+        }
+        domains = self.rng.choice((1, 2, 3, 6))
+        self._hosts = [
+            _host(f'd{d}-{i}', f'd{d}')
+            for d in range(domains)
+            for i in range(self.rng.choice((1, 2, 3)))
+        ]
+        self._limit = self._draw_limit()
+        # Limits that some host or loan may still follow, with their end.
+        self._former: list[tuple[float, shares.Share]] = []
+        self._tokens = float(self._limit.burst)
+        self._bucket_s = 0.0
+        self._numbers = itertools.count()
+        self._events: list[tuple] = []
+        self._cut: frozenset[str] = frozenset()
+        self._runs = {h.name: self._start(h.name) for h in self._hosts}
+
+    def step(self) -> None:
+        """Take one random step, then check the invariants."""
+        self.true_s += self.rng.expovariate(20)
+        try:
+            while self._events and self._events[0][0] <= self.true_s:
+                _, _, deliver = heapq.heappop(self._events)
+                deliver()
+            self._act()
+        except errors.InvariantError:
+            self.counts['violations'] += 1
+        self._check()
+
+    def _act(self) -> None:
+        action = self.rng.choices(
+            (self._spend, self._ask, self._restart, self._change, self._split),
+            weights=(60, 40, 0.3, 0.1, 0.3),
+        )[0]
+        action(self.rng.choice(self._hosts).name)
+
+    def _draw_limit(self) -> shares.Share:
+        return shares.of(
+            rate_per_s=self.rng.choice((5, 30, 400)),
+            burst=self.rng.choice((3, 30, 400)),
+        )
+
+    def _start(self, name: str) -> _Host:
+        return _Host(
+            name=name,
+            hosts=self._hosts,
+            limit=self._limit,
+            rng=self.rng,
+            true_s=self.true_s,
+        )
+
+    def _spend(self, name: str) -> None:
+        host = self._runs[name]
+        now_s = host.clock(self.true_s)
+        host.book.advance(now_s=now_s)
+        organisation = host.book.organisations()[ORGANISATION]
+        for _ in range(self.rng.choice((1, 1, 5, 50))):
+            organisation.demand.count(now_s=now_s)
+            if host.book.spend(ORGANISATION, now_s=now_s):
+                self._count_spent()
+            else:
+                self.counts['refused'] += 1
+
+    def _ask(self, name: str) -> None:
+        host = self._runs[name]
+        sent_s = host.clock(self.true_s)
+        host.book.advance(now_s=sent_s)
+        requests = host.book.requests(now_s=sent_s)
+        for lender, request in requests.items():
+            self.counts['messages'] += 1
+
+            def arrive(lender=lender, request=request):
+                self._answer(host, lender, request, sent_s)
+
+            self._carry(name, lender, arrive)
+
+    def _answer(self, borrower, lender_name, request, sent_s) -> None:
+        lender = self._runs[lender_name]
+        now_s = lender.clock(self.true_s)
+        lender.book.advance(now_s=now_s)
+        answer = lender.book.answer(borrower.name, request, now_s=now_s)
+        if answer is None:
+            return
+
+        def arrive():
+            borrower.book.accept(
+                lender_name,
+                answer,
+                sent_s=sent_s,
+                now_s=borrower.clock(self.true_s),
+            )
+
+        self._carry(lender_name, borrower.name, arrive)
+
+    def _carry(self, sender: str, receiver: str, deliver) -> None:
+        if (sender in self._cut) != (receiver in self._cut):
+            return
+        if self.rng.random() < LOSS:
+            return
+        for _ in range(2 if self.rng.random() < DOUBLING else 1):
+            delay_s = self.rng.choice((0.001, 0.05, 0.5))
+            if self.rng.random() < 0.05:
+                delay_s = LONGEST_DELAY_S
+            due_s = self.true_s + self.rng.uniform(0, delay_s)
+            event = (due_s, next(self._numbers), deliver)
+            heapq.heappush(self._events, event)
+
+    def _restart(self, name: str) -> None:
+        self.counts['restarts'] += 1
+        self._runs[name] = self._start(name)
+
+    def _split(self, _: str) -> None:
+        names = [host.name for host in self._hosts]
+        size = self.rng.randrange(len(names))
+        self._cut = frozenset(self.rng.sample(names, size))
+
+    def _change(self, _: str) -> None:
+        self.counts['changes'] += 1
+        end_s = self.true_s + 2 * BOUNDS.key_lease_s + 2 * BOUNDS.lease_s
+        self._former.append((end_s, self._limit))
+        self._limit = self._draw_limit()
+        for host in self._hosts:
+            self._learn(host.name, self._limit)
+
+    def _learn(self, name: str, limit: shares.Share) -> None:
+        due_s = self.true_s + self.rng.uniform(0, BOUNDS.key_lease_s)
+
+        def learn():
+            if limit == self._limit:
+                self._runs[name].apply(limit, self.true_s)
+
+        event = (due_s, next(self._numbers), learn)
+        heapq.heappush(self._events, event)
+
+    def _allowed(self) -> shares.Share:
+        self._former = [f for f in self._former if f[0] > self.true_s]
+        allowed = self._limit
+        for _, limit in self._former:
+            allowed = allowed.at_least(limit)
+        return allowed
+
+    def _count_spent(self) -> None:
+        self.counts['spent'] += 1
+        allowed = self._allowed()
+        elapsed_s = self.true_s - self._bucket_s
+        self._bucket_s = self.true_s
+        self._tokens += allowed.rate * elapsed_s
+        self._tokens = min(self._tokens, allowed.burst) - shares.TOKEN
+        if self._tokens < -ROUNDING * shares.TOKEN:
+            self.counts['violations'] += 1
+
+    def _check(self) -> None:
+        total = shares.NOTHING
+        for host in self._runs.values():
+            total = total + host.own(self.true_s)
+        if not total.within(self._allowed()):
+            self.counts['violations'] += 1
+
+
+def run(*, seed: int, seconds: float) -> dict:
+    """Run trials for ``seconds`` and return the counts."""
+    end_s = time.monotonic() + seconds
+    totals = {'trials': 0, 'steps': 0}
+    for number in itertools.count():
+        trial = Trial(seed=seed * 1_000_003 + number)
+        totals['trials'] += 1
+        for _ in range(STEPS_A_TRIAL):
+            if time.monotonic() > end_s:
+                break
+            trial.step()
+            totals['steps'] += 1
+        for name, count in trial.counts.items():
+            totals[name] = totals.get(name, 0) + count
+        if time.monotonic() > end_s:
+            return totals
