Issue ids that the ledger's members vote on already

Cause: a member that starts without memory refuses ids issued up to 5 s after its start, since an earlier start may have granted them. An entry host that started a second before its neighbours issued ids from its own start on, and callers kept them for the lifetime of a look-up. Conclusion: the prefix now takes the latest such time that the members told when they last copied from each other.

--- a/src/skylarkpitch/requests/ledger_members.py
+++ b/src/skylarkpitch/requests/ledger_members.py
@@ -67,6 +67,14 @@
             ),
         }
 
+    def votes_from_s(self, region: str) -> float | None:
+        """Return from which issue time on the members vote on an id.
+
+        None while this host does not know, or is no member.
+        """
+        sync = self._syncs.get(region)
+        return None if sync is None else sync.votes_from_s
+
     def vote(self, claim: messages.Claim) -> messages.Vote | None:
         """Return this host's vote; None when it is no member."""
         self._adopt(claim.region)
--- a/src/skylarkpitch/requests/ledger_service.py
+++ b/src/skylarkpitch/requests/ledger_service.py
@@ -109,10 +109,14 @@
 
     def id_prefix(self) -> str:
         """Return the prefix that a caller completes with a unique part."""
-        # Members that started with this host vote on ids from then on.
-        earliest_s = math.ceil(self._started_s + operation_ids.CLOCK_SKEW_S)
+        wall_s = self._wall_clock()
+        votes_from_s = self._members.votes_from_s(self._region)
+        if votes_from_s is None:
+            # Members that started no later than now vote on such an id.
+            votes_from_s = min(wall_s, self._started_s)
+            votes_from_s += operation_ids.CLOCK_SKEW_S
         return operation_ids.issue_prefix(
-            region=self._region, wall_s=max(earliest_s, self._wall_clock())
+            region=self._region, wall_s=max(math.ceil(votes_from_s), wall_s)
         )
 
     def counters(self) -> dict[str, float]:
--- a/src/skylarkpitch/requests/ledger_sync.py
+++ b/src/skylarkpitch/requests/ledger_sync.py
@@ -34,13 +34,18 @@
 
 
 class Sync:
-    """Decide when a member may vote, from what its peers answered."""
+    """Decide when a member may vote, from what its peers answered.
+
+    ``votes_from_s`` is the issue time from which on every member that was
+    heard votes on an id, in Unix time; None before enough were heard.
+    """
 
     def __init__(self, *, member: ledger.Member) -> None:
         self._member = member
         self._fresh = True
         self._seen = False
         self._pending: tuple[tuple[str, ...], ...] = ()
+        self.votes_from_s: float | None = None
 
     @property
     def done(self) -> bool:
@@ -168,7 +173,9 @@
         if len(settled) < needed:
             return
         self._seen = True
-        if needed == 0:
-            return
         blind = sorted(source.last.blind_before_s for source in settled)
-        member.blind_before_s = min(member.blind_before_s, blind[needed - 1])
+        if needed > 0:
+            member.blind_before_s = min(
+                member.blind_before_s, blind[needed - 1]
+            )
+        self.votes_from_s = max([member.blind_before_s, *blind])
