--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import math
 import random
 import time
 from typing import Any
@@ -24,6 +23,7 @@
 from skylarkpitch.observability import histograms
 from skylarkpitch.observability import metrics
 from skylarkpitch.peers import network
+from skylarkpitch.requests import crash_watch
 from skylarkpitch.requests import ledger_service
 from skylarkpitch.requests import path as request_path
 from skylarkpitch.requests import relay
@@ -38,6 +38,7 @@
 IDLE_BEFORE_STOP_S = 0.5
 LOOKUP_MARGIN_S = 0.5
 DEFAULT_RETENTION_S = 86_400.0
+LEDGER_WAIT_S = 10.0
 
 _log = structlog.get_logger(__name__)
 
@@ -143,6 +144,9 @@
             settings=self._settings.limits,
             is_stopping=lambda: self._chart.state == 'stopped',
             on_done=self._on_done,
+            crash_watch=crash_watch.CrashWatch(
+                quarantine_s=self._quarantine_s, peers=self._peers
+            ),
             rng=self._rng,
         )
         self._relay = relay.RelayServer(
@@ -203,6 +207,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
             busy = self._path.running or self._relay.running
             idle_s = 0.0 if busy else idle_s + DRAIN_POLL_S
+        await self._ledger.wait_for_peers(timeout_s=LEDGER_WAIT_S)
 
     def _lookup_lifetime_s(self) -> float:
         config = self._follower.site_config()
@@ -213,7 +218,7 @@
     def _ledger_opened_s(self) -> float:
         config = self._follower.site_config()
         if sentinels.is_absent(config):
-            return math.inf
+            return 0.0
         return config.policy.ledger_opened_at_s
 
     def _retention_s(self) -> float:
@@ -222,6 +227,12 @@
             return DEFAULT_RETENTION_S
         return config.policy.ledger_retention_s
 
+    def _quarantine_s(self) -> float:
+        config = self._follower.site_config()
+        if sentinels.is_absent(config):
+            return request_path.DEFAULT_QUARANTINE_S
+        return config.policy.crash_quarantine_s
+
     def _on_state(self) -> None:
         has_config = not sentinels.is_absent(self._follower.site_config())
         if self._chart.state == 'waiting_for_state' and has_config:
--- a/src/skylarkpitch/messages/requests.py
+++ b/src/skylarkpitch/messages/requests.py
@@ -7,6 +7,8 @@
     'Copied',
     'Copy',
     'CrashReport',
+    'LedgerState',
+    'LedgerStateQuestion',
     'Register',
     'Settle',
     'Settled',
@@ -114,6 +116,20 @@
     last: bool
 
 
+@codec.message('requests.ledger_state_question')
+class LedgerStateQuestion:
+    """Ask whether a member of a region's ledger has copied what it can."""
+
+    region: str
+
+
+@codec.message('requests.ledger_state')
+class LedgerState:
+    """Answer of a member to a :class:`LedgerStateQuestion`."""
+
+    synced: bool
+
+
 @codec.message('requests.crash_report')
 class CrashReport:
     """Tell other hosts of upstreams that died while running a request.
--- a/src/skylarkpitch/requests/admission.py
+++ b/src/skylarkpitch/requests/admission.py
@@ -109,6 +109,10 @@
         size = sum(len(n) + len(v) + 4 for n, v in request.raw_headers)
         if size > self._max_header_bytes:
             return sentinels.Absent('headers_too_large')
+        if not all(map(header_rules.is_utf8, request.headers.values())):
+            return sentinels.Absent(
+                'request_malformed', 'a header is not UTF-8'
+            )
         operation_id = request.headers.get(header_rules.ID_HEADER)
         if operation_id is not None:
             problem = operation_ids.problem(operation_id)
--- a/src/skylarkpitch/requests/headers.py
+++ b/src/skylarkpitch/requests/headers.py
@@ -22,6 +22,7 @@
     'TICKET_HEADER',
     'check_framing',
     'end_to_end',
+    'is_utf8',
 ]
 
 KEY_HEADER = 'Skylark-Key'
@@ -63,15 +64,30 @@
 
 
 def end_to_end(headers: multidict.CIMultiDictProxy[str]) -> Pairs:
-    """Return the headers that may pass on, in order."""
+    """Return the headers that may pass on, in order.
+
+    Bytes of a value that are not UTF-8 become "?", since HTTP libraries
+    cannot send them on.
+    """
     named = _named_by_connection(headers.getall('Connection', ()))
     return tuple(
-        (str(name), value)
+        (str(name), _as_utf8(value))
         for name, value in headers.items()
         if not _stays(name.lower(), named)
     )
 
 
+def is_utf8(value: str) -> bool:
+    """Tell whether a value was UTF-8 on the wire."""
+    return not any('\ud800' <= char <= '\udfff' for char in value)
+
+
+def _as_utf8(value: str) -> str:
+    if is_utf8(value):
+        return value
+    return value.encode('utf-8', 'replace').decode()
+
+
 def _named_by_connection(values: Iterable[str]) -> frozenset[str]:
     names = (name for value in values for name in value.split(','))
     return frozenset(name.strip().lower() for name in names)
--- a/src/skylarkpitch/requests/ledger_members.py
+++ b/src/skylarkpitch/requests/ledger_members.py
@@ -13,6 +13,7 @@
 from skylarkpitch.requests import ledger
 from skylarkpitch.requests import ledger_sync
 from skylarkpitch.requests import operation_ids
+from skylarkpitch.requests import quorums
 from skylarkpitch import sentinels
 
 __all__ = ['LedgerMembers']
@@ -54,6 +55,7 @@
         peers.handle(messages.Claim, self._on_claim)
         peers.handle(messages.Settle, self._on_settle)
         peers.handle(messages.Copy, self._on_copy)
+        peers.handle(messages.LedgerStateQuestion, self._on_state_question)
 
     def counters(self) -> dict[str, float]:
         """Return what the registers hold and whether members may vote."""
@@ -96,6 +98,26 @@
             if not sync.done and self._own in self._list_of(region):
                 await self._sync_one(region, sync)
 
+    async def are_peers_synced(self) -> bool:
+        """Tell whether this host's registers would outlive its stop.
+
+        That is so when, for each of its ledgers, as many peers as a member
+        without memory copies from have copied what they can.
+        """
+        for region, member in self._ledgers.items():
+            question = messages.LedgerStateQuestion(region=region)
+            others = [n for n in member.members if n != self._own]
+            states = await asyncio.gather(
+                *(
+                    self._peers.ask(name, question, timeout_s=COPY_TIMEOUT_S)
+                    for name in others
+                )
+            )
+            synced = sum(bool(state) and state.synced for state in states)
+            if synced < quorums.copy_quorum(len(member.members)):
+                return False
+        return True
+
     @mode.Service.task
     async def _sync_members(self) -> None:
         while not self.should_stop:
@@ -178,6 +200,12 @@
         self.settle(settle)
         return messages.Settled(member=self._own)
 
+    async def _on_state_question(
+        self, sender: str, question: messages.LedgerStateQuestion
+    ) -> messages.LedgerState:
+        sync = self._syncs.get(question.region)
+        return messages.LedgerState(synced=sync is not None and sync.done)
+
     async def _on_copy(
         self, sender: str, copy: messages.Copy
     ) -> messages.Copied | None:
--- a/src/skylarkpitch/requests/ledger_service.py
+++ b/src/skylarkpitch/requests/ledger_service.py
@@ -115,6 +115,18 @@
             region=self._region, wall_s=max(earliest_s, self._wall_clock())
         )
 
+    async def wait_for_peers(self, *, timeout_s: float) -> bool:
+        """Wait until this host may stop without a loss of registers.
+
+        Returns False when that was not so within ``timeout_s``.
+        """
+        end_s = self._clock() + timeout_s
+        while not await self._members.are_peers_synced():
+            if self._clock() >= end_s:
+                return False
+            await asyncio.sleep(LONGEST_PAUSE_S)
+        return True
+
     def counters(self) -> dict[str, float]:
         """Return ends of claims, and what this host's registers hold."""
         return {**self._counts, **self._members.counters()}
--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -219,3 +219,18 @@
             assert reason(answer) == 'id_expired'
 
     run(go())
+
+
+def test_planned_stop_waits_for_members_that_are_copying():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            stopping = made.services['h1']
+            assert await stopping.wait_for_peers(timeout_s=0)
+            made.network.cut('h2', 'h3')
+            await made.start('h2')
+            assert not await stopping.wait_for_peers(timeout_s=0)
+            made.network.heal()
+            await made.synced('h2')
+            assert await stopping.wait_for_peers(timeout_s=0)
+
+    run(go())
--- a/tests/test_requests_exchange.py
+++ b/tests/test_requests_exchange.py
@@ -379,6 +379,7 @@
         b'X-A: 1\r\n X-B: 2\r\nContent-Length: 0\r\n\r\n',
         b'X-A: a\rSkylark-Organisation: org-b\r\nContent-Length: 0\r\n\r\n',
         b'Skylark-Key: key-b\r\nContent-Length: 0\r\n\r\n',
+        b'X-A: \xff\r\nContent-Length: 0\r\n\r\n',
         b'Idempotency-Key: a\r\nIdempotency-Key: b\r\n'
         b'Content-Length: 0\r\n\r\n',
     ],
@@ -469,3 +470,17 @@
     answer, _ = run(go())
     assert answer.headers['Skylark-Reason'] == 'body_too_large'
     assert answer.headers['Skylark-Outcome'] == 'not-run'
+
+
+def test_answer_header_that_is_not_utf8_reaches_the_caller():
+    script = answering(
+        b'HTTP/1.1 200 OK\r\nX-Name: caf\xe9\r\nContent-Length: 2\r\n\r\nok'
+    )
+
+    async def go():
+        async with raw_bench(script) as bench:
+            return await get(bench)
+
+    answer, body = run(go())
+    assert body == b'ok'
+    assert answer.headers['X-Name'] == 'caf?'
