--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import math
 import random
 import time
 from typing import Any
@@ -39,7 +38,7 @@
 IDLE_BEFORE_STOP_S = 0.5
 LOOKUP_MARGIN_S = 0.5
 DEFAULT_RETENTION_S = 86_400.0
-DEFAULT_QUARANTINE_S = 300.0
+LEDGER_WAIT_S = 10.0
 
 _log = structlog.get_logger(__name__)
 
@@ -128,9 +127,7 @@
             retention_s=lambda: self._policy(
                 'ledger_retention_s', otherwise=DEFAULT_RETENTION_S
             ),
-            opened_s=lambda: self._policy(
-                'ledger_opened_at_s', otherwise=math.inf
-            ),
+            opened_s=lambda: self._policy('ledger_opened_at_s', otherwise=0.0),
             rng=self._rng,
         )
         self._lookup = lookup.LookupService(
@@ -162,7 +159,8 @@
     def _crash_watch(self) -> crash_watch.CrashWatch:
         return crash_watch.CrashWatch(
             quarantine_s=lambda: self._policy(
-                'crash_quarantine_s', otherwise=DEFAULT_QUARANTINE_S
+                'crash_quarantine_s',
+                otherwise=request_path.DEFAULT_QUARANTINE_S,
             ),
             peers=self._peers,
         )
@@ -219,6 +217,7 @@
             await asyncio.sleep(DRAIN_POLL_S)
             busy = self._path.running or self._relay.running
             idle_s = 0.0 if busy else idle_s + DRAIN_POLL_S
+        await self._ledger.wait_for_peers(timeout_s=LEDGER_WAIT_S)
 
     def _policy(self, field: str, *, otherwise: float) -> float:
         config = self._follower.site_config()
