--- a/src/skylarkpitch/messages/requests.py
+++ b/src/skylarkpitch/messages/requests.py
@@ -7,6 +7,8 @@
     'Copied',
     'Copy',
     'CrashReport',
+    'LedgerState',
+    'LedgerStateQuestion',
     'Register',
     'Settle',
     'Settled',
@@ -114,11 +116,28 @@
     last: bool
 
 
+@codec.message('requests.ledger_state_question')
+class LedgerStateQuestion:
+    """Ask whether a member of a region's ledger has copied what it can."""
+
+    region: str
+
+
+@codec.message('requests.ledger_state')
+class LedgerState:
+    """Answer of a member to a :class:`LedgerStateQuestion`."""
+
+    synced: bool
+
+
 @codec.message('requests.crash_report')
 class CrashReport:
-    """Tell other hosts of upstreams that died while running a request."""
+    """Tell other hosts of upstreams that died while running a request.
+
+    Without ``upstreams`` the request was answered and is cleared. With
+    ``quarantine_s`` above 0 it is refused for that time.
+    """
 
     fingerprint: bytes
-    service: str
-    upstreams: tuple[str, ...]
+    upstreams: tuple[str, ...] = ()
     quarantine_s: float = 0.0
