Queue the calls of a domain's hosts together and ask hosts in parallel

Cause: with one organisation at five times its rate in a domain whose upstreams all belonged to one of its two hosts, small organisations got answers to 47% of their calls: the owner lent nothing while its own callers waited. And after a region's death its entry hosts got 39% of their calls answered where 68% were possible without the shift cap: one domain was asked at a time, a partial grant held a host off, the expected wait counted no borrowed slots, and the growth limiter lost most of a small rate to its burst.

A request for tickets now tells a host of the own domain which flows wait; they take their turn in the owner's queue and what comes free is sent at once. Hosts of one distance are asked together. The expected wait counts borrowed slots by their own hold time. The growth of calls of other regions is counted over a sliding window instead of a token bucket. A region whose share is not limited is not divided between its domains: unset caps bound a lone domain to half of its slots.

Ruled out: granting at most half of the free room to each asker (a slot then waits for the next question); polling the owner more often (own callers still went first).

--- a/benchmarks/soaks/room.py
+++ b/benchmarks/soaks/room.py
@@ -18,7 +18,6 @@
 
 from skylarkpitch.settings import deployment
 from skylarkpitch.steering import shift
-from tests.stand_ins import fake_peers
 from tests.stand_ins import room_world
 
 __all__ = ['run']
@@ -78,26 +77,6 @@
     return deployment.validate_site(base, {}, site='soak')
 
 
-def _places() -> list:
-    places = []
-    for region, domains in REGIONS.items():
-        for domain in domains:
-            for number in (1, 2):
-                place = fake_peers.host(f'{domain}-{number}', region, domain)
-                address = f'{domain}-{number}:1'
-                places.append(_at(place, address))
-    return places
-
-
-def _at(place, address):
-    fields = {
-        name: getattr(place, name)
-        for name in place.__dataclass_fields__
-        if name != 'callers_address'
-    }
-    return type(place)(callers_address=address, **fields)
-
-
 def _latency_s(one, other) -> float:
     if one.region != other.region:
         return 0.02
@@ -109,7 +88,10 @@
 
     def __init__(self, *, seed: int) -> None:
         self.world = room_world.World(
-            seed=seed, places=_places(), site=_site(), latency_s=_latency_s
+            seed=seed,
+            places=room_world.places(REGIONS),
+            site=_site(),
+            latency_s=_latency_s,
         )
         self.rng = self.world.rng
         self.world.loss = self.rng.choice((0.0, 0.01, 0.05))
--- a/src/skylarkpitch/membership/pool.py
+++ b/src/skylarkpitch/membership/pool.py
@@ -1,6 +1,5 @@
 """Hold the upstreams that one host owns and hand out their slots."""
 
-from collections.abc import Callable
 import dataclasses
 import random
 
@@ -222,20 +221,26 @@
         held = self.of(service)
         if not held:
             return None
-        pick: Callable[[Upstream], float] = lambda u: _load(u, now_s, exclude)
         first = held[int(self._rng.random() * len(held))]
         second = held[int(self._rng.random() * len(held))]
-        better = min(first, second, key=pick)
-        if pick(better) >= 1:
-            better = min(held, key=pick)
-        return better if pick(better) < 1 else None
+        if _load(second) < _load(first):
+            first, second = second, first
+        for upstream in (first, second):
+            if _has_room(upstream, now_s, exclude):
+                return upstream
+        for upstream in sorted(held, key=_load):
+            if _has_room(upstream, now_s, exclude):
+                return upstream
+        return None
 
 
-def _load(upstream: Upstream, now_s: float, exclude: frozenset[str]) -> float:
-    slots = upstream.slots
+def _load(upstream: Upstream) -> float:
+    return upstream.slots.in_use / upstream.slots.ceiling
+
+
+def _has_room(
+    upstream: Upstream, now_s: float, exclude: frozenset[str]
+) -> bool:
     if upstream.name in exclude:
-        return 1.0
-    free = slots.free(now_s=now_s)
-    if free < 1:
-        return 1.0
-    return 1 - free / max(1, slots.ceiling)
+        return False
+    return upstream.slots.free(now_s=now_s) > 0
--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -16,17 +16,21 @@
 from skylarkpitch.steering import shares
 from skylarkpitch.steering import tickets
 
-__all__ = ['Borrower', 'RemoteSlot', 'domain_order']
+__all__ = ['Borrower', 'RemoteSlot', 'domain_tiers']
 
 ASK_TIMEOUT_S = 0.4
 ASKS_A_DOMAIN = 2
-HOLD_OFF_FIRST_S = 0.04
-HOLD_OFF_LONGEST_S = 1.0
+ASKS_A_TIER = 8
+HOLD_OFF_FIRST_S = 0.02
+HOLD_OFF_LONGEST_S = 0.5
+HOLD_OFF_NEAR_S = 0.1
 IDLE_S = 0.3
 MAX_WANTED = 64
 PREFETCH_S = 0.01
 ROUND_TRIP_WEIGHT = 0.3
+HOLD_WEIGHT = 0.05
 RATE_TAU_S = 0.5
+REQUESTS_KEPT = 1000
 RELAY_PATH = '/skylark/v1/relay'
 TICKET_HEADER = 'Skylark-Ticket'
 FAR_MS = 1e6
@@ -40,21 +44,18 @@
         *,
         lender: directories.Host,
         ticket: str,
-        service: str,
-        finish: Callable[[str, str, ports.Exchange], None],
+        finish: Callable[[ports.Exchange], None],
         account: Callable[[int], None],
     ) -> None:
         self.upstream = f'relay:{lender.name}'
         self.url = f'http://{lender.relay_address}{RELAY_PATH}'
         self.headers = {TICKET_HEADER: ticket}
-        self._lender = lender.name
-        self._service = service
         self._finish = finish
         self._account = account
 
     def finish(self, exchange: ports.Exchange, *, latency_s: float) -> None:
         """Tell how the exchange with the lender's relay ended."""
-        self._finish(self._service, self._lender, exchange)
+        self._finish(exchange)
 
     def account(self, more_bytes: int) -> None:
         """Count bytes over those that the call was expected to need."""
@@ -67,31 +68,32 @@
     step: int = 0
 
 
-def domain_order(
+def domain_tiers(
     directory: directories.Directory, config: deployment.SiteConfig
-) -> list[tuple[str, str]]:
-    """Return (region, failure domain) of all entry hosts, nearest first."""
+) -> list[list[str]]:
+    """Return the failure domains of entry hosts, nearest first.
+
+    Domains of equal distance stand together: the own one, the others of the
+    own region, then those of other regions by ``one_way_ms``.
+    """
     own = directory.own
-    far_ms = {own.region: -1.0}
+    far_ms = {own.region: 0.0}
     for link in config.links:
         if own.region in link.between:
             one, other = link.between
             far = other if one == own.region else one
             far_ms[far] = link.one_way_ms
-    places = {
-        (host.region, host.failure_domain)
-        for host in directory.with_role('entry')
-    }
-
-    def distance(place: tuple[str, str]) -> tuple:
-        region, domain = place
-        return (
-            domain != own.failure_domain,
-            far_ms.get(region, FAR_MS),
-            domain,
+    tiers: dict[tuple, list[str]] = {}
+    for host in directory.with_role('entry'):
+        distance = (
+            host.failure_domain != own.failure_domain,
+            host.region != own.region,
+            far_ms.get(host.region, FAR_MS),
         )
-
-    return sorted(places, key=distance)
+        tier = tiers.setdefault(distance, [])
+        if host.failure_domain not in tier:
+            tier.append(host.failure_domain)
+    return [tiers[distance] for distance in sorted(tiers)]
 
 
 class Borrower:
@@ -115,11 +117,16 @@
         self._rng = rng
         self._own = peers.directory.own
         self._config: deployment.SiteConfig | None = None
-        self._order: list[tuple[str, str]] = []
         self._budgets: dict[str, link_budget.LinkBudget] = {}
         self._hold_offs: dict[tuple[str, str], _HoldOff] = {}
         self._used: dict[str, rates.RateMeter] = {}
         self._running: dict[str, int] = {}
+        self._asked: dict[tuple[str, str], int] = {}
+        self._standing: set[tuple[str, str]] = set()
+        self._numbers = 0
+        self._sent_s: dict[int, float] = {}
+        self._holds_s: dict[str, float] = {}
+        self._tiers: list[list[str]] = []
         self._round_trips_s: dict[str, float] = {}
         self._hosts: dict[str, list[directories.Host]] = {}
         for host in peers.directory.with_role('entry'):
@@ -131,7 +138,7 @@
         if config is self._config:
             return
         self._config = config
-        self._order = domain_order(self._peers.directory, config)
+        self._tiers = domain_tiers(self._peers.directory, config)
         own = self._own.region
         hosts = len(self._peers.directory.in_region(own))
         self._budgets = {}
@@ -155,30 +162,98 @@
         held = set(self.purse.lenders(service))
         if not held:
             return None
-        for region, domain in self._order:
-            for host in self._hosts.get(domain, ()):
-                if host.name not in held or f'relay:{host.name}' in exclude:
-                    continue
-                slot = self._use(service, host, region, body_bytes)
+        for tier in self._tiers:
+            for host in self._lenders(tier, held, exclude):
+                slot = self._use(service, host, body_bytes)
                 if slot is not None:
                     return slot
         return None
 
-    async def borrow(self, service: str, *, waiting: int) -> bool:
-        """Ask the nearest hosts with room; tell whether any lent some."""
+    def _lenders(
+        self, tier: list[str], held: set[str], exclude: frozenset[str]
+    ) -> list[directories.Host]:
+        found = [
+            host
+            for domain in tier
+            for host in self._hosts.get(domain, ())
+            if host.name in held and f'relay:{host.name}' not in exclude
+        ]
+        self._rng.shuffle(found)
+        return found
+
+    def ask_for_more(
+        self,
+        service: str,
+        *,
+        waiting: int,
+        flows: tuple[messages.FlowDemand, ...],
+    ) -> list[asyncio.Task[None]]:
+        """Ask the nearest hosts that may have room; return the tasks.
+
+        Hosts of equal distance are asked together. A host that had too
+        little is left out for a while, and then farther ones are asked.
+        """
         wanted = self._wanted(service, waiting)
-        for _, domain in list(self._order):
-            asked = self._askable(service, domain)
-            if not asked or wanted <= 0:
-                continue
-            results = await asyncio.gather(
-                *(self._ask(host, service, wanted) for host in asked)
+        if wanted <= 0:
+            return []
+        for tier in self._tiers:
+            asked = [
+                host
+                for domain in tier
+                for host in self._askable(service, domain)
+            ]
+            if len(asked) > ASKS_A_TIER:
+                asked = self._rng.sample(asked, ASKS_A_TIER)
+            if asked:
+                share = math.ceil(wanted / len(asked))
+                return [
+                    self._start(host, service, share, flows) for host in asked
+                ]
+        return []
+
+    def offered(self, lender: str, offer: messages.TicketOffer) -> None:
+        """Keep tickets that come after the answer to a request."""
+        sent_s = self._sent_s.get(offer.number)
+        if sent_s is None:
+            self._peers.send(
+                lender, messages.TicketReturn(tickets=offer.tickets)
             )
-            got = sum(results)
-            wanted -= got
-            if got:
-                return True
-        return False
+            return
+        self.counts['borrowed'] += len(offer.tickets)
+        self.purse.put(
+            offer.service,
+            lender,
+            offer.tickets,
+            now_s=self._clock(),
+            expires_s=sent_s + offer.expires_in_s,
+        )
+
+    def withdraw(self, service: str) -> None:
+        """Tell the domain's hosts that no call waits any more."""
+        for host in self._hosts.get(self._own.failure_domain, ()):
+            if (service, host.name) in self._standing:
+                self._standing.discard((service, host.name))
+                self._peers.send(
+                    host.name,
+                    messages.TicketRequest(service=service, wanted=0),
+                )
+
+    def _start(
+        self,
+        host: directories.Host,
+        service: str,
+        wanted: int,
+        flows: tuple[messages.FlowDemand, ...],
+    ) -> asyncio.Task[None]:
+        key = (service, host.name)
+        self._asked[key] = wanted
+        if host.failure_domain != self._own.failure_domain:
+            flows = ()
+        elif flows:
+            self._standing.add(key)
+        task = asyncio.create_task(self._ask(host, service, wanted, flows))
+        task.add_done_callback(lambda done: self._asked.pop(key, None))
+        return task
 
     def needs_more(self, service: str) -> bool:
         """Tell whether tickets run short for the rate of their use."""
@@ -189,6 +264,16 @@
         """Return the calls that use borrowed slots now."""
         return self._running.get(service, 0)
 
+    def asked(self, service: str) -> int:
+        """Return the tickets that hosts have been asked for."""
+        return sum(n for key, n in self._asked.items() if key[0] == service)
+
+    def served_per_s(self, service: str) -> float:
+        """Return the rate at which borrowed slots come free."""
+        running = self.running(service)
+        hold_s = self._holds_s.get(service)
+        return 0.0 if hold_s is None else running / max(hold_s, 1e-3)
+
     async def survey(self) -> None:
         """Ask one host of one other domain for the slots it has there."""
         domains = self._other_domains()
@@ -222,11 +307,10 @@
         self,
         service: str,
         host: directories.Host,
-        region: str,
         body_bytes: int,
     ) -> RemoteSlot | None:
         now_s = self._clock()
-        budget = self._budgets.get(region)
+        budget = self._budgets.get(host.region)
         if budget is not None and not budget.has(body_bytes, now_s=now_s):
             self.counts['link_refused'] += 1
             return None
@@ -241,9 +325,10 @@
         return RemoteSlot(
             lender=host,
             ticket=ticket,
-            service=service,
-            finish=self._finished,
-            account=lambda more: self._owe(region, more),
+            finish=lambda exchange: self._finished(
+                service, host.name, exchange, now_s
+            ),
+            account=lambda more: self._owe(host.region, more),
         )
 
     def _owe(self, region: str, more_bytes: int) -> None:
@@ -253,7 +338,8 @@
 
     def _wanted(self, service: str, waiting: int) -> int:
         ahead = math.ceil(self._ahead(service) - 0.5)
-        return min(MAX_WANTED, waiting + ahead - self.purse.count(service))
+        coming = self.purse.count(service) + self.asked(service)
+        return min(MAX_WANTED, waiting + ahead - coming)
 
     def _ahead(self, service: str) -> float:
         per_s = self._rate(service).per_s(now_s=self._clock())
@@ -272,34 +358,42 @@
         hosts = [
             host
             for host in self._hosts.get(domain, ())
-            if self._hold_off(service, host.name).until_s <= now_s
+            if (service, host.name) not in self._asked
+            and self._hold_off(service, host.name).until_s <= now_s
         ]
         if len(hosts) > ASKS_A_DOMAIN:
             hosts = self._rng.sample(hosts, ASKS_A_DOMAIN)
         return hosts
 
     async def _ask(
-        self, host: directories.Host, service: str, wanted: int
-    ) -> int:
+        self,
+        host: directories.Host,
+        service: str,
+        wanted: int,
+        flows: tuple[messages.FlowDemand, ...] = (),
+    ) -> None:
         sent_s = self._clock()
+        number = self._number(sent_s)
         self.counts['asked'] += 1
         answer = await self._peers.ask(
             host.name,
-            messages.TicketRequest(service=service, wanted=wanted),
+            messages.TicketRequest(
+                service=service, wanted=wanted, number=number, flows=flows
+            ),
             timeout_s=ASK_TIMEOUT_S,
         )
         if not isinstance(answer, messages.TicketGrant):
             self._refused(service, host.name)
-            return 0
+            return
         if host.failure_domain != self._own.failure_domain:
             self._fleet.note(host.failure_domain, answer.domain_slots)
         if not wanted:
-            return 0
-        if not answer.tickets:
-            self._refused(service, host.name)
-            return 0
-        self._hold_offs.pop((service, host.name), None)
+            return
         self._took(service, self._clock() - sent_s)
+        if answer.tickets:
+            self._hold_offs.pop((service, host.name), None)
+        else:
+            self._refused(service, host.name)
         self.counts['borrowed'] += len(answer.tickets)
         self.purse.put(
             service,
@@ -308,7 +402,13 @@
             now_s=self._clock(),
             expires_s=sent_s + answer.expires_in_s,
         )
-        return len(answer.tickets)
+
+    def _number(self, sent_s: float) -> int:
+        self._numbers += 1
+        self._sent_s[self._numbers] = sent_s
+        if len(self._sent_s) > REQUESTS_KEPT:
+            del self._sent_s[next(iter(self._sent_s))]
+        return self._numbers
 
     def _took(self, service: str, round_trip_s: float) -> None:
         mean_s = self._round_trips_s.setdefault(service, round_trip_s)
@@ -321,12 +421,22 @@
     def _refused(self, service: str, host: str) -> None:
         state = self._hold_offs.setdefault((service, host), _HoldOff())
         longest_s = min(HOLD_OFF_LONGEST_S, HOLD_OFF_FIRST_S * 2**state.step)
+        if (service, host) in self._standing:
+            longest_s = min(HOLD_OFF_NEAR_S, longest_s)
         state.until_s = self._clock() + longest_s * self._rng.uniform(0.5, 1)
         state.step = min(state.step + 1, 10)
 
     def _finished(
-        self, service: str, lender: str, exchange: ports.Exchange
+        self,
+        service: str,
+        lender: str,
+        exchange: ports.Exchange,
+        taken_s: float,
     ) -> None:
         self._running[service] -= 1
+        if exchange is ports.Exchange.ANSWERED:
+            took_s = self._clock() - taken_s
+            mean_s = self._holds_s.setdefault(service, took_s)
+            self._holds_s[service] += (took_s - mean_s) * HOLD_WEIGHT
         if exchange is ports.Exchange.FAILED:
             self._refused(service, lender)
--- a/src/skylarkpitch/steering/fair_queue.py
+++ b/src/skylarkpitch/steering/fair_queue.py
@@ -88,6 +88,19 @@
                 return waiter
         return None
 
+    def backlog(
+        self, counts: Callable[[Any], bool]
+    ) -> tuple[tuple[str, str, float, int], ...]:
+        """Return organisation, class, weight and length of each flow.
+
+        Only waiters whose item ``counts`` accepts are counted.
+        """
+        lengths = (
+            (name, flow.weight, sum(counts(w.item) for w in flow.waiters))
+            for name, flow in self._flows.items()
+        )
+        return tuple((*name, w, count) for name, w, count in lengths if count)
+
     def ahead(self, flow: tuple[str, str], *, weight: float) -> float:
         """Return how many calls are served before a new one of a flow."""
         own = self._flows.get(flow)
--- a/src/skylarkpitch/steering/lender.py
+++ b/src/skylarkpitch/steering/lender.py
@@ -57,6 +57,8 @@
         self._pool = pool
         self._fleet = fleet
         self._new_ticket = new_ticket
+        self._config: deployment.SiteConfig | None = None
+        self._cap = 0.0
         self._ramps: dict[str, shift.ShiftRamp] = {}
         self._running_cross: dict[str, int] = {}
 
@@ -65,11 +67,7 @@
     ) -> int:
         """Return how many calls of a service the share lets run here."""
         return shares.host_limit(
-            cap=shares.domain_cap(
-                config,
-                region=self._place.region,
-                failure_domain=self._place.failure_domain,
-            ),
+            cap=self._domain_cap(config),
             own_slots=self._own_slots(service, now_s),
             other_slots=self._fleet.others(service),
             domain_hosts=self._place.domain_hosts,
@@ -121,7 +119,9 @@
                 ),
             )
         if cross:
-            self._ramp(service, now_s).grow(self.level_cross_region(service))
+            self._ramp(service, now_s).grow(
+                self.level_cross_region(service), now_s=now_s
+            )
         self._check(service, config, now_s)
         return granted
 
@@ -177,7 +177,7 @@
             own = self._own_slots(service, now_s)
             spare -= math.ceil(own * KEEP_BACK)
         room = min(
-            math.ceil(spare / 2),
+            spare,
             self.share_room(service, config=config, now_s=now_s),
         )
         if borrower.region != self._place.region:
@@ -208,6 +208,16 @@
         running = self._pool.in_use(service)
         return running + self.office.outstanding(service)
 
+    def _domain_cap(self, config: deployment.SiteConfig) -> float:
+        if config is not self._config:
+            self._config = config
+            self._cap = shares.domain_cap(
+                config,
+                region=self._place.region,
+                failure_domain=self._place.failure_domain,
+            )
+        return self._cap
+
     def _own_slots(self, service: str, now_s: float) -> int:
         return self._pool.slots_of(service, now_s=now_s)
 
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -20,13 +20,14 @@
 from skylarkpitch import sentinels
 from skylarkpitch.settings import deployment
 from skylarkpitch.steering import borrower as borrowers
+from skylarkpitch.steering import demand as demands
 from skylarkpitch.steering import lender as lenders
 from skylarkpitch.steering import shares
 from skylarkpitch.steering import waiting_line
 
 __all__ = ['FleetRoom', 'LentSlot']
 
-BORROW_PAUSE_S = 0.02
+BORROW_PAUSE_S = 0.005
 EXPIRE_S = 0.05
 SHORTEST_HOLD_S = 0.001
 SURVEY_S = 0.2
@@ -86,6 +87,7 @@
         self._borrower = borrowers.Borrower(
             peers=peers, fleet=self._fleet, clock=clock, rng=rng
         )
+        self._demands: dict[str, demands.Demand] = {}
         self._lines: dict[str, waiting_line.WaitingLine] = {}
         self._borrowing: dict[str, asyncio.Task[None]] = {}
         self._counts = dict.fromkeys(
@@ -102,6 +104,7 @@
         )
         membership.on_room = self._dispatch
         peers.handle(messages.TicketRequest, self._lend)
+        peers.handle(messages.TicketOffer, self._offered)
         peers.handle(messages.TicketReturn, self._returned)
         super().__init__(**options)
 
@@ -145,10 +148,10 @@
             served_per_s=self._served_per_s(service),
             now_s=self._clock(),
         )
+        self._keep_tickets(service)
         if not waiter:
             self._counts['refused_early'] += 1
             return waiter
-        self._keep_tickets(service)
         return await self._wait(line, waiter, wanted.future)
 
     def redeem(
@@ -215,6 +218,8 @@
         for service in self.lender.expire(now_s=self._clock()):
             self._dispatch(service)
         self._borrower.give_back_idle()
+        for demand in self._demands.values():
+            demand.expire(now_s=self._clock())
 
     @mode.Service.timer(SURVEY_S)
     async def _survey(self) -> None:
@@ -276,8 +281,13 @@
                 return
 
     def _offer(
-        self, service: str, wanted: _Wanted, config: deployment.SiteConfig
+        self,
+        service: str,
+        wanted: _Wanted | demands.RemoteCall,
+        config: deployment.SiteConfig,
     ) -> bool:
+        if isinstance(wanted, demands.RemoteCall):
+            return self._offer_to(service, wanted, config)
         if wanted.future.done():
             return True
         slot = self._take_now(service, wanted, config)
@@ -290,7 +300,7 @@
         running = self._borrowing.get(service)
         if running is not None and not running.done():
             return
-        waiting = len(self._line(service).queue)
+        waiting = self._line(service).queue.backlog(_is_own)
         if waiting or self._borrower.needs_more(service):
             self._borrowing[service] = asyncio.create_task(
                 self._borrow(service)
@@ -298,12 +308,19 @@
 
     async def _borrow(self, service: str) -> None:
         line = self._line(service)
-        while len(line.queue) or self._borrower.needs_more(service):
-            waiting = len(line.queue)
-            got = await self._borrower.borrow(service, waiting=waiting)
-            self._dispatch(service)
-            if not got:
-                await asyncio.sleep(BORROW_PAUSE_S)
+        while True:
+            flows = line.queue.backlog(_is_own)
+            if not flows and not self._borrower.needs_more(service):
+                break
+            asked = self._borrower.ask_for_more(
+                service,
+                waiting=sum(count for _, _, _, count in flows),
+                flows=flows,
+            )
+            for task in asked:
+                task.add_done_callback(lambda done: self._dispatch(service))
+            await asyncio.sleep(BORROW_PAUSE_S)
+        self._borrower.withdraw(service)
 
     async def _lend(
         self, sender: str, message: messages.TicketRequest
@@ -313,8 +330,10 @@
         if not config or host is None:
             return None
         now_s = self._clock()
+        tickets = self._granted(message, host, config, now_s)
+        self._queue_for(message, host, config)
         return messages.TicketGrant(
-            tickets=self._granted(message, host, config, now_s),
+            tickets=tickets,
             expires_in_s=config.policy.credit_lease_s,
             domain_slots=self._membership.domain_slots(),
         )
@@ -329,15 +348,27 @@
         line = self._lines.get(message.service)
         if message.wanted < 1 or (line is not None and len(line.queue)):
             return ()
+        return self._grant(
+            message.service, host, message.wanted, config, now_s
+        )
+
+    def _grant(
+        self,
+        service: str,
+        host: directories.Host,
+        wanted: int,
+        config: deployment.SiteConfig,
+        now_s: float,
+    ) -> tuple[str, ...]:
         try:
             return self.lender.grant(
-                message.service,
+                service,
                 borrower=lenders.Borrower(
                     host=host.name,
                     region=host.region,
                     failure_domain=host.failure_domain,
                 ),
-                wanted=message.wanted,
+                wanted=wanted,
                 config=config,
                 now_s=now_s,
             )
@@ -346,6 +377,55 @@
             _log.error('cap_breach', error=str(error))
             return ()
 
+    def _queue_for(
+        self,
+        message: messages.TicketRequest,
+        host: directories.Host,
+        config: deployment.SiteConfig,
+    ) -> None:
+        service = message.service
+        own = self._peers.directory.own.failure_domain
+        if host.failure_domain != own or service not in config.services:
+            return
+        if not self._membership.pool.of(service) or not self.lender.open:
+            return
+        demand = self._demands.setdefault(
+            service, demands.Demand(queue=self._line(service).queue)
+        )
+        demand.replace(
+            host.name,
+            flows=message.flows,
+            number=message.number,
+            now_s=self._clock(),
+        )
+
+    def _offer_to(
+        self,
+        service: str,
+        call: demands.RemoteCall,
+        config: deployment.SiteConfig,
+    ) -> bool:
+        host = self._peers.directory.get(call.borrower)
+        tickets = self._grant(service, host, 1, config, self._clock())
+        if not tickets:
+            return False
+        self._peers.send(
+            call.borrower,
+            messages.TicketOffer(
+                service=service,
+                number=call.number,
+                tickets=tickets,
+                expires_in_s=config.policy.credit_lease_s,
+            ),
+        )
+        return True
+
+    async def _offered(
+        self, sender: str, message: messages.TicketOffer
+    ) -> None:
+        self._borrower.offered(sender, message)
+        self._dispatch(message.service)
+
     async def _returned(
         self, sender: str, message: messages.TicketReturn
     ) -> None:
@@ -362,9 +442,10 @@
         hold_s = self._membership.hold_s(service)
         if hold_s is None:
             return None
-        running = self._membership.pool.in_use(service)
-        running += self._borrower.running(service)
-        return running / max(hold_s, SHORTEST_HOLD_S)
+        local = self._membership.pool.in_use(service)
+        per_s = local / max(hold_s, SHORTEST_HOLD_S)
+        per_s += self._borrower.served_per_s(service)
+        return per_s or None
 
 
 def _refuse(future: asyncio.Future) -> None:
@@ -374,8 +455,12 @@
         )
 
 
-def _put_out(wanted: _Wanted) -> None:
-    if not wanted.future.done():
+def _is_own(item: _Wanted | demands.RemoteCall) -> bool:
+    return isinstance(item, _Wanted)
+
+
+def _put_out(wanted: _Wanted | demands.RemoteCall) -> None:
+    if isinstance(wanted, _Wanted) and not wanted.future.done():
         wanted.future.set_result(
             sentinels.Absent('no_room', 'others have waited for less')
         )
--- a/src/skylarkpitch/steering/shares.py
+++ b/src/skylarkpitch/steering/shares.py
@@ -36,7 +36,8 @@
     """Return the largest share, from 0 to 1, of a failure domain.
 
     The cap of a region is divided between its domains by their own caps, so
-    that domains which cannot hear each other keep it together.
+    that domains which cannot hear each other keep it together. A region
+    that may take everything needs no division.
     """
     found = config.regions.get(region)
     if found is None or failure_domain not in found.failure_domains:
@@ -49,6 +50,8 @@
     if total <= 0:
         return 0.0
     own = caps[failure_domain]
+    if found.max_share_percent >= 100:
+        return own
     return min(own, found.max_share_percent / 100 * own / total)
 
 
--- a/src/skylarkpitch/steering/shift.py
+++ b/src/skylarkpitch/steering/shift.py
@@ -4,12 +4,15 @@
 calls that run at once grows by a bounded rate over the recent peak.
 """
 
+import collections
+
 from skylarkpitch import errors
 
 __all__ = ['ShiftRamp', 'host_rate_per_s']
 
 PEAK_BUCKET_S = 5.0
-BURST_S = 0.2
+# A little over a second, for a clock that runs fast.
+WINDOW_S = 1.05
 
 
 def host_rate_per_s(
@@ -35,17 +38,20 @@
     def __init__(self, *, now_s: float) -> None:
         self._peaks = [0, 0]
         self._bucket_s = now_s
-        self._tokens = 0.0
-        self._filled_s = now_s
-        self._burst = 1.0
+        self._grown: collections.deque[tuple[float, int]] = collections.deque()
+        self._allowed = 0
 
     def room(self, level: int, *, rate_per_s: float, now_s: float) -> int:
         """Return by how many calls the level may grow now."""
         self._roll(level, now_s)
-        self._fill(rate_per_s, now_s)
-        return max(0, max(self._peaks) - level) + int(self._tokens)
-
-    def grow(self, level: int) -> None:
+        while self._grown and self._grown[0][0] <= now_s - WINDOW_S:
+            self._grown.popleft()
+        per_window = max(1, int(rate_per_s))
+        grown = sum(count for _, count in self._grown)
+        self._allowed = max(0, per_window - grown)
+        return max(0, max(self._peaks) - level) + self._allowed
+
+    def grow(self, level: int, *, now_s: float) -> None:
         """Take it that the level has grown, within :meth:`room`.
 
         Raises ``InvariantError`` when it has grown past that.
@@ -54,12 +60,13 @@
         self._peaks[0] = max(self._peaks[0], level)
         if above <= 0:
             return
-        if above > self._tokens + 1e-9:
+        if above > self._allowed:
             raise errors.InvariantError(
                 f'calls of other regions grew to {level}, {above} over the '
                 'recent peak and past the cap; report this as a defect'
             )
-        self._tokens -= above
+        self._allowed -= above
+        self._grown.append((now_s, above))
 
     def _roll(self, level: int, now_s: float) -> None:
         age_s = now_s - self._bucket_s
@@ -68,10 +75,3 @@
         kept = self._peaks[0] if age_s < 2 * PEAK_BUCKET_S else level
         self._peaks = [level, kept]
         self._bucket_s = now_s
-
-    def _fill(self, rate_per_s: float, now_s: float) -> None:
-        self._burst = max(1.0, rate_per_s * BURST_S)
-        refill_per_s = max(rate_per_s - self._burst, rate_per_s * BURST_S)
-        gained = (now_s - self._filled_s) * refill_per_s
-        self._tokens = min(self._burst, self._tokens + max(0.0, gained))
-        self._filled_s = now_s
--- a/tests/stand_ins/room_world.py
+++ b/tests/stand_ins/room_world.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import random
 
 from skylarkpitch.membership import announcements
@@ -16,11 +17,25 @@
 from skylarkpitch import ports
 from skylarkpitch import sentinels
 from skylarkpitch.steering import room as rooms
+from tests.stand_ins import fake_peers
 
 LOCAL_S = 0.001
 CAN_BE_LATE_S = 0.02
 
 
+def places(regions):
+    """Return two entry hosts for each failure domain of each region."""
+    return [
+        dataclasses.replace(
+            fake_peers.host(f'{domain}-{number}', region, domain),
+            callers_address=f'{domain}-{number}:1',
+        )
+        for region, domains in regions.items()
+        for domain in domains
+        for number in (1, 2)
+    ]
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Event loop whose time jumps to the next timer when idle."""
 
