--- a/src/skylarkpitch/dissemination/reports.py
+++ b/src/skylarkpitch/dissemination/reports.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+from typing import Any
 
 from skylarkpitch.messages import dissemination as messages
 from skylarkpitch.peers import directory as directories
@@ -34,7 +35,7 @@
     applied_version: int
     age_s: float
     life_cycle: str
-    status: dict[str, float | str | dict]
+    status: dict[str, Any]
     reported_s: float
 
 
@@ -188,6 +189,11 @@
             if before is None or row.sequence > before.sequence:
                 self._pending[row.host] = _with_status(row, before)
 
+    def is_due(self, applied_version: int) -> bool:
+        """Tell whether there are rows to send or a new version to say."""
+        said = None if self._said is None else self._said[0]
+        return bool(self._pending) or said != applied_version
+
     def flush(
         self,
         *,
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -445,6 +445,7 @@
         local = self._membership.pool.in_use(service)
         per_s = local / max(hold_s, SHORTEST_HOLD_S)
         per_s += self._borrower.served_per_s(service)
+        # Nothing here tells yet how fast other hosts would lend slots.
         return per_s or None
 
 
--- a/tests/stand_ins/control_fleet.py
+++ b/tests/stand_ins/control_fleet.py
@@ -69,7 +69,8 @@
             return sentinels.Absent('not_leader')
         asked_at_s = self._log.fleet.clock_of(self._name)()
         await asyncio.sleep(2 * self._log.fleet.delay_s)
-        if not self._log.majority_of(self._name):
+        deposed = self._log.leader != self._name
+        if deposed or not self._log.majority_of(self._name):
             return sentinels.Absent('no_quorum')
         return asked_at_s
 
@@ -98,6 +99,7 @@
         hosts,
         seed=1,
         delay_s=0.02,
+        delay_of=None,
         rates=None,
         site_of=lambda host: host.failure_domain,
         **network,
@@ -108,7 +110,7 @@
         self.network = slow_peers.SlowNetwork(
             hosts=tuple(hosts),
             rng=self.rng,
-            delay_s=lambda sender, receiver: delay_s,
+            delay_s=delay_of or (lambda sender, receiver: delay_s),
             **network,
         )
         self.control = tuple(h.name for h in hosts if 'control' in h.roles)
@@ -120,6 +122,7 @@
         self.followers = {}
         self.operations = 0
         self.last_result = None
+        self.on_change = lambda name: None
         self._site_of = site_of
         self._applied = dict.fromkeys(self.control, 0)
 
@@ -166,6 +169,7 @@
                 report=lambda: {'life_cycle': 'serving', 'calls': 1.0},
                 clock=clock,
                 rng=random.Random(self.rng.random()),
+                on_change=lambda: self.on_change(name),
             )
             await self.followers[name].start()
 
@@ -181,6 +185,11 @@
             await self.stop_host(name)
         await self.network.close()
 
+    def elect(self, name):
+        """Make a member the leader; it holds every committed command."""
+        self.log.leader = name
+        self.catch_up()
+
     def catch_up(self):
         """Apply the committed commands on members the leader reaches."""
         for name in self.control:
