--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup check format lint imports test demo model soak bench capacity
+.PHONY: setup check format lint imports test demo model soak faults bench capacity
 
 setup: $(STAMP)
 
@@ -50,6 +50,10 @@
 soak: $(STAMP)
 	$(BIN)/python -m benchmarks.soak --seed $(SEED) --seconds $(SECONDS)
 
+faults: $(STAMP)
+	$(BIN)/python -m benchmarks.faults --deployment $(DEPLOYMENT) \
+		--seed $(SEED) --seconds $(SECONDS)
+
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.bench --deployment $(DEPLOYMENT)
 
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -115,7 +115,8 @@
         service, path = self.rng.choice(sorted(shape.reads.items()))
         await caller.call(session, service, 'GET', path)
 
-    def _make_callers(self) -> None:
+    def make_callers(self) -> None:
+        """Make one caller an organisation, spread over the domains."""
         domains = sorted(self.fleet.shape.entry_hosts)
         for number, (organisation, key) in enumerate(self.keys.items()):
             domain = domains[number % len(domains)]
@@ -131,7 +132,7 @@
 
     async def run_load(self) -> None:
         """Call as every organisation while operators make changes."""
-        self._make_callers()
+        self.make_callers()
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         until_s = time.monotonic() + LOAD_S
         say(f'{CALLS_PER_S:g} calls/s for {LOAD_S:g} s begin')
@@ -269,10 +270,7 @@
         latencies_s = sorted(
             value for tally in tallies for value in tally.latencies_s
         )
-        runs: dict[str, int] = {}
-        for item in self.counts:
-            for operation, count in item['runs'].items():
-                runs[operation] = runs.get(operation, 0) + count
+        runs = runs_by_operation(self.counts)
         reasons: dict[str, int] = {}
         for tally in tallies:
             for reason, count in tally.reasons.items():
@@ -309,6 +307,15 @@
         raise RuntimeError(f'{name} told no counts')
 
 
+def runs_by_operation(counts: list[dict]) -> dict[str, int]:
+    """Return how often each operation ran over all upstreams."""
+    runs: dict[str, int] = {}
+    for item in counts:
+        for operation, count in item['runs'].items():
+            runs[operation] = runs.get(operation, 0) + count
+    return runs
+
+
 def _percentile_ms(ordered_s: list[float], percent: int) -> float | None:
     if len(ordered_s) < 2:
         return None
--- /dev/null
+++ b/benchmarks/faults.py
@@ -0,0 +1,176 @@
+"""Kill, freeze and restart daemons of a real deployment under load.
+
+Callers send bookings and reads; a booking that got no clear answer is sent
+again under the same id, to another host. Faults are drawn from the seed.
+The last line is one JSON object; exits 1 when a promise was broken.
+"""
+
+import asyncio
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import aiohttp
+import click
+
+from benchmarks import demo as demos
+from benchmarks import fleet as fleets
+from benchmarks import shapes
+from tests.stand_ins import caller as callers
+
+__all__ = ['FaultRun', 'main']
+
+CALLS_PER_S = 60.0
+CALL_TIMEOUT_S = 6.0
+RESENDS = 4
+RESEND_PAUSE_S = 0.5
+WRITE_FRACTION = 0.5
+FAULT_EVERY_S = 3.0
+FREEZE_S = 2.5
+FAULTS = ('kill', 'freeze', 'planned_stop')
+
+
+class FaultRun:
+    """Drive one deployment through faults and count what callers saw."""
+
+    def __init__(self, *, fleet: fleets.Fleet, seed: int) -> None:
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.demo = demos.Demo(fleet=fleet, seed=seed)
+        self.faults: list[str] = []
+        self.cut_by_planned_stop = 0
+        self._leaving: set[str] = set()
+
+    async def run(self, seconds: float) -> None:
+        """Call under faults for a time, then let everything settle."""
+        self.demo.make_callers()
+        until_s = time.monotonic() + seconds
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with aiohttp.ClientSession(
+            timeout=timeout, connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
+            load = [
+                callers.call_regularly(
+                    caller,
+                    session,
+                    calls_per_s=CALLS_PER_S / len(self.demo.callers),
+                    until_s=until_s,
+                    choose=self._call,
+                )
+                for caller in self.demo.callers
+            ]
+            await asyncio.gather(*load, self._break_things(until_s))
+
+    async def _call(self, caller, session) -> None:
+        shape = self.fleet.shape
+        if self.rng.random() >= WRITE_FRACTION:
+            service, path = self.rng.choice(sorted(shape.reads.items()))
+            await caller.call(session, service, 'GET', path)
+            return
+        service, path = self.rng.choice(sorted(shape.writes.items()))
+        body = self.rng.randbytes(64)
+        _, prefix = await caller.entry(session, service)
+        headers = {'Idempotency-Key': f'{prefix}{self.rng.getrandbits(64):x}'}
+        for _ in range(1 + RESENDS):
+            status = await caller.call(
+                session, service, 'POST', path, body=body, headers=headers
+            )
+            if status == 200:
+                return
+            await asyncio.sleep(RESEND_PAUSE_S)
+
+    async def _break_things(self, until_s: float) -> None:
+        while time.monotonic() + FAULT_EVERY_S < until_s:
+            await asyncio.sleep(FAULT_EVERY_S)
+            name = self.rng.choice(sorted(self.fleet.processes))
+            fault = self.rng.choice(FAULTS)
+            self.faults.append(f'{fault}:{name}')
+            demos.say(f'{fault} {name}')
+            await getattr(self, f'_{fault}')(name)
+
+    async def _kill(self, name: str) -> None:
+        process = self.fleet.processes[name]
+        process.kill()
+        await asyncio.to_thread(process.wait)
+        await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+        self.fleet.start_host(name)
+
+    async def _freeze(self, name: str) -> None:
+        process = self.fleet.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        process.send_signal(signal.SIGCONT)
+
+    async def _planned_stop(self, name: str) -> None:
+        process = self.fleet.processes[name]
+        process.send_signal(signal.SIGTERM)
+        await asyncio.to_thread(process.wait)
+        self.fleet.start_host(name)
+
+    def report(self) -> dict:
+        """Return what callers saw and what upstreams ran."""
+        tallies = [caller.tally for caller in self.demo.callers]
+        runs = demos.runs_by_operation(self.demo.counts)
+        reasons: dict[str, int] = {}
+        for tally in tallies:
+            for reason, count in tally.reasons.items():
+                reasons[reason] = reasons.get(reason, 0) + count
+        return {
+            'steps': sum(tally.sent for tally in tallies),
+            'faults': self.faults,
+            'answered': sum(tally.answered for tally in tallies),
+            'reasons': reasons,
+            'operations_run': len(runs),
+            'run_twice': sum(count > 1 for count in runs.values()),
+            'wrong_answers': sum(tally.wrong_answers for tally in tallies),
+            'key_leaks': sum(c['key_leaks'] for c in self.demo.counts),
+            'overload': sum(c['overload'] for c in self.demo.counts),
+        }
+
+
+def run_faults(
+    *, deployment: str, seed: int, seconds: float, folder: pathlib.Path
+) -> dict:
+    """Run one deployment through faults and return its report."""
+    fleet = fleets.Fleet(shape=shapes.SHAPES[deployment], folder=folder)
+    faults = FaultRun(fleet=fleet, seed=seed)
+    try:
+        faults.demo.bring_up()
+        asyncio.run(faults.run(seconds))
+        faults.demo.end()
+    finally:
+        fleet.close()
+    report = faults.report()
+    names = ('run_twice', 'wrong_answers', 'key_leaks', 'overload')
+    report['violations'] = sum(report[name] for name in names)
+    return report
+
+
+@click.command()
+@click.option('--deployment', default='mueso', show_default=True)
+@click.option('--seed', default=1, show_default=True)
+@click.option('--seconds', default=40.0, show_default=True)
+@click.option('--keep-logs', type=click.Path(path_type=pathlib.Path))
+def main(
+    deployment: str,
+    seed: int,
+    seconds: float,
+    keep_logs: pathlib.Path | None,
+) -> None:
+    """Run a deployment through faults drawn from SEED."""
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = keep_logs or pathlib.Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        report = run_faults(
+            deployment=deployment, seed=seed, seconds=seconds, folder=folder
+        )
+    print(json.dumps(report))
+    sys.exit(int(report['violations'] > 0))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/skylarkpitch/daemon/control.py
+++ b/src/skylarkpitch/daemon/control.py
@@ -51,6 +51,10 @@
         )
         super().__init__(**options)
 
+    async def on_stop(self) -> None:
+        """Hand the lead to another voter, so that operators do not wait."""
+        await self._control_log.resign()
+
     def on_init_dependencies(self) -> list[mode.Service]:
         """Return the parts in the order in which they start."""
         return [
