--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -124,8 +124,10 @@
                 directory, region
             ),
             epoch=lambda: 0,
-            retention_s=self._retention_s,
-            opened_s=self._ledger_opened_s,
+            retention_s=lambda: self._policy(
+                'ledger_retention_s', otherwise=DEFAULT_RETENTION_S
+            ),
+            opened_s=lambda: self._policy('ledger_opened_at_s', otherwise=0.0),
             rng=self._rng,
         )
         self._lookup = lookup.LookupService(
@@ -144,9 +146,7 @@
             settings=self._settings.limits,
             is_stopping=lambda: self._chart.state == 'stopped',
             on_done=self._on_done,
-            crash_watch=crash_watch.CrashWatch(
-                quarantine_s=self._quarantine_s, peers=self._peers
-            ),
+            crash_watch=self._crash_watch(),
             rng=self._rng,
         )
         self._relay = relay.RelayServer(
@@ -156,6 +156,15 @@
             settings=self._settings.limits,
         )
 
+    def _crash_watch(self) -> crash_watch.CrashWatch:
+        return crash_watch.CrashWatch(
+            quarantine_s=lambda: self._policy(
+                'crash_quarantine_s',
+                otherwise=request_path.DEFAULT_QUARANTINE_S,
+            ),
+            peers=self._peers,
+        )
+
     def on_init_dependencies(self) -> list[mode.Service]:
         """Return the parts in the order in which they start."""
         parts = [
@@ -191,7 +200,8 @@
         _log.info('host_leaving', running=self._path.running)
         self._board.beat()
         self._room.stop_granting()
-        wait_s = self._lookup_lifetime_s() + LOOKUP_MARGIN_S
+        wait_s = self._policy('lookup_lifetime_s', otherwise=0.0)
+        wait_s += hosts.HEARTBEAT_S + LOOKUP_MARGIN_S
         await asyncio.gather(
             asyncio.sleep(wait_s),
             self._membership.hand_over(timeout_s=wait_s),
@@ -209,29 +219,11 @@
             idle_s = 0.0 if busy else idle_s + DRAIN_POLL_S
         await self._ledger.wait_for_peers(timeout_s=LEDGER_WAIT_S)
 
-    def _lookup_lifetime_s(self) -> float:
-        config = self._follower.site_config()
-        if sentinels.is_absent(config):
-            return 0.0
-        return config.policy.lookup_lifetime_s + hosts.HEARTBEAT_S
-
-    def _ledger_opened_s(self) -> float:
-        config = self._follower.site_config()
-        if sentinels.is_absent(config):
-            return 0.0
-        return config.policy.ledger_opened_at_s
-
-    def _retention_s(self) -> float:
-        config = self._follower.site_config()
-        if sentinels.is_absent(config):
-            return DEFAULT_RETENTION_S
-        return config.policy.ledger_retention_s
-
-    def _quarantine_s(self) -> float:
+    def _policy(self, field: str, *, otherwise: float) -> float:
         config = self._follower.site_config()
         if sentinels.is_absent(config):
-            return request_path.DEFAULT_QUARANTINE_S
-        return config.policy.crash_quarantine_s
+            return otherwise
+        return getattr(config.policy, field)
 
     def _on_state(self) -> None:
         has_config = not sentinels.is_absent(self._follower.site_config())
