--- a/src/skylarkpitch/dissemination/follower.py
+++ b/src/skylarkpitch/dissemination/follower.py
@@ -166,6 +166,7 @@
             pulse = pulse.without_hold()
         self._is_served = await self._ask(source, pulse=pulse)
         if self._is_served:
+            self._choice.succeeded()
             self._source = source
             self._answering = []
             self._fruitless_rounds = 0
--- a/src/skylarkpitch/dissemination/tree.py
+++ b/src/skylarkpitch/dissemination/tree.py
@@ -58,7 +58,7 @@
     if host in relays or host not in ranked:
         wanted += [*control, *relays]
     else:
-        wanted += [*_parents(ranked, host), *relays, *control]
+        wanted += [*_parents(ranked, host), *rank(host, relays), *control]
     kept = dict.fromkeys(wanted)
     if 'control' not in own.roles:
         kept.pop(host, None)
--- a/tests/test_dissemination_parts.py
+++ b/tests/test_dissemination_parts.py
@@ -97,6 +97,12 @@
     assert not chosen.failed(now_s=100.0)
     assert chosen.failed(now_s=100.0)
     assert chosen.current(now_s=100.0) == 'a'
+    assert not chosen.failed(now_s=100.0)
+    chosen.stay_with('b', now_s=100.0)
+    assert chosen.current(now_s=103.0) == 'b'
+    assert chosen.current(now_s=200.0) == 'a'
+    chosen.succeeded()
+    assert chosen.current(now_s=300.0) == 'a'
 
 
 @pytest.mark.parametrize(
