--- a/src/skylarkpitch/settings/deployment.py
+++ b/src/skylarkpitch/settings/deployment.py
@@ -340,6 +340,11 @@
     value and what is expected, or the fleet-wide section that the overlay
     must leave alone.
     """
+    if not isinstance(base, dict):
+        raise errors.ValidationError(
+            'the base is not a JSON object; write one with services, '
+            'organisations and regions'
+        )
     if not isinstance(overlay, dict):
         raise errors.ValidationError(
             f'overlay of site {site!r} is not a JSON object; write one'
