--- a/src/skylarkpitch/dissemination/follower.py
+++ b/src/skylarkpitch/dissemination/follower.py
@@ -11,6 +11,7 @@
 
 from skylarkpitch.config import keys as caller_keys
 from skylarkpitch.dissemination import choice
+from skylarkpitch.dissemination import gather
 from skylarkpitch.dissemination import leases
 from skylarkpitch.dissemination import pulse as pulses
 from skylarkpitch.dissemination import replica as replicas
@@ -184,7 +185,7 @@
             for name in answering[:MAX_HELD_QUESTIONS]
         }
         try:
-            useful = await _first_useful(set(held))
+            useful = await waiters.first_true(set(held))
         finally:
             self._answering = []
             for task in held:
@@ -304,7 +305,13 @@
             return
         if waited_s < CUT_OFF_AFTER_S:
             return
-        newest = await self._newest_neighbour()
+        newest = await gather.newest_neighbour(
+            peers=self._peers,
+            question=self._replica.question(
+                now_s=self._clock(), hold_s=0.0, wants_parts=False
+            ),
+            timeout_s=GATHER_TIMEOUT_S,
+        )
         if newest is None:
             return
         pulse = pulses.Pulse(
@@ -315,39 +322,3 @@
         if self.version >= version and self._serving.allow_cut_off():
             _log.warning('state_stale_served', version=self.version)
             self._on_change()
-
-    async def _newest_neighbour(self) -> tuple[str, int] | None:
-        """Return the newest holder; None unless every neighbour answers."""
-        found: list[tuple[int, str]] = []
-        for host in self._peers.directory.in_failure_domain(
-            self._own.failure_domain
-        ):
-            if host.name == self._own.name:
-                continue
-            question = self._replica.question(
-                now_s=self._clock(), hold_s=0.0, wants_parts=False
-            )
-            answer = await self._peers.ask(
-                host.name, question, timeout_s=GATHER_TIMEOUT_S
-            )
-            if isinstance(answer, sentinels.Absent):
-                return None
-            found.append((answer.version, host.name))
-        if not found or max(found)[0] == 0:
-            return None
-        version, name = max(found)
-        return name, version
-
-
-async def _first_useful(
-    pending: set[asyncio.Task[bool]],
-) -> asyncio.Task[bool] | None:
-    """Return the first task that ends with True, or None."""
-    while pending:
-        done, pending = await asyncio.wait(
-            pending, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            if task.result():
-                return task
-    return None
--- a/src/skylarkpitch/dissemination/waiters.py
+++ b/src/skylarkpitch/dissemination/waiters.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-__all__ = ['Waiters']
+__all__ = ['Waiters', 'first_true']
 
 
 class Waiters:
@@ -40,3 +40,17 @@
         except TimeoutError:
             return False
         return True
+
+
+async def first_true(
+    pending: set[asyncio.Task[bool]],
+) -> asyncio.Task[bool] | None:
+    """Return the first task that ends with True, or None."""
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task.result():
+                return task
+    return None
