Follow the operation chart, and blame callers for their broken bodies

A body over the limit or too slow while it was streamed read as a death of the upstream: it backed the upstream off and fed crash suspicion. Such a failure is the caller's now, at the chooser and at the relay.

The claimer takes the events of charts/operation.yaml from a table that is read once, so a release after the request has left is an InvariantError. An unexpected error of ours is a typed refusal with an unknown outcome.

--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -112,7 +112,7 @@
             service=call.matched.service_name,
             caller=call.caller,
             request_class=call.matched.route.request_class,
-            body_bytes=len(body.head),
+            body_bytes=body.size_bytes,
             deadline_s=call.deadline_s,
             exclude=excluded,
         )
@@ -151,6 +151,7 @@
         if isinstance(result, exchange.Answer) and _is_remote(slot):
             result = relay_outcomes.translate(result)
         if isinstance(result, exchange.Failure):
+            result = exchange.without_blame(result, broken=body.broken)
             finish(result.exchange)
             return _failed(result, sent=sent or result.sent)
         if result.whole:
--- a/src/skylarkpitch/requests/bodies.py
+++ b/src/skylarkpitch/requests/bodies.py
@@ -19,32 +19,53 @@
 
 
 class CallerBody:
-    """Body of one request: what was read so far, and the rest of it."""
+    """Body of one request: what was read so far, and the rest of it.
+
+    ``broken`` is the reason of a refusal once the rest could not be read,
+    so that its upstream is not held to account.
+    """
 
     def __init__(
-        self, *, head: bytes, rest: AsyncIterator[bytes] | None
+        self,
+        *,
+        head: bytes,
+        rest: AsyncIterator[bytes] | None,
+        length: int | None = None,
     ) -> None:
         self.head = head
         self.rest = rest
+        self.broken = ''
+        self._length = length
 
     @property
     def whole(self) -> bool:
         """Tell whether ``head`` is the whole body."""
         return self.rest is None
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the announced size, or what was read so far."""
+        return max(len(self.head), self._length or 0)
+
     def content(self) -> bytes | AsyncIterator[bytes]:
         """Return the body as it is sent on."""
-        if self.rest is None:
-            return self.head
-        return _joined(self.head, self.rest)
+        return self.head if self.rest is None else self._sent_on()
 
-
-async def _joined(
-    head: bytes, rest: AsyncIterator[bytes]
-) -> AsyncIterator[bytes]:
-    yield head
-    async for chunk in rest:
-        yield chunk
+    async def _sent_on(self) -> AsyncIterator[bytes]:
+        if self.head:
+            yield self.head
+        try:
+            async for chunk in self.rest:
+                yield chunk
+        except ValueError:
+            self.broken = 'body_too_large'
+            raise
+        except TimeoutError:
+            self.broken = 'body_timeout'
+            raise
+        except (ConnectionError, web.RequestPayloadError):
+            self.broken = 'caller_gone'
+            raise
 
 
 class BodyReader:
--- a/src/skylarkpitch/requests/exchange.py
+++ b/src/skylarkpitch/requests/exchange.py
@@ -19,7 +19,14 @@
 from skylarkpitch.requests import headers as header_rules
 from skylarkpitch.settings import daemon
 
-__all__ = ['Answer', 'Exchanger', 'Failure', 'Outgoing', 'judged']
+__all__ = [
+    'Answer',
+    'Exchanger',
+    'Failure',
+    'Outgoing',
+    'judged',
+    'without_blame',
+]
 
 HEAD_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
@@ -280,6 +287,22 @@
     return ports.Exchange.ANSWERED
 
 
+def without_blame(failure: Failure, *, broken: str) -> Failure:
+    """Put a failure down to the sender when its body broke off.
+
+    ``broken`` is the reason of the refusal, or empty.
+    """
+    if not broken:
+        return failure
+    return dataclasses.replace(
+        failure,
+        exchange=ports.Exchange.CANCELLED,
+        reason=broken,
+        message='the body broke off while it was sent on',
+        died=False,
+    )
+
+
 def _destination(
     slot: ports.Slot, target: str
 ) -> tuple[yarl.URL, list[tuple[str, str]]]:
--- a/src/skylarkpitch/requests/ledger_service.py
+++ b/src/skylarkpitch/requests/ledger_service.py
@@ -26,6 +26,7 @@
 from skylarkpitch.requests import ledger
 from skylarkpitch.requests import ledger_members
 from skylarkpitch.requests import operation_ids
+from skylarkpitch.requests import operation_life
 from skylarkpitch import sentinels
 
 __all__ = ['OperationLedger']
@@ -39,6 +40,12 @@
 
 _log = structlog.get_logger(__name__)
 
+# A claim is settled after its end, so the chart's events come at once.
+_EVENTS = {
+    ledger.State.RECORDED: ('send', 'answer'),
+    ledger.State.UNKNOWN: ('send', 'lose'),
+    ledger.State.RELEASED: ('release',),
+}
 _REASONS = {
     claims.Verdict.REUSED: 'id_reused',
     claims.Verdict.UNKNOWN: 'outcome_unknown',
@@ -53,6 +60,7 @@
 
     region: str
     register: messages.Register
+    life: operation_life.OperationLife
 
 
 class OperationLedger(mode.Service):
@@ -84,7 +92,6 @@
         self._started_s = wall_clock()
         self._start_id = f'{self._own}.{int(self._started_s * 1e6)}'
         self._numbers = itertools.count(1)
-        self._unsettled: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._counts = {'won': 0, 'replayed': 0, 'refused': 0, 'rounds': 0}
         self._members = ledger_members.LedgerMembers(
@@ -184,7 +191,7 @@
         kept = answer.whole and len(answer.body) <= ledger.MAX_ANSWER_BYTES
         await self._settle(
             claimed,
-            state=ledger.State.RECORDED.value,
+            ledger.State.RECORDED,
             status=answer.status,
             headers=answer.headers,
             body=answer.body if kept else b'',
@@ -193,11 +200,11 @@
 
     async def release(self, claimed: ports.Claimed) -> None:
         """Give the claim back; only when no byte of the request left."""
-        await self._settle(claimed, state=ledger.State.RELEASED.value)
+        await self._settle(claimed, ledger.State.RELEASED)
 
     async def lose(self, claimed: ports.Claimed) -> None:
         """Mark the outcome as unknown; the operation never runs again."""
-        await self._settle(claimed, state=ledger.State.UNKNOWN.value)
+        await self._settle(claimed, ledger.State.UNKNOWN)
 
     def _regions(self) -> set[str]:
         return {host.region for host in self._peers.directory.all()}
@@ -277,11 +284,13 @@
 
     def _win(self, asked: messages.Claim) -> ports.Claimed:
         self._counts['won'] += 1
-        self._unsettled.add(asked.token)
+        life = operation_life.OperationLife()
+        life.take('claim')
         return _Won(
             operation_id=asked.operation_id,
             region=asked.region,
             register=_register(asked, ledger.State.CLAIMED.value),
+            life=life,
         )
 
     def _end(
@@ -318,19 +327,20 @@
         self._counts['refused'] += 1
         return sentinels.Absent(reason, detail)
 
-    async def _settle(self, claimed: ports.Claimed, **changes: Any) -> None:
-        won = claimed
-        if not isinstance(won, _Won) or (
-            won.register.token not in self._unsettled
-        ):
+    async def _settle(
+        self, claimed: ports.Claimed, state: ledger.State, **changes: Any
+    ) -> None:
+        if not isinstance(claimed, _Won):
             raise errors.InvariantError(
-                f'operation {claimed.operation_id!r} is settled twice or '
-                'was not claimed here; settle each claim once'
+                f'operation {claimed.operation_id!r} was not claimed here; '
+                'settle the claim that claim() returned'
             )
-        self._unsettled.discard(won.register.token)
-        register = dataclasses.replace(won.register, **changes)
-        members = self._list_of(won.region)
-        await self._tell(won.region, members, register)
+        claimed.life.take(*_EVENTS[state])
+        register = dataclasses.replace(
+            claimed.register, state=state.value, **changes
+        )
+        members = self._list_of(claimed.region)
+        await self._tell(claimed.region, members, register)
 
     async def _tell(
         self,
--- a/src/skylarkpitch/requests/path.py
+++ b/src/skylarkpitch/requests/path.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from aiohttp import web
+import structlog
 
 from skylarkpitch import ports
 from skylarkpitch.requests import admission
@@ -30,6 +31,8 @@
 
 DEFAULT_QUARANTINE_S = 300.0
 
+_log = structlog.get_logger(__name__)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Done:
@@ -143,6 +146,9 @@
         except asyncio.CancelledError:
             call.reason = 'cancelled'
             raise
+        except Exception:
+            _log.exception('call_failed', method=request.method)
+            response = self._refuse(call, sentinels.Absent('host_failed'))
         finally:
             self._handling -= 1
             if call.body is not None:
@@ -319,9 +325,14 @@
     def _spawn(self, work: Awaitable[Any]) -> asyncio.Task[Any]:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
         return task
 
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error('claim_end_failed', error=str(task.exception()))
+
 
 def _discard_answer(task: asyncio.Task[attempts.Ended]) -> None:
     """Give back what an answer holds that nobody waits for any more."""
--- a/src/skylarkpitch/requests/refusals.py
+++ b/src/skylarkpitch/requests/refusals.py
@@ -81,6 +81,7 @@
     (422, 'crash_suspect', _NOT_RUN, 'do not send this request again'),
     (429, 'rate_exceeded', _NOT_RUN, 'send again after Retry-After'),
     (431, 'headers_too_large', _NOT_RUN, 'send smaller headers'),
+    (500, 'host_failed', _UNKNOWN, 'send again with the same id'),
     (502, 'upstream_failed', _UNKNOWN, 'send again with the same id'),
     (502, 'upstream_malformed', _UNKNOWN, 'send again with the same id'),
     (503, 'no_room', _NOT_RUN, 'send again after Retry-After'),
@@ -132,6 +133,7 @@
     'caller_gone': 'the body ended before its announced length',
     'crash_suspect': 'upstreams died while running this request',
     'deadline_exceeded': 'the deadline passed before the request could run',
+    'host_failed': 'this host failed while it handled the request',
     'host_busy': 'this host runs as many calls as it may',
     'id_expired': (
         'the id is older than the record of operations, which cannot tell '
--- a/src/skylarkpitch/requests/relay.py
+++ b/src/skylarkpitch/requests/relay.py
@@ -81,10 +81,12 @@
     ) -> tuple[web.StreamResponse, ports.Exchange]:
         self._counts['relayed'] += 1
         deadline_s = self._clock() + _deadline_s(request)
+        body = self._body(request)
         result = await self._exchanger.run(
-            slot, self._outgoing(request, target), deadline_s=deadline_s
+            slot, _outgoing(request, body, target), deadline_s=deadline_s
         )
         if isinstance(result, exchange.Failure):
+            result = exchange.without_blame(result, broken=body.broken)
             self._counts['failed'] += 1
             headers = relay_outcomes.failure_headers(result)
             return web.Response(status=502, headers=headers), result.exchange
@@ -101,26 +103,11 @@
             write_timeout_s=self._settings.body_timeout_s,
         )
 
-    def _outgoing(
-        self, request: web.Request, target: str
-    ) -> exchange.Outgoing:
-        headers = header_rules.end_to_end(request.headers)
-        promised = tuple(
-            (name, request.headers[name])
-            for name in _PASSED_ON
-            if name in request.headers
-        )
-        body = b''
-        if request.body_exists:
-            body = bodies.stream(request, settings=self._settings)
-        # The chooser decides on retries, so none happens here.
-        return exchange.Outgoing(
-            method=request.method,
-            target=target,
-            headers=headers + promised,
-            body=body,
-            repeatable=request.method in ('GET', 'HEAD'),
-        )
+    def _body(self, request: web.Request) -> bodies.CallerBody:
+        if not request.body_exists:
+            return bodies.CallerBody(head=b'', rest=None)
+        rest = bodies.stream(request, settings=self._settings)
+        return bodies.CallerBody(head=b'', rest=rest)
 
     def _refuse_ticket(self) -> web.Response:
         self._counts['ticket_refused'] += 1
@@ -128,6 +115,24 @@
         return web.Response(status=410, headers=headers)
 
 
+def _outgoing(
+    request: web.Request, body: bodies.CallerBody, target: str
+) -> exchange.Outgoing:
+    promised = tuple(
+        (name, request.headers[name])
+        for name in _PASSED_ON
+        if name in request.headers
+    )
+    return exchange.Outgoing(
+        method=request.method,
+        target=target,
+        headers=header_rules.end_to_end(request.headers) + promised,
+        body=body.content(),
+        # The chooser decides on retries, so none happens here.
+        repeatable=request.method in ('GET', 'HEAD'),
+    )
+
+
 def _deadline_s(request: web.Request) -> float:
     text = request.headers.get(header_rules.DEADLINE_HEADER, '')
     if text.isascii() and text.isdigit() and len(text) < 12:
--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -10,6 +10,7 @@
 from skylarkpitch import errors
 from skylarkpitch import ports
 from skylarkpitch.requests import ledger_service
+from skylarkpitch.requests import operation_life
 from skylarkpitch import sentinels
 from tests.stand_ins import fake_peers
 
@@ -131,6 +132,29 @@
     run(go())
 
 
+@pytest.mark.parametrize(
+    'events, state',
+    [
+        (('claim', 'release'), 'not_run'),
+        (('claim', 'send', 'answer'), 'recorded'),
+        (('claim', 'send', 'lose'), 'unknown'),
+        (('claim', 'send', 'release'), None),
+        (('send',), None),
+        (('claim', 'send', 'lose', 'answer'), None),
+        (('claim', 'release', 'send'), None),
+    ],
+)
+def test_operation_follows_its_chart(events, state):
+    life = operation_life.OperationLife()
+    if state is None:
+        with pytest.raises(errors.InvariantError):
+            life.take(*events)
+        assert life.state == 'unclaimed'
+        return
+    life.take(*events)
+    assert life.state == state
+
+
 def test_dead_claimer_leaves_an_unknown_outcome():
     async def go():
         async with fleet(*HOSTS) as made:
--- a/tests/test_requests_exchange.py
+++ b/tests/test_requests_exchange.py
@@ -484,3 +484,32 @@
     answer, body = run(go())
     assert body == b'ok'
     assert answer.headers['X-Name'] == 'caf?'
+
+
+@pytest.mark.parametrize(
+    'chunks, pause_s, reason',
+    [(40, 0, 'body_too_large'), (12, 0.2, 'body_timeout')],
+)
+def test_upstream_is_not_blamed_for_a_body_that_breaks_off(
+    chunks, pause_s, reason
+):
+    async def script(reader, writer):
+        await reader.read()
+
+    async def body():
+        for number in range(chunks):
+            if number == 10:
+                await asyncio.sleep(pause_s)
+            yield b'x' * 10000
+
+    async def go():
+        limits = {'max_body_bytes': 300000, 'body_timeout_s': 0.1}
+        async with raw_bench(script, **limits) as bench:
+            answer, _ = await get(bench, method='PUT', data=body())
+            assert answer.headers['Skylark-Reason'] == reason
+            assert answer.headers['Skylark-Outcome'] == 'unknown'
+            assert bench.room.slots[0].ends == ['cancelled']
+            assert bench.path.counters()['deaths'] == 0
+            assert bench.path.counters()['held_body_bytes'] == 0
+
+    run(go())
--- a/tests/test_requests_path.py
+++ b/tests/test_requests_path.py
@@ -205,3 +205,16 @@
                 assert answer.headers['Skylark-Reason'] == 'state_stale'
 
     run(go())
+
+
+def test_fault_of_the_host_is_a_typed_refusal():
+    async def go():
+        async with benched('http://127.0.0.1:1') as bench:
+            bench.limiter.spend = None
+            async with bench.caller.get('/svc/a', headers=KEY) as answer:
+                assert answer.status == 500
+                assert answer.headers['Skylark-Reason'] == 'host_failed'
+                assert answer.headers['Skylark-Outcome'] == 'unknown'
+        assert bench.path.running == 0
+
+    run(go())
