Bound the held questions of a host

The transport runs at most 2,000 handlers and drops what comes after. At full size a lost quorum could leave 2,800 questions held on each of five control hosts and crowd out the log's own messages. Now 500 are held and the others answered at once, and a host whose held questions brought nothing waits before its next round, so that this makes no storm. Adds tables for the end of the lease and for proofs from before the start.

--- a/src/skylarkpitch/dissemination/follower.py
+++ b/src/skylarkpitch/dissemination/follower.py
@@ -27,7 +27,6 @@
 
 __all__ = ['StateFollower']
 
-MAX_HOLD_S = 10.0
 RETRY_S = 0.25
 LONGEST_RETRY_S = 2.0
 REPORT_S = 0.5
@@ -190,9 +189,12 @@
             self._answering = []
             for task in held:
                 task.cancel()
-        if useful is not None:
-            self._is_served = True
-            self._choice.stay_with(held[useful], now_s=self._clock())
+        if useful is None:
+            await self.sleep(self._retry_s())
+            return
+        self._is_served = True
+        self._fruitless_rounds = 0
+        self._choice.stay_with(held[useful], now_s=self._clock())
 
     def _retry_s(self) -> float:
         """Return a random wait that grows with each fruitless round."""
@@ -286,7 +288,7 @@
             lambda: self._replica.has_news(
                 question, arrived_at_s=arrived_at_s
             ),
-            timeout_s=min(question.hold_s, MAX_HOLD_S),
+            timeout_s=min(question.hold_s, self._waiters.longest_s),
         )
         return self._replica.answer(
             question, arrived_at_s=arrived_at_s, now_s=self._clock()
--- a/src/skylarkpitch/dissemination/source.py
+++ b/src/skylarkpitch/dissemination/source.py
@@ -22,7 +22,6 @@
 
 __all__ = ['StateSource']
 
-MAX_HOLD_S = 10.0
 MIN_PERIOD_S = 0.05
 RETRY_S = 0.2
 FORWARD_S = 0.2
@@ -242,7 +241,7 @@
                 proven_at_s=self._proven_at_s,
                 arrived_at_s=arrived_at_s,
             ),
-            timeout_s=min(question.hold_s, MAX_HOLD_S),
+            timeout_s=min(question.hold_s, self._waiters.longest_s),
         )
         answer = answers.answer_to(
             question,
--- a/src/skylarkpitch/dissemination/waiters.py
+++ b/src/skylarkpitch/dissemination/waiters.py
@@ -6,6 +6,10 @@
 __all__ = ['Waiters', 'first_true']
 
 
+MAX_WAITING = 500
+LONGEST_WAIT_S = 10.0
+
+
 class Waiters:
     """Wake waiting tasks to look at their condition again."""
 
@@ -18,6 +22,15 @@
         self._event.set()
         self._event = asyncio.Event()
 
+    @property
+    def longest_s(self) -> float:
+        """Return how long one more task may wait.
+
+        Nobody waits beyond ``MAX_WAITING``, so that held questions leave
+        room for the other messages of a host.
+        """
+        return LONGEST_WAIT_S if self.waiting < MAX_WAITING else 0.0
+
     async def wait_for(
         self, condition: Callable[[], bool], *, timeout_s: float
     ) -> bool:
--- a/tests/test_dissemination_parts.py
+++ b/tests/test_dissemination_parts.py
@@ -1,19 +1,28 @@
 """Tests of the pure parts of dissemination."""
 
+import asyncio
+import json
 import random
 
 import pytest
 
+from skylarkpitch.config import keys as caller_keys
+from skylarkpitch.config import parts
+from skylarkpitch.config import view
 from skylarkpitch.dissemination import choice
 from skylarkpitch.dissemination import freshness
 from skylarkpitch.dissemination import leases
 from skylarkpitch.dissemination import pulse
 from skylarkpitch.dissemination import replica as replicas
 from skylarkpitch.dissemination import reports
+from skylarkpitch.dissemination import serving
 from skylarkpitch.dissemination import tree
+from skylarkpitch.dissemination import waiters
 from skylarkpitch.messages import dissemination as messages
 from skylarkpitch.peers import directory as directories
+from tests.stand_ins import control_fleet
 from tests.stand_ins import fake_peers
+from tests.stand_ins import virtual_time
 
 
 @pytest.mark.parametrize(
@@ -209,3 +218,84 @@
     assert taken.is_proof and not taken.kinds
     assert replica.version == 5 and replica.proven_at_s == 11.0
     assert not replica.view.drains
+
+
+KEY = caller_keys.new_key(random.Random(1).randbytes)
+UNKNOWN = caller_keys.new_key(random.Random(2).randbytes)
+
+
+def serving_state(*, started_at_s, proven_at_s, lease_s=None):
+    """Return a host's state with one key and a proof."""
+    document = json.loads(control_fleet.BASE)
+    document['organisations']['daegu-pans']['key_lease_s'] = lease_s
+    record = caller_keys.KeyRecord(
+        organisation='daegu-pans',
+        salt=KEY.salt,
+        secret_hash=KEY.secret_hash,
+        issued_at_s=0.0,
+    )
+    replica = replicas.Replica(site='seoul-a')
+    for key, value in parts.split(document, ('base',)).items():
+        replica.view.put(key, value)
+    replica.view.put(('key', KEY.key_id), view.encode_key(record))
+    replica.proven_at_s = proven_at_s
+    state = serving.ServingState(
+        replica=replica, site='seoul-a', started_at_s=started_at_s
+    )
+    state.update(frozenset({'base'}))
+    state.confirm()
+    return state
+
+
+@pytest.mark.parametrize(
+    'key, now_s, lease_s, said',
+    [
+        ('valid', 104.94, None, 'daegu-pans'),
+        ('valid', 104.96, None, 'key_lease_expired'),
+        ('valid', 159.39, 60, 'daegu-pans'),
+        ('valid', 159.41, 60, 'key_lease_expired'),
+        ('valid', 101.97, 2, 'daegu-pans'),
+        ('valid', 101.99, 2, 'key_lease_expired'),
+        ('unknown', 104.94, 60, 'key_unknown'),
+        ('unknown', 104.96, 60, 'key_lease_expired'),
+        ('nonsense', 200.0, None, 'key_malformed'),
+        ('', 100.0, None, 'key_missing'),
+        (None, 100.0, None, 'key_missing'),
+    ],
+)
+def test_lease_ends_early_by_the_drift(key, now_s, lease_s, said):
+    state = serving_state(
+        started_at_s=99.0, proven_at_s=100.0, lease_s=lease_s
+    )
+    text = {'valid': KEY.text, 'unknown': UNKNOWN.text}.get(key, key)
+    found = state.authenticate(text, now_s=now_s)
+    assert (getattr(found, 'reason', '') or found.organisation) == said
+
+
+@pytest.mark.parametrize(
+    'started_at_s, serves', [(99.0, True), (100.0, True), (100.1, False)]
+)
+def test_proof_from_before_the_start_serves_nothing(started_at_s, serves):
+    state = serving_state(started_at_s=started_at_s, proven_at_s=100.0)
+    assert bool(state.site_config()) is serves
+    found = state.authenticate(KEY.text, now_s=100.2)
+    assert (found.reason == 'state_stale') if not serves else found
+
+
+def test_no_question_waits_beyond_the_bound(monkeypatch):
+    monkeypatch.setattr(waiters, 'MAX_WAITING', 1)
+
+    async def body():
+        waiting = waiters.Waiters()
+        first = asyncio.create_task(
+            waiting.wait_for(lambda: False, timeout_s=waiting.longest_s)
+        )
+        await asyncio.sleep(0)
+        assert waiting.longest_s == 0.0
+        assert not await waiting.wait_for(
+            lambda: False, timeout_s=waiting.longest_s
+        )
+        assert not await first
+        assert waiting.longest_s > 0.0
+
+    virtual_time.run(body())
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,10 +1,12 @@
 """Tests of keys and of the ring that checks them."""
 
+import random
+
 import pytest
 
 from skylarkpitch.config import keys as caller_keys
 
-MADE = caller_keys.new_key()
+MADE = caller_keys.new_key(random.Random(1).randbytes)
 RECORD = caller_keys.KeyRecord(
     organisation='daegu-pans',
     salt=MADE.salt,
