--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -253,7 +253,7 @@
         state.stable_index = state.log.last_index
         election.on_persisted(state, now_s=now_s)
         if self.is_leader:
-            replication.settle_commit(state, now_s=now_s)
+            replication.settle_commit(state)
         self._advance(now_s)
 
     def _advance(self, now_s: float) -> None:
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -231,7 +231,7 @@
     item.probing = False
     item.match_index = max(item.match_index, reply.index)
     item.next_index = max(item.next_index, item.match_index + 1)
-    settle_commit(state, now_s=now_s)
+    settle_commit(state)
     _send_more(state, reply.sender, now_s)
 
 
@@ -272,15 +272,13 @@
     return index if committable else state.commit_index
 
 
-def settle_commit(state: states.State, *, now_s: float) -> None:
-    """Commit what a quorum holds and tell the members."""
-    index = next_commit_index(state)
-    if index == state.commit_index:
-        return
-    state.commit_index = index
-    for other, item in state.progress.items():
-        if item.next_index > state.log.last_index:
-            _send_append(state, other, item.next_index - 1, ())
+def settle_commit(state: states.State) -> None:
+    """Commit what a quorum holds; the members hear of it with the next send.
+
+    A notice of its own would double the messages of each commit, and only
+    the leader answers for the committed state.
+    """
+    state.commit_index = next_commit_index(state)
 
 
 def answer_snapshot(
