--- a/benchmarks/replicated_log.py
+++ b/benchmarks/replicated_log.py
@@ -50,9 +50,7 @@
 
     async def start(self, *names):
         for name in names:
-            peers = test_network.make_network(
-                name, self._hosts, self._secrets
-            )
+            peers = test_network.make_network(name, self._hosts, self._secrets)
             await peers.start()
             self.networks[name] = peers
             self.machines[name] = counting_machine.CountingMachine()
--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
+import dataclasses
 import random
 
 from skylarkpitch.consensus import election
@@ -23,27 +23,17 @@
 __all__ = ['Core', 'Recovered']
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Recovered:
     """What a member finds in its data folder at start."""
 
-    def __init__(
-        self,
-        *,
-        cluster: str = '',
-        founders: tuple[str, ...] = (),
-        hard_state: states.HardState | None = None,
-        snapshot: messages.SnapshotInfo | None = None,
-        base_index: int = 0,
-        base_term: int = 0,
-        entries: Iterable[messages.Entry] = (),
-    ) -> None:
-        self.cluster = cluster
-        self.founders = founders
-        self.hard_state = hard_state or states.HardState()
-        self.snapshot = snapshot
-        self.base_index = base_index
-        self.base_term = base_term
-        self.entries = tuple(entries)
+    cluster: str = ''
+    founders: tuple[str, ...] = ()
+    hard_state: states.HardState = states.HardState()
+    snapshot: messages.SnapshotInfo | None = None
+    base_index: int = 0
+    base_term: int = 0
+    entries: tuple[messages.Entry, ...] = ()
 
 
 class Core:
@@ -266,15 +256,15 @@
     def propose(self, command: bytes) -> int:
         """Append a command and return its index.
 
-        Raises ``NotLeaderError``. Call :meth:`send_proposed` after one or
-        several.
+        Raises ``NotLeaderError``. Call :meth:`flush` after one or several.
         """
         self._check_leads()
         return self._state.append(messages.EntryKind.COMMAND, command)
 
-    def send_proposed(self, *, now_s: float) -> None:
-        """Send what was proposed to the members that follow closely."""
+    def flush(self, *, now_s: float) -> None:
+        """Send what was proposed and asked since the last call."""
         replication.send_entries(self._state, now_s=now_s)
+        self._advance(now_s)
 
     def add_learner(self, identity: str, *, now_s: float) -> int:
         """Add a member; see :func:`membership.add_learner`."""
@@ -286,15 +276,14 @@
         self._check_leads()
         return membership.remove(self._state, identity, now_s=now_s)
 
-    def ask(self, token: object, *, now_s: float) -> None:
+    def ask(self, token: object) -> None:
         """Ask the quorum whether the committed state is current.
 
         The token comes back from :meth:`take_confirmed`. Raises
-        ``NotLeaderError``.
+        ``NotLeaderError``. Call :meth:`flush` after one or several.
         """
         self._check_leads()
         reads.ask(self._state, token)
-        self._advance(now_s)
 
     def take_confirmed(self) -> list[states.Read]:
         """Return the questions that were answered."""
--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -137,7 +137,7 @@
             item(now_s)
         if now_s >= self.core.next_due_s():
             self.core.tick(now_s=now_s)
-        self.core.send_proposed(now_s=now_s)
+        self.core.flush(now_s=now_s)
         while output := self.core.take_output():
             await self._act(output)
         await self._apply()
@@ -192,6 +192,13 @@
             return self._machine.apply(entry.index, entry.data)
         except errors.SkylarkError as error:
             return error
+        except Exception as error:
+            # Every member fails alike on it, so none may stop for it.
+            _log.exception('apply_failed', index=entry.index)
+            return errors.InvariantError(
+                f'the change at {entry.index} failed ({error!r}); report '
+                'this as a fault of the program'
+            )
 
     def _settle(self) -> None:
         state = self.core.state
--- /dev/null
+++ b/src/skylarkpitch/consensus/introductions.py
@@ -0,0 +1,49 @@
+"""Ask other control hosts who they are."""
+
+import asyncio
+from collections.abc import Iterable
+
+from skylarkpitch.consensus import founding
+from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.messages import consensus as messages
+from skylarkpitch.peers import network
+from skylarkpitch import sentinels
+
+__all__ = ['ask', 'look_for_founders']
+
+TIMEOUT_S = 1.0
+
+
+async def ask(
+    peers: network.Peers, host: str, *, identity: str
+) -> messages.Introduction | sentinels.Absent:
+    """Return a host's introduction, or why there is none."""
+    question = messages.IntroductionAsk(identity=identity)
+    answer = await peers.ask(host, question, timeout_s=TIMEOUT_S)
+    if sentinels.is_absent(answer):
+        return answer
+    if member_sets.host_of(answer.identity) != host:
+        return sentinels.Absent('identity_of_other_host', answer.identity)
+    return answer
+
+
+async def look_for_founders(
+    peers: network.Peers, *, identity: str, voters: Iterable[str]
+) -> tuple[str, ...] | sentinels.Absent:
+    """Return founders to join or to found with; see :mod:`founding`."""
+    own = peers.directory.own.name
+    control = {host.name for host in peers.directory.with_role('control')}
+    hosts = sorted((control | set(voters)) - {own})
+    answers = await asyncio.gather(
+        *(ask(peers, host, identity=identity) for host in hosts)
+    )
+    return founding.decide(
+        identity=identity,
+        voters=voters,
+        control_hosts=hosts,
+        answers={
+            host: answer
+            for host, answer in zip(hosts, answers, strict=True)
+            if not sentinels.is_absent(answer)
+        },
+    )
--- a/src/skylarkpitch/consensus/journal.py
+++ b/src/skylarkpitch/consensus/journal.py
@@ -77,8 +77,8 @@
 class Journal:
     """The journal of one member, open for writing.
 
-    Any error leaves it closed for writing, since what an operating system
-    holds after a failed sync is unknown.
+    Write no more after an error: what the operating system holds after a
+    failed sync is unknown.
     """
 
     def __init__(
@@ -303,6 +303,6 @@
         snapshot=info,
         base_index=base.index,
         base_term=base.term,
-        entries=entries,
+        entries=tuple(entries),
     )
     return recovered, state
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -18,7 +18,7 @@
 
 from skylarkpitch.consensus import engine as engines
 from skylarkpitch.consensus import folder as folders
-from skylarkpitch.consensus import founding
+from skylarkpitch.consensus import introductions
 from skylarkpitch.consensus import members as member_sets
 from skylarkpitch.consensus import ports
 from skylarkpitch.consensus import state as states
@@ -32,7 +32,6 @@
 MAX_COMMAND_BYTES = 16 * 1024 * 1024
 MAX_INBOX_ITEMS = 20_000
 FOUNDING_INTERVAL_S = 0.2
-INTRODUCTION_TIMEOUT_S = 1.0
 
 MEMBER_MESSAGES = (
     messages.VoteAsk,
@@ -188,8 +187,9 @@
         ``NotLeaderError`` or ``UncertainError``.
         """
         self._check_works()
-        ask = messages.IntroductionAsk(identity=self._engine.journal.identity)
-        answer = await self._introduction_of(host, ask)
+        answer = await introductions.ask(
+            self._peers, host, identity=self._engine.journal.identity
+        )
         if sentinels.is_absent(answer):
             raise member_sets.MemberChangeError(
                 f'{host} does not answer ({answer}); start it with the '
@@ -269,7 +269,7 @@
             return
         self._engine.waiting.add_read(future)
         try:
-            self._core.ask(future, now_s=now_s)
+            self._core.ask(future)
         except errors.NotLeaderError as error:
             future.set_result(
                 sentinels.Absent('not_leader', error.leader or '')
@@ -303,24 +303,16 @@
             voters=self._voters,
         )
 
-    async def _introduction_of(
-        self, host: str, ask: messages.IntroductionAsk
-    ) -> messages.Introduction | sentinels.Absent:
-        answer = await self._peers.ask(
-            host, ask, timeout_s=INTRODUCTION_TIMEOUT_S
-        )
-        if sentinels.is_absent(answer):
-            return answer
-        if member_sets.host_of(answer.identity) != host:
-            return sentinels.Absent('identity_of_other_host', answer.identity)
-        return answer
-
     @mode.Service.task
     async def _found(self) -> None:
         """Look for founders, or found the cluster, at the first start."""
         told = None
         while not self.should_stop and not self._core.state.cluster:
-            found = await self._look_for_founders()
+            found = await introductions.look_for_founders(
+                self._peers,
+                identity=self._engine.journal.identity,
+                voters=self._voters,
+            )
             if not sentinels.is_absent(found):
                 self._put(functools.partial(self._join_founders, found))
             elif found != told:
@@ -332,27 +324,6 @@
         if not self._core.state.cluster:
             self._core.found(found, now_s=now_s)
 
-    async def _look_for_founders(
-        self,
-    ) -> tuple[str, ...] | sentinels.Absent:
-        own = self._peers.directory.own.name
-        control = {h.name for h in self._peers.directory.with_role('control')}
-        hosts = sorted((control | set(self._voters)) - {own})
-        ask = messages.IntroductionAsk(identity=self._engine.journal.identity)
-        answers = await asyncio.gather(
-            *(self._introduction_of(host, ask) for host in hosts)
-        )
-        return founding.decide(
-            identity=self._engine.journal.identity,
-            voters=self._voters,
-            control_hosts=hosts,
-            answers={
-                host: answer
-                for host, answer in zip(hosts, answers, strict=True)
-                if not sentinels.is_absent(answer)
-            },
-        )
-
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
@@ -363,6 +334,15 @@
             except (errors.JournalError, errors.InvariantError) as error:
                 self._fail(error)
                 return
+            except Exception as error:
+                _log.exception('log_step_failed')
+                self._fail(
+                    errors.InvariantError(
+                        f'a step failed ({error!r}); restart this host and '
+                        'report it as a fault of the program'
+                    )
+                )
+                return
             self._introduce()
 
     async def _sleep_until_due(self) -> None:
--- a/tests/stand_ins/simulated_log.py
+++ b/tests/stand_ins/simulated_log.py
@@ -305,7 +305,7 @@
         def ask(now_s):
             member.engine.waiting.add_read(future)
             try:
-                member.engine.core.ask(future, now_s=now_s)
+                member.engine.core.ask(future)
             except errors.NotLeaderError:
                 future.set_result(None)
 
