--- a/src/skylarkpitch/consensus/members.py
+++ b/src/skylarkpitch/consensus/members.py
@@ -76,7 +76,7 @@
     found = [i for i in everyone(members) if name in (i, host_of(i))]
     if not found:
         raise MemberChangeError(
-            f'{name} is no member; see skylark control status'
+            f'{name} is no member; see skylark members show'
         )
     if len(found) > 1:
         raise MemberChangeError(
@@ -123,7 +123,7 @@
     """Return the members without one of them."""
     if identity not in everyone(members):
         raise MemberChangeError(
-            f'{identity} is no member; see skylark control status'
+            f'{identity} is no member; see skylark members show'
         )
     if members.voters == (identity,):
         raise MemberChangeError(
