Ask for tokens, not only for shares, when a bucket runs low

Cause: after a region's death a host stood with an empty bucket of 47 tokens while three others each kept 60 idle ones: a domain whose burst was large enough asked for none. A low bucket now counts its empty part as needed, the margin on the rate falls as a bucket fills, a lender that does not answer is expected to have nothing, and a loan that is about right is renewed at half its lease only.

Ruled out: a margin of 1.05 on full buckets (surge up to 0.320) and two spare tokens a host (region's death up to 0.528).

--- a/src/skylarkpitch/limits/book.py
+++ b/src/skylarkpitch/limits/book.py
@@ -53,6 +53,11 @@
     wrongly_refused: int = 0
 
 
+# A loan that differs from the need by less is not resized before half its
+# lease is over.
+TOLERANCE_PERCENT = 25
+
+
 class Book:
     """Spend, ask and lend for every organisation of the configuration."""
 
@@ -128,6 +133,8 @@
             for lender, want in self._wants(name, now_s).items():
                 if (name, lender) in busy:
                     continue
+                if not urgent and self._can_wait(name, lender, want, now_s):
+                    continue
                 wish = self._wish(name, lender, want, now_s)
                 wishes.setdefault(lender, []).append(wish)
         return {
@@ -183,6 +190,13 @@
                 now_s=now_s,
             )
 
+    def lose(self, lender: str, request: messages.LoanRequest) -> None:
+        """Expect nothing more of a lender that did not answer."""
+        for wish in request.wishes:
+            organisation = self._organisations.get(wish.organisation)
+            if organisation is not None:
+                organisation.wishes.note_spare(lender, shares.NOTHING)
+
     def short_of(
         self, borrower: str, request: messages.LoanRequest, *, now_s: float
     ) -> tuple[str, ...]:
@@ -207,10 +221,7 @@
 
     def need(self, name: str, *, now_s: float) -> shares.Share:
         """Return what this host needs for its own calls."""
-        organisation = self._organisations[name]
-        return organisation.demand.need(
-            now_s=now_s, queued=organisation.queued, limit=organisation.limit
-        )
+        return _need(self._organisations[name], now_s)
 
     def _open(self, limit: shares.Share, now_s: float) -> Organisation:
         bounds = self._bounds
@@ -242,11 +253,10 @@
     def _domain_need(
         self, organisation: Organisation, now_s: float
     ) -> shares.Share:
-        need = organisation.demand.need(
-            now_s=now_s, queued=organisation.queued, limit=organisation.limit
-        )
         return organisation.wishes.local_total(
-            need, now_s=now_s, lease_s=self._bounds.lease_s
+            _need(organisation, now_s),
+            now_s=now_s,
+            lease_s=self._bounds.lease_s,
         ).at_most(organisation.limit)
 
     def _is_short(self, organisation: Organisation, now_s: float) -> bool:
@@ -276,6 +286,17 @@
             return {}
         return {holder: need}
 
+    def _can_wait(
+        self, name: str, lender: str, want: shares.Share, now_s: float
+    ) -> bool:
+        """Tell whether a loan is about right and lasts a while yet."""
+        account = self._organisations[name].account
+        held = account.borrowed_from(lender)
+        if not held:
+            return not want
+        left_s = account.expires_s(lender) - now_s
+        return left_s > self._bounds.lease_s / 2 and _is_near(held, want)
+
     def _wish(
         self, name: str, lender: str, want: shares.Share, now_s: float
     ) -> messages.LoanWish:
@@ -335,3 +356,25 @@
             spare_rate=planned.spare.rate,
             spare_burst=planned.spare.burst,
         )
+
+
+def _is_near(held: shares.Share, want: shares.Share) -> bool:
+    return all(
+        abs(one - other) * 100 <= TOLERANCE_PERCENT * max(one, other)
+        for one, other in (
+            (held.rate, want.rate),
+            (held.burst, want.burst),
+        )
+    )
+
+
+def _need(organisation: Organisation, now_s: float) -> shares.Share:
+    account = organisation.account
+    account.settle(now_s=now_s)
+    return organisation.demand.need(
+        now_s=now_s,
+        queued=organisation.queued,
+        limit=organisation.limit,
+        burst=account.own.burst,
+        tokens=account.tokens,
+    )
--- a/src/skylarkpitch/limits/demand.py
+++ b/src/skylarkpitch/limits/demand.py
@@ -8,7 +8,9 @@
 
 FAST_S = 0.25
 SLOW_S = 2.0
-RATE_MARGIN = 1.3
+FULL_RATE_MARGIN = 1.2
+EMPTY_RATE_MARGIN = 1.5
+LOW_FILL = 0.5
 BURST_S = 0.5
 SPARE_TOKENS = 1
 
@@ -37,17 +39,31 @@
         return max(self._fast - 1 / FAST_S, self._slow)
 
     def need(
-        self, *, now_s: float, queued: int, limit: shares.Share
+        self,
+        *,
+        now_s: float,
+        queued: int,
+        limit: shares.Share,
+        burst: int,
+        tokens: float,
     ) -> shares.Share:
-        """Return the share that covers the demand, within ``limit``."""
+        """Return the share that covers the demand, within ``limit``.
+
+        ``burst`` and ``tokens`` are the size of the bucket and what lies in
+        it, in micro-tokens. A bucket that runs low needs room beyond its
+        size, since only room that is lent anew brings tokens with it.
+        """
         rate = self.rate_per_s(now_s=now_s)
         if rate < 0.01 and not queued:
             return shares.NOTHING
-        wanted = shares.of(
-            rate_per_s=rate * RATE_MARGIN + queued,
-            burst=rate * BURST_S + SPARE_TOKENS + queued,
-        )
-        return wanted.at_most(limit)
+        wanted = rate * BURST_S + SPARE_TOKENS + queued
+        fill = min(1.0, tokens / shares.TOKEN / wanted)
+        margin = EMPTY_RATE_MARGIN
+        margin += (FULL_RATE_MARGIN - EMPTY_RATE_MARGIN) * fill
+        needed = shares.of(rate_per_s=rate * margin + queued, burst=wanted)
+        if fill < LOW_FILL:
+            needed = needed + shares.Share(0, max(0, burst - int(tokens)))
+        return needed.at_most(limit)
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = now_s - self._updated_s
--- a/src/skylarkpitch/limits/escrow.py
+++ b/src/skylarkpitch/limits/escrow.py
@@ -91,6 +91,11 @@
         loan = self._borrowed.get(lender)
         return shares.NOTHING if loan is None else loan.share
 
+    def expires_s(self, lender: str) -> float:
+        """Return when a loan to this host ends; 0 if there is none."""
+        loan = self._borrowed.get(lender)
+        return 0.0 if loan is None else loan.expires_s
+
     def lent(self) -> dict[tuple[str, int], shares.Share]:
         """Return what this host lends, by borrower and incarnation."""
         return {key: loan.share for key, loan in self._lent.items()}
--- a/src/skylarkpitch/limits/service.py
+++ b/src/skylarkpitch/limits/service.py
@@ -329,6 +329,7 @@
             self._busy -= pairs
         if not isinstance(answer, messages.LoanAnswer):
             self._counts['lost'] += 1
+            self._book.lose(lender, request)
             return
         now_s = self._clock()
         self._book.accept(lender, answer, sent_s=sent_s, now_s=now_s)
