--- /dev/null
+++ b/benchmarks/capacity_limits.py
@@ -0,0 +1,231 @@
+"""Measure what escrow costs against organisations and hosts."""
+
+import asyncio
+import random
+import time
+import tracemalloc
+
+from benchmarks import capacity_report as reports
+from skylarkpitch.limits import service as limit_service
+from skylarkpitch.limits import shares
+from skylarkpitch.messages import limits as messages
+from skylarkpitch.settings import deployment
+from tests.stand_ins import fake_peers
+from tests.stand_ins import slow_peers
+from tests.stand_ins import virtual_time
+
+__all__ = ['measure']
+
+RUN_S = 20.0
+WARM_UP_S = 5.0
+CALLS_PER_S = 2.0
+SIZES = ((3, 2, 8), (3, 2, 32), (6, 4, 32))
+FULL_ORGANISATIONS = 100
+HOSTS_A_DOMAIN = 70
+MAX_CONTROL_BYTES_PER_S = 3_000
+MAX_CONTROL_CORE_PERCENT = 2.4
+
+
+def _config(domains: int, organisations: int) -> deployment.SiteConfig:
+    base = {
+        'services': {'s': {'routes': [{'prefix': '/'}]}},
+        'organisations': {
+            f'o{n}': {'rate_per_s': 200, 'burst': 200}
+            for n in range(organisations)
+        },
+        'regions': {
+            'r': {'failure_domains': {f'd{n}': {} for n in range(domains)}}
+        },
+    }
+    return deployment.validate_site(base, {}, site='s')
+
+
+class _Run:
+    """Spend evenly at every host of a fleet for a while."""
+
+    def __init__(
+        self, *, domains: int, hosts_a_domain: int, organisations: int
+    ) -> None:
+        self._names = [f'o{n}' for n in range(organisations)]
+        config = _config(domains, organisations)
+        hosts = tuple(
+            fake_peers.host(f'd{d}-{n}', failure_domain=f'd{d}')
+            for d in range(domains)
+            for n in range(hosts_a_domain)
+        )
+        self.network = slow_peers.SlowNetwork(
+            hosts=hosts, rng=random.Random(1)
+        )
+        self.limits = [
+            limit_service.OrganisationLimits(
+                peers=self.network.join(host.name),
+                site_config=lambda: config,
+                config_version=lambda: 1,
+                clock=asyncio.get_running_loop().time,
+                rng=random.Random(host.name),
+            )
+            for host in hosts
+        ]
+
+    async def run(self) -> dict[str, float]:
+        """Return what one host sends and spends a second."""
+        for item in self.limits:
+            await item.start()
+        calls = [
+            asyncio.ensure_future(self._call(item, name))
+            for item in self.limits
+            for name in self._names
+        ]
+        await asyncio.sleep(WARM_UP_S)
+        self.network.bytes_sent.clear()
+        self.network.messages_sent.clear()
+        before = self._totals()
+        began_s = time.process_time()
+        await asyncio.sleep(RUN_S)
+        used_s = time.process_time() - began_s
+        found = self._found(used_s, before)
+        for task in calls:
+            task.cancel()
+        for item in self.limits:
+            await item.stop()
+        await self.network.close()
+        return found
+
+    def _totals(self) -> tuple[float, float]:
+        """Return the tokens spent and the requests sent so far."""
+        counters = [item.counters() for item in self.limits]
+        spent = sum(item['limits_spent'] for item in counters)
+        requests = sum(item['limits_requests_sent'] for item in counters)
+        return spent, requests
+
+    def _found(
+        self, used_s: float, before: tuple[float, float]
+    ) -> dict[str, float]:
+        seconds = RUN_S * len(self.limits)
+        spent, requests = self._totals()
+        return {
+            'bytes_per_s': sum(self.network.bytes_sent.values()) / seconds,
+            'messages_per_s': (
+                sum(self.network.messages_sent.values()) / seconds
+            ),
+            'cpu_percent': 100 * used_s / seconds,
+            'requests_a_call': (
+                (requests - before[1]) / max(1, spent - before[0])
+            ),
+        }
+
+    async def _call(
+        self, item: limit_service.OrganisationLimits, name: str
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        rng = random.Random(f'{id(item)}{name}')
+        while True:
+            await asyncio.sleep(rng.expovariate(CALLS_PER_S))
+            now_s = loop.time()
+            await item.spend(name, now_s=now_s, deadline_s=now_s + 1)
+
+
+async def _run(domains: int, hosts: int, organisations: int) -> dict:
+    made = _Run(
+        domains=domains, hosts_a_domain=hosts, organisations=organisations
+    )
+    return await made.run()
+
+
+def _core_costs() -> list[reports.Slope]:
+    """Return the time of one spend and of one wish, and an account's size."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+
+    async def make() -> limit_service.OrganisationLimits:
+        network = fake_peers.FakeNetwork(hosts=[fake_peers.host('h')])
+        config = _config(1, 1000)
+        return limit_service.OrganisationLimits(
+            peers=network.join('h'),
+            site_config=lambda: config,
+            config_version=lambda: 1,
+            rng=random.Random(1),
+        )
+
+    service = asyncio.run(make())
+    service._configure(time.monotonic())
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    book = service._book
+    spend_us = _spend_us(book)
+    return [
+        reports.Slope(name='limit_account', value=size / 1e6, unit='KB each'),
+        reports.Slope(name='limit_spend', value=spend_us, unit='us a call'),
+        reports.Slope(
+            name='limit_wish', value=_wish_us(book), unit='us a renewal'
+        ),
+    ]
+
+
+def _spend_us(book) -> float:
+    organisation = book.organisations()['o1']
+    began_s = time.process_time()
+    for number in range(20_000):
+        organisation.demand.count(now_s=1e9 + number / 1000)
+        book.spend('o1', now_s=1e9 + number / 1000)
+    return (time.process_time() - began_s) * 50
+
+
+def _wish_us(book) -> float:
+    book.advance(now_s=2e9)
+    wish = messages.LoanWish(
+        organisation='o2',
+        held_rate=0,
+        held_burst=0,
+        want_rate=shares.TOKEN,
+        want_burst=shares.TOKEN,
+    )
+    began_s = time.process_time()
+    for number in range(5_000):
+        request = messages.LoanRequest(
+            incarnation=number % HOSTS_A_DOMAIN,
+            number=1 + number,
+            view=book.holders.view,
+            urgent=False,
+            wishes=(wish,),
+        )
+        book.answer('h', request, now_s=2e9 + number / 1000)
+    return (time.process_time() - began_s) * 200
+
+
+def measure() -> list[reports.Slope]:
+    """Return the slopes of the limits."""
+    found = {size: virtual_time.run(_run(*size)) for size in SIZES}
+    few, many, wide = (found[size] for size in SIZES)
+    added = SIZES[1][2] - SIZES[0][2]
+    bytes_each = (many['bytes_per_s'] - few['bytes_per_s']) / added
+    cpu_each = (many['cpu_percent'] - few['cpu_percent']) / added
+    return [
+        *_core_costs(),
+        reports.Slope(
+            name='escrow_bytes_an_organisation',
+            value=bytes_each,
+            unit='B/s/host',
+            full_size=bytes_each * FULL_ORGANISATIONS,
+            full_size_unit='B/s/host',
+            budget=MAX_CONTROL_BYTES_PER_S,
+        ),
+        reports.Slope(
+            name='escrow_cpu_an_organisation',
+            value=cpu_each,
+            unit='% of a core',
+            full_size=cpu_each * FULL_ORGANISATIONS,
+            full_size_unit='% of a core',
+            budget=MAX_CONTROL_CORE_PERCENT,
+        ),
+        reports.Slope(
+            name='escrow_messages_a_host_of_24',
+            value=wide['messages_per_s'],
+            unit='1/s',
+        ),
+        reports.Slope(
+            name='escrow_requests_a_call',
+            value=wide['requests_a_call'],
+            unit='requests',
+        ),
+    ]
--- /dev/null
+++ b/benchmarks/capacity_lookup.py
@@ -0,0 +1,235 @@
+"""Measure look-ups against the number of client blocks."""
+
+import asyncio
+from collections.abc import Callable
+import functools
+import random
+import socket
+import time
+import tracemalloc
+
+from aiohttp import web
+
+from benchmarks import capacity_report as reports
+from skylarkpitch.peers import directory as directories
+from skylarkpitch.settings import deployment
+from skylarkpitch.steering import lookup
+from skylarkpitch.steering import lookup_blocks
+
+__all__ = ['measure']
+
+BLOCKS = (1_300, 13_000, 130_000)
+SITES = 490
+HOSTS_A_SITE = 7
+REGIONS = 14
+LOOKUPS_A_HOST_PER_S = 3_200_000 / 3_500
+QUESTIONS = 20_000
+HTTP_S = 2.0
+HTTP_CONNECTIONS = 16
+
+
+def _hosts() -> list[directories.Host]:
+    return [
+        directories.Host(
+            name=f's{site}-{number}',
+            region=f'r{site % REGIONS}',
+            failure_domain=f's{site}',
+            roles=('entry',),
+            peers_address='127.0.0.1:1',
+            callers_address=f'10.{site // 250}.{site % 250}.{number}:80',
+            relay_address=None,
+            public_key=f's{site}-{number}',
+        )
+        for site in range(SITES)
+        for number in range(HOSTS_A_SITE)
+    ]
+
+
+def _config() -> deployment.SiteConfig:
+    route = {'routes': [{'prefix': '/'}]}
+    base = {
+        'services': {'desk': route},
+        'organisations': {},
+        'regions': {'r0': {'failure_domains': {'d0': {}}}},
+    }
+    return deployment.validate_site(base, {}, site='s')
+
+
+def _blocks(count: int) -> list[tuple[str, str]]:
+    rng = random.Random(count)
+    prefixes = rng.sample(range(1 << 23), count)
+    return [
+        (f'{p >> 15}.{p >> 7 & 255}.{p << 1 & 255}.0/24', f's{p % SITES}')
+        for p in prefixes
+    ]
+
+
+class PlainTable:
+    """The baseline: a dictionary of network and length to place."""
+
+    def __init__(self, blocks: list[tuple[str, str]]) -> None:
+        self._places = {}
+        for cidr, place in blocks:
+            address, length = cidr.split('/')
+            packed = int.from_bytes(socket.inet_aton(address), 'big')
+            self._places[packed, int(length)] = place
+
+    def find(self, client_ip: str) -> str | None:
+        """Try every prefix length from the longest on."""
+        address = int.from_bytes(socket.inet_aton(client_ip), 'big')
+        for length in range(32, -1, -1):
+            start = address >> (32 - length) << (32 - length)
+            place = self._places.get((start, length))
+            if place is not None:
+                return place
+        return None
+
+
+def _memory_of(make: Callable[[], object]) -> tuple[object, int]:
+    tracemalloc.start()
+    made = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return made, size
+
+
+def _per_s(ask: Callable[[str], object], clients: list[str]) -> float:
+    began_s = time.process_time()
+    for client in clients:
+        ask(client)
+    return len(clients) / (time.process_time() - began_s)
+
+
+def _filled(blocks: list[tuple[str, str]]) -> lookup_blocks.BlockTable:
+    table = lookup_blocks.BlockTable()
+    table.fill(blocks)
+    return table
+
+
+def _clients(blocks: list[tuple[str, str]]) -> list[str]:
+    rng = random.Random(1)
+    return [
+        rng.choice(blocks)[0].replace('0/24', str(rng.randrange(256)))
+        for _ in range(QUESTIONS)
+    ]
+
+
+async def _http_per_s(service: lookup.LookupService) -> float:
+    """Return answers a second and core, client's part included."""
+    app = web.Application()
+    app.add_routes(service.routes())
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    began_s = time.process_time()
+    counts = await asyncio.gather(
+        *(_ask_over_http(port) for _ in range(HTTP_CONNECTIONS))
+    )
+    used_s = time.process_time() - began_s
+    await runner.cleanup()
+    return sum(counts) / used_s
+
+
+async def _ask_over_http(port: int) -> int:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    question = (
+        b'GET /skylark/v1/lookup?service=desk HTTP/1.1\r\nHost: h\r\n\r\n'
+    )
+    ends_s = time.monotonic() + HTTP_S
+    count = 0
+    while time.monotonic() < ends_s:
+        writer.write(question)
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = head.lower().split(b'content-length:')[1].split(b'\r\n')[0]
+        await reader.readexactly(int(length))
+        count += 1
+    writer.close()
+    return count
+
+
+def _changes(
+    service: lookup.LookupService, hosts: list, blocks: list
+) -> tuple[float, float]:
+    """Return milliseconds for a host's leaving and for a block's change."""
+    answers = service._answers
+    inputs = {
+        'services': ('desk',),
+        'lifetime_s': 5.0,
+        'length': 3,
+        'room': {},
+    }
+    began_s = time.process_time()
+    answers.update(leaving=frozenset((hosts[0].name,)), **inputs)
+    host_ms = (time.process_time() - began_s) * 1000
+    began_s = time.process_time()
+    for cidr, _ in blocks[:100]:
+        service._blocks.assign(cidr, 's1')
+    return host_ms, (time.process_time() - began_s) * 10
+
+
+def measure() -> list[reports.Slope]:
+    """Return the slopes of look-ups."""
+    hosts = _hosts()
+    slopes = []
+    for count in BLOCKS:
+        blocks = _blocks(count)
+        table, size = _memory_of(functools.partial(_filled, blocks))
+        plain, plain_size = _memory_of(functools.partial(PlainTable, blocks))
+        clients = _clients(blocks)
+        slopes += [
+            _slope(f'block_table_{count}', size / 1e6, 'MB'),
+            _slope(f'plain_dictionary_{count}', plain_size / 1e6, 'MB'),
+            _slope(
+                f'block_finds_{count}',
+                _per_s(table._find, clients) / 1000,
+                'thousand/s/core',
+            ),
+            _slope(
+                f'plain_finds_{count}',
+                _per_s(plain.find, clients) / 1000,
+                'thousand/s/core',
+            ),
+        ]
+    return slopes + _answer_slopes(hosts, table, blocks, clients)
+
+
+def _answer_slopes(
+    hosts: list, table: lookup_blocks.BlockTable, blocks: list, clients: list
+) -> list[reports.Slope]:
+    config = _config()
+    service = lookup.LookupService(
+        directory=directories.Directory(own='s0-0', hosts=hosts),
+        site_config=lambda: config,
+        is_leaving=frozenset,
+        id_prefix=lambda: 'r0.abc.',
+        blocks=table,
+    )
+
+    def fill() -> None:
+        for client in clients:
+            service.answer('desk', client)
+
+    _, size = _memory_of(fill)
+    per_s = _per_s(lambda client: service.answer('desk', client), clients)
+    host_ms, block_ms = _changes(service, hosts, blocks)
+    http_per_s = asyncio.run(_http_per_s(service))
+    return [
+        _slope('answers_490_sites', size / 1e6, 'MB'),
+        _slope('answers', per_s / 1000, 'thousand/s/core'),
+        _slope('recompute_host_change', host_ms, 'ms'),
+        _slope('change_block', block_ms, 'ms'),
+        reports.Slope(
+            name='lookups_http',
+            value=http_per_s,
+            unit='1/s/core',
+            full_size=100 * LOOKUPS_A_HOST_PER_S / http_per_s,
+            full_size_unit='% of a core',
+            budget=100.0,
+        ),
+    ]
+
+
+def _slope(name: str, value: float, unit: str) -> reports.Slope:
+    return reports.Slope(name=name, value=value, unit=unit)
--- a/src/skylarkpitch/limits/book.py
+++ b/src/skylarkpitch/limits/book.py
@@ -43,6 +43,7 @@
     """What one host keeps of one organisation."""
 
     limit: shares.Share
+    spare_tokens: float
     account: escrow.Account
     entitlement: entitlements.Entitlement
     audit: entitlements.SpendAudit
@@ -56,6 +57,7 @@
 # A loan that differs from the need by less is not resized before half its
 # lease is over.
 TOLERANCE_PERCENT = 25
+MAX_SPARE_TOKENS = 4.0
 
 
 class Book:
@@ -227,6 +229,7 @@
         bounds = self._bounds
         return Organisation(
             limit=limit,
+            spare_tokens=self._spare_tokens(limit),
             account=escrow.Account(
                 lease_s=bounds.lease_s, drift=bounds.drift, now_s=now_s
             ),
@@ -238,12 +241,18 @@
             wishes=planning.Wishes(),
         )
 
+    def _spare_tokens(self, limit: shares.Share) -> float:
+        """Return half of what an even split would give each host."""
+        even = limit.burst / shares.TOKEN / self.holders.host_count
+        return min(MAX_SPARE_TOKENS, max(1.0, even / 2))
+
     def _change(self, name: str, limit: shares.Share, now_s: float) -> None:
         organisation = self._organisations[name]
         grace_s = self._bounds.grace_s
         if limit != organisation.limit:
             organisation.audit.change(limit, now_s=now_s, grace_s=grace_s)
         organisation.limit = limit
+        organisation.spare_tokens = self._spare_tokens(limit)
         organisation.entitlement.change(
             self.holders.entitlement(name, limit),
             now_s=now_s,
@@ -377,4 +386,5 @@
         limit=organisation.limit,
         burst=account.own.burst,
         tokens=account.tokens,
+        spare_tokens=organisation.spare_tokens,
     )
--- a/src/skylarkpitch/limits/demand.py
+++ b/src/skylarkpitch/limits/demand.py
@@ -12,7 +12,6 @@
 EMPTY_RATE_MARGIN = 1.5
 LOW_FILL = 0.5
 BURST_S = 0.5
-SPARE_TOKENS = 1
 
 
 class Demand:
@@ -46,17 +45,19 @@
         limit: shares.Share,
         burst: int,
         tokens: float,
+        spare_tokens: float,
     ) -> shares.Share:
         """Return the share that covers the demand, within ``limit``.
 
         ``burst`` and ``tokens`` are the size of the bucket and what lies in
-        it, in micro-tokens. A bucket that runs low needs room beyond its
+        it, in micro-tokens; ``spare_tokens`` are kept beyond the demand of
+        half a second. A bucket that runs low needs room beyond its
         size, since only room that is lent anew brings tokens with it.
         """
         rate = self.rate_per_s(now_s=now_s)
         if rate < 0.01 and not queued:
             return shares.NOTHING
-        wanted = rate * BURST_S + SPARE_TOKENS + queued
+        wanted = rate * BURST_S + spare_tokens + queued
         fill = min(1.0, tokens / shares.TOKEN / wanted)
         margin = EMPTY_RATE_MARGIN
         margin += (FULL_RATE_MARGIN - EMPTY_RATE_MARGIN) * fill
--- a/src/skylarkpitch/limits/escrow.py
+++ b/src/skylarkpitch/limits/escrow.py
@@ -284,7 +284,8 @@
     ) -> shares.Share:
         """Return the least that is uncommitted from now to ``until_s``."""
         if not self._borrowed:
-            return self._uncommitted(self._updated_s, without)
+            taken = shares.NOTHING if without is None else without.share
+            return self._own + taken
         loans = [*self._borrowed.values(), *self._lent.values()]
         moments = {item.expires_s for item in loans}
         least = self._uncommitted(self._updated_s, without)
@@ -339,16 +340,19 @@
                 del loans[key]
 
     def _recount(self) -> None:
-        own = self.entitlement
+        rate, burst = self.entitlement.rate, self.entitlement.burst
         expiry_s = float('inf')
-        for loans in (self._borrowed, self._lent):
-            for loan in loans.values():
-                expiry_s = min(expiry_s, loan.expires_s)
         for loan in self._borrowed.values():
-            own = own + loan.share
+            rate += loan.share.rate
+            burst += loan.share.burst
+            if loan.expires_s < expiry_s:
+                expiry_s = loan.expires_s
         for lent in self._lent.values():
-            own = own - lent.share
-        self._own = own
+            rate -= lent.share.rate
+            burst -= lent.share.burst
+            if lent.expires_s < expiry_s:
+                expiry_s = lent.expires_s
+        self._own = shares.Share(rate, burst)
         self._next_expiry_s = expiry_s
         self._clip()
 
--- a/src/skylarkpitch/limits/holders.py
+++ b/src/skylarkpitch/limits/holders.py
@@ -47,6 +47,11 @@
         }
         self.view = f'{_hash(repr(sorted(self._members.items()))):016x}'
 
+    @property
+    def host_count(self) -> int:
+        """Return the number of entry hosts of the fleet."""
+        return len(self._domain_of)
+
     def domain_of(self, host: str) -> str | None:
         """Return the failure domain of an entry host."""
         return self._domain_of.get(host)
--- a/src/skylarkpitch/limits/planning.py
+++ b/src/skylarkpitch/limits/planning.py
@@ -66,13 +66,14 @@
         self, need: shares.Share, *, now_s: float, lease_s: float
     ) -> shares.Share:
         """Return ``need`` plus the recent wishes within the domain."""
-        total = need
+        rate, burst = need.rate, need.burst
         for name, noted in list(self._noted.items()):
             if now_s - noted.noted_s > lease_s:
                 del self._noted[name]
             elif noted.is_local:
-                total = total + noted.want
-        return total
+                rate += noted.want.rate
+                burst += noted.want.burst
+        return shares.Share(rate, burst)
 
     def plan(
         self,
@@ -99,10 +100,11 @@
             amount = account.entitlement - total.at_least(floor)
             amount = amount.at_least(shares.NOTHING)
             wants = self._wants(is_local=False)
-        return Planned(
-            target=_fair(amount, wants)[borrower],
-            spare=_left(amount, wants.values()),
-        )
+        wanted = _sum(wants.values())
+        spare = (amount - wanted).at_least(shares.NOTHING)
+        if wanted.within(amount):
+            return Planned(target=wants[borrower], spare=spare)
+        return Planned(target=_fair(amount, wants)[borrower], spare=spare)
 
     def divide(
         self,
@@ -118,9 +120,7 @@
         shrink in proportion to their size. Nobody else is asked for
         nothing.
         """
-        held = shares.NOTHING
-        for share in borrowed.values():
-            held = held + share
+        held = _sum(borrowed.values())
         if not (missing or held):
             return {}
         room = self._room(lenders, borrowed, limit)
@@ -152,14 +152,13 @@
         return {name: spare[name].at_least(least) for name in chosen}
 
     def _for_domain(self, account: escrow.Account) -> shares.Share:
-        amount = account.entitlement
-        for share in account.borrowed().values():
-            amount = amount + share
-        for (name, _), share in account.lent().items():
-            noted = self._noted.get(name)
-            if noted is not None and not noted.is_local:
-                amount = amount - share
-        return amount.at_least(shares.NOTHING)
+        amount = account.entitlement + _sum(account.borrowed().values())
+        remote = [
+            share
+            for (name, _), share in account.lent().items()
+            if name in self._noted and not self._noted[name].is_local
+        ]
+        return (amount - _sum(remote)).at_least(shares.NOTHING)
 
     def _wants(self, *, is_local: bool) -> dict[str, shares.Share]:
         return {
@@ -181,10 +180,12 @@
     return {name: shares.Share(rates[name], bursts[name]) for name in wants}
 
 
-def _left(amount: shares.Share, wants: Iterable[shares.Share]) -> shares.Share:
-    for want in wants:
-        amount = amount - want
-    return amount.at_least(shares.NOTHING)
+def _sum(items: Iterable[shares.Share]) -> shares.Share:
+    rate = burst = 0
+    for share in items:
+        rate += share.rate
+        burst += share.burst
+    return shares.Share(rate, burst)
 
 
 def _resized(
--- a/src/skylarkpitch/limits/service.py
+++ b/src/skylarkpitch/limits/service.py
@@ -54,6 +54,7 @@
     changed: asyncio.Event
     pump: asyncio.Task[None] | None = None
     asked_s: float = float('-inf')
+    interval_s: float = URGENT_INTERVAL_S
 
 
 class OrganisationLimits(mode.Service):
@@ -277,9 +278,11 @@
         return organisation.wishes.knows_spare(lenders)
 
     def _ask_urgently(self, name: str, queue: _Queue, now_s: float) -> None:
-        if now_s - queue.asked_s < URGENT_INTERVAL_S:
+        if now_s - queue.asked_s < queue.interval_s:
             return
         queue.asked_s = now_s
+        longest_s = self._lease_s / RENEWALS_A_LEASE
+        queue.interval_s = min(2 * queue.interval_s, longest_s)
         requests = self._book.requests(
             now_s=now_s,
             names=(name,),
@@ -333,8 +336,11 @@
             return
         now_s = self._clock()
         self._book.accept(lender, answer, sent_s=sent_s, now_s=now_s)
-        for wish in request.wishes:
-            self._queue(wish.organisation).changed.set()
+        for grant in answer.grants:
+            queue = self._queue(grant.organisation)
+            queue.changed.set()
+            if grant.tokens:
+                queue.interval_s = URGENT_INTERVAL_S
 
     async def _on_request(
         self, sender: str, request: messages.LoanRequest
--- a/src/skylarkpitch/messages/limits.py
+++ b/src/skylarkpitch/messages/limits.py
@@ -1,17 +1,18 @@
 """Messages that move shares of an organisation's rate and burst.
 
-Rates are in micro-tokens a second, bursts and tokens in micro-tokens.
+Rates are in micro-tokens a second, bursts and tokens in micro-tokens. Wishes
+and grants go as arrays, since one message carries many of them; new fields go
+to their end.
 """
 
-import dataclasses
+import msgspec
 
 from skylarkpitch.messages import codec
 
 __all__ = ['LoanAnswer', 'LoanGrant', 'LoanRequest', 'LoanWish']
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LoanWish:
+class LoanWish(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What a borrower holds of one organisation, and would like to hold.
 
     The borrower gave up everything above ``held`` before it sent this;
@@ -26,8 +27,7 @@
     returned_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class LoanGrant:
+class LoanGrant(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What the lender grants of one organisation from now on.
 
     A ``lease_s`` of zero prolongs nothing. ``spare_rate`` and
--- a/src/skylarkpitch/steering/lookup.py
+++ b/src/skylarkpitch/steering/lookup.py
@@ -38,9 +38,10 @@
 class LookupService(mode.Service):
     """Keep the answers current and serve them from memory.
 
-    ``room`` gives the weight of hosts whose room is known: 1 stands for
-    the usual, 0 for a host that should get nothing new. ``id_prefix``
-    gives the first part of the operation ids issued with an answer.
+    ``room`` gives the room of the hosts where it is known, in any one
+    unit: hosts are weighed by its ratio to the median, and one without
+    room leaves the answers. ``id_prefix`` gives the first part of the
+    operation ids issued with an answer.
     """
 
     def __init__(
--- a/src/skylarkpitch/steering/lookup_answers.py
+++ b/src/skylarkpitch/steering/lookup_answers.py
@@ -6,6 +6,7 @@
 import functools
 import hashlib
 import math
+import statistics
 
 import msgspec
 
@@ -18,9 +19,10 @@
 # Weight of a host in the caller's own failure domain, in its region and
 # elsewhere, for usual room.
 WEIGHTS = (1000, 100, 10)
-# Room is rounded to this many steps, so that small changes of a
-# measurement leave the answers alone.
-ROOM_STEPS = 4
+# Steps of room, so that small changes of a measurement leave the answers
+# alone: the least part of the usual room, and the step it counts as.
+FULL_STEP = 4
+ROOM_STEPS = ((0.5, FULL_STEP), (0.1, 2), (0.0, 1))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,10 +98,7 @@
         inputs = _Inputs(
             services=services, lifetime_s=lifetime_s, length=length
         )
-        weights = {
-            name: 0 if name in leaving else _steps(room.get(name, 1.0))
-            for name in self._hosts
-        }
+        weights = self._weigh(leaving, room)
         if not any(weights.values()):
             weights = {name: int(name not in leaving) for name in weights}
         changed = {
@@ -114,6 +113,18 @@
             if everything or not changed.isdisjoint(self._reach_of(place)):
                 self._compute(place)
 
+    def _weigh(
+        self, leaving: frozenset[str], room: Mapping[str, float]
+    ) -> dict[str, int]:
+        known = [value for value in room.values() if value > 0]
+        usual = statistics.median(known) if known else 1.0
+        return {
+            name: 0
+            if name in leaving
+            else _step(room.get(name, usual) / usual)
+            for name in self._hosts
+        }
+
     def _reach_of(self, place: str) -> frozenset[str]:
         """Return the hosts whose changes can alter a place's answers."""
         local = self._reach[place]
@@ -175,7 +186,7 @@
                 reverse=True,
             )
             chosen += [
-                (name, max(1, weight * self._weights[name] // ROOM_STEPS))
+                (name, max(1, weight * self._weights[name] // FULL_STEP))
                 for name in order[:missing]
             ]
         return chosen
@@ -197,10 +208,10 @@
         return Parts(head=encoded[:-1] + b',"operation_id_prefix":', tail=b'}')
 
 
-def _steps(room: float) -> int:
-    if room <= 0:
+def _step(part: float) -> int:
+    if part <= 0:
         return 0
-    return max(1, min(ROOM_STEPS, round(room * ROOM_STEPS)))
+    return next(step for least, step in ROOM_STEPS if part >= least)
 
 
 def _score(name: str, variant: int, weight: int) -> float:
