Split the larger modules of membership and steering

HTTP, terms, lending, tiers, hold-offs and remote slots have modules of their own; hosts are ranked by the shared rendezvous module.

--- a/src/skylarkpitch/membership/live_hosts.py
+++ b/src/skylarkpitch/membership/live_hosts.py
@@ -1,10 +1,10 @@
 """Tell which entry hosts of the own failure domain live."""
 
-from collections.abc import Iterable
 import dataclasses
-import hashlib
 
-__all__ = ['LiveHosts', 'rendezvous']
+from skylarkpitch.peers import rendezvous
+
+__all__ = ['LiveHosts']
 
 SILENT_AFTER_S = 2.0
 SILENT_AFTER_S_A_HOST = 0.5
@@ -19,19 +19,6 @@
     slots: dict[str, int]
 
 
-def rendezvous(hosts: Iterable[str], key: str) -> str | None:
-    """Return the host with the highest hash for ``key``.
-
-    Highest random weight hashing: Thaler and Ravishankar, "Using
-    Name-Based Mappings to Increase Hit Rates", 1998.
-    """
-    return max(
-        hosts,
-        key=lambda host: hashlib.blake2b(f'{host}|{key}'.encode()).digest(),
-        default=None,
-    )
-
-
 class LiveHosts:
     """Remember when each host was last heard and what it said."""
 
@@ -81,7 +68,7 @@
         ]
         if not self.stopping:
             hosts.append(self._own)
-        return rendezvous(hosts, upstream)
+        return rendezvous.first(upstream, hosts)
 
     def is_settled(self, host: str, *, now_s: float) -> bool:
         """Tell whether a host has lived long enough to take over."""
--- a/src/skylarkpitch/membership/owner.py
+++ b/src/skylarkpitch/membership/owner.py
@@ -5,7 +5,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import random
 
 from skylarkpitch.membership import announcements
@@ -13,9 +12,10 @@
 from skylarkpitch.membership import ownership as ownerships
 from skylarkpitch.membership import pool as pools
 from skylarkpitch.membership import slots as upstream_slots
+from skylarkpitch.membership import terms as terms_of
 from skylarkpitch.messages import membership as messages
 
-__all__ = ['Owner', 'Refused', 'Terms']
+__all__ = ['Owner']
 
 ANNOUNCEMENTS_A_LEASE = 4
 GRACE_S = 0.25
@@ -25,31 +25,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Refused:
-    """An announcement that is not taken, with a typed reason."""
-
-    status: int
-    reason: str
-    remedy: str
-    retry_after_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Terms:
-    """Times that the configuration sets for one announcement."""
-
-    lease_s: float
-    drift: float
-    ramp_s: float
-    longest_work_s: float
-
-    @property
-    def wait_s(self) -> float:
-        """Return how long an upstream waits before it changes hosts."""
-        return ownerships.waiting_s(lease_s=self.lease_s, drift=self.drift)
-
-
 class Owner:
     """Own upstreams on behalf of one entry host."""
 
@@ -84,17 +59,17 @@
         self._releases = 0
 
     async def announced(
-        self, item: announcements.Announcement, terms: Terms
-    ) -> announcements.Answer | Refused:
+        self, item: announcements.Announcement, terms: terms_of.Terms
+    ) -> announcements.Answer | terms_of.Refused:
         """Own the upstream, pass it on, or refuse it."""
         if (item.name, item.instance) in self._left:
-            return _refused_left()
+            return terms_of.refused_left()
         owner = await self._preferred(item.name)
         now_s = self._clock()
         if owner is None:
-            return _refused_stopping()
+            return terms_of.refused_stopping()
         if self._is_taken(item, now_s):
-            return self._refused_taken(item)
+            return self._taken(item)
         if owner != self._own and self._passes_on(item, owner, now_s):
             self.give_up(item.name)
             return self._answer(terms, announce_to=self._url_of(owner))
@@ -183,7 +158,7 @@
             source = _source(sender, message.number)
             upstream.slots.lower_block(source, message.running)
 
-    def tick(self, *, terms: Terms) -> None:
+    def tick(self, *, terms: terms_of.Terms) -> None:
         """Move every life cycle on and forget what is of no use."""
         now_s = self._clock()
         drained = self._drained()
@@ -263,10 +238,10 @@
         return twin not in (None, item.name)
 
     async def _admit_alone(
-        self, item: announcements.Announcement, terms: Terms
-    ) -> announcements.Answer | Refused:
+        self, item: announcements.Announcement, terms: terms_of.Terms
+    ) -> announcements.Answer | terms_of.Refused:
         if item.name in self._admitting:
-            return self._refused_taken(item)
+            return self._taken(item)
         self._admitting[item.name] = item.url
         try:
             return await self._admit(item, terms)
@@ -274,8 +249,8 @@
             del self._admitting[item.name]
 
     async def _admit(
-        self, item: announcements.Announcement, terms: Terms
-    ) -> announcements.Answer | Refused:
+        self, item: announcements.Announcement, terms: terms_of.Terms
+    ) -> announcements.Answer | terms_of.Refused:
         answers = await self._ask_others(
             messages.Release(
                 name=item.name, instance=item.instance, url=item.url
@@ -285,7 +260,7 @@
         now_s = self._clock()
         taken = any(answer.taken for answer in heard.values())
         if taken or self._is_taken(item, now_s):
-            return self._refused_taken(item)
+            return self._taken(item)
         verdict = ownerships.judge_claim(
             ownerships.Claim(
                 own_host=self._own,
@@ -299,7 +274,7 @@
             longest_work_s=terms.longest_work_s,
         )
         if verdict.retry_after_s > 0:
-            return _refused_early(verdict.retry_after_s)
+            return terms_of.refused_early(verdict.retry_after_s)
         upstream = self._pool.get(item.name)
         if upstream is None:
             upstream = self._add(item, terms, now_s)
@@ -307,7 +282,10 @@
         return self._answer(terms, item=item)
 
     def _add(
-        self, item: announcements.Announcement, terms: Terms, now_s: float
+        self,
+        item: announcements.Announcement,
+        terms: terms_of.Terms,
+        now_s: float,
     ) -> pools.Upstream:
         upstream = pools.Upstream(
             name=item.name,
@@ -325,7 +303,7 @@
         self,
         item: announcements.Announcement,
         lease: ownerships.Lease,
-        terms: Terms,
+        terms: terms_of.Terms,
         now_s: float,
     ) -> None:
         upstream = self._pool.get(item.name)
@@ -345,17 +323,13 @@
         if item.name in self._drained():
             self._pool.leave(upstream, now_s=now_s)
 
-    def _refused_taken(self, item: announcements.Announcement) -> Refused:
-        return Refused(
-            status=409,
-            reason='name_taken',
-            remedy=f'give {item.name!r} and its address to one process only',
-            retry_after_s=self._rng.uniform(0.5, 1.5),
-        )
+    def _taken(self, item: announcements.Announcement) -> terms_of.Refused:
+        retry_after_s = self._rng.uniform(0.5, 1.5)
+        return terms_of.refused_taken(item.name, retry_after_s=retry_after_s)
 
     def _answer(
         self,
-        terms: Terms,
+        terms: terms_of.Terms,
         *,
         owner: str = '',
         announce_to: str | None = None,
@@ -386,7 +360,7 @@
     slots: upstream_slots.UpstreamSlots,
     heard: dict[str, messages.Released],
     verdict: ownerships.Verdict,
-    terms: Terms,
+    terms: terms_of.Terms,
     now_s: float,
 ) -> None:
     stretch = (1 + terms.drift) / (1 - terms.drift)
@@ -418,29 +392,3 @@
 def _drop_older(times_s: dict, before_s: float) -> None:
     for key in [key for key, at_s in times_s.items() if at_s < before_s]:
         del times_s[key]
-
-
-def _refused_left() -> Refused:
-    return Refused(
-        status=409,
-        reason='left',
-        remedy='announce a new instance after a restart',
-    )
-
-
-def _refused_stopping() -> Refused:
-    return Refused(
-        status=503,
-        reason='stopping',
-        remedy='announce to another entry host of the failure domain',
-        retry_after_s=1.0,
-    )
-
-
-def _refused_early(retry_after_s: float) -> Refused:
-    return Refused(
-        status=409,
-        reason='previous_owner_may_live',
-        remedy='announce again after retry_after_s',
-        retry_after_s=retry_after_s,
-    )
--- a/src/skylarkpitch/membership/service.py
+++ b/src/skylarkpitch/membership/service.py
@@ -3,21 +3,19 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import hashlib
-import hmac
 import random
 import time
 from typing import Any
 
 from aiohttp import web
 import mode
-import structlog
 
-from skylarkpitch import errors
+from skylarkpitch.membership import announce_http
 from skylarkpitch.membership import announcements
 from skylarkpitch.membership import live_hosts
 from skylarkpitch.membership import owner as owners
 from skylarkpitch.membership import pool as pools
+from skylarkpitch.membership import terms as terms_of
 from skylarkpitch.messages import membership as messages
 from skylarkpitch.peers import network
 from skylarkpitch import ports
@@ -26,8 +24,6 @@
 
 __all__ = ['LocalSlot', 'UpstreamMembership', 'UpstreamStatus']
 
-TOKEN_HEADER = 'Skylark-Announce-Token'
-MAX_BODY_BYTES = 16_384
 HELLO_INTERVAL_S = 0.5
 HELLO_TIMEOUT_S = 0.3
 GREETED_AT_ONCE = 4
@@ -38,8 +34,6 @@
 DEFAULT_DRIFT = 0.01
 HOLD_WEIGHT = 0.05
 
-_log = structlog.get_logger(__name__)
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamStatus:
@@ -96,7 +90,6 @@
         self.on_room: Callable[[str], None] = lambda service: None
         self._peers = peers
         self._site_config = site_config
-        self._token_hash = announce_token_hash
         self._clock = clock
         self._rng = rng
         self._scheme = announce_scheme
@@ -120,8 +113,11 @@
             clock=clock,
             rng=rng,
         )
-        self._counts = dict.fromkeys(
-            ('announced', 'refused', 'unauthenticated', 'left', 'overload'), 0
+        self._counts = dict.fromkeys(('announced', 'left', 'overload'), 0)
+        self._http = announce_http.AnnounceHttp(
+            membership=self,
+            site_config=site_config,
+            token_hash=announce_token_hash,
         )
         peers.handle(messages.Hello, self._hello)
         peers.handle(messages.Release, self._release)
@@ -131,11 +127,7 @@
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes that upstreams call."""
-        prefix = '/skylark/v1/upstreams'
-        return [
-            web.post(f'{prefix}/announce', self._announce),
-            web.post(f'{prefix}/leave', self._leave),
-        ]
+        return self._http.routes()
 
     def upstreams(self) -> list[UpstreamStatus]:
         """Return the upstreams that this host owns, sorted by name."""
@@ -158,6 +150,7 @@
         upstreams = self.pool.all()
         return {
             **self._counts,
+            **self._http.counts,
             'upstreams': len(upstreams),
             'slots': sum(u.slots.ceiling for u in upstreams),
             'slots_in_use': sum(u.slots.in_use for u in upstreams),
@@ -333,17 +326,17 @@
             return DEFAULT_WORK_S
         return config.services[service].deadline_s
 
-    def _terms(self, service: str | None) -> owners.Terms:
+    def _terms(self, service: str | None) -> terms_of.Terms:
         config = self._site_config()
         if not config:
-            return owners.Terms(
+            return terms_of.Terms(
                 lease_s=DEFAULT_LEASE_S,
                 drift=DEFAULT_DRIFT,
                 ramp_s=0.0,
                 longest_work_s=DEFAULT_WORK_S,
             )
         found = config.services.get(service or '')
-        return owners.Terms(
+        return terms_of.Terms(
             lease_s=config.policy.upstream_lease_s,
             drift=config.policy.clock_drift_percent / 100,
             ramp_s=0.0 if found is None else found.ramp_s,
@@ -354,7 +347,7 @@
 
     async def announced(
         self, item: announcements.Announcement
-    ) -> announcements.Answer | owners.Refused:
+    ) -> announcements.Answer | terms_of.Refused:
         """Answer an announcement that has been authenticated."""
         answer = await self._owner.announced(item, self._terms(item.service))
         if isinstance(answer, announcements.Answer):
@@ -367,77 +360,6 @@
         self._counts['left'] += 1
         return self._owner.left(name, instance)
 
-    async def _announce(self, request: web.Request) -> web.Response:
-        item = await self._read(request, announcements.Announcement)
-        if isinstance(item, web.Response):
-            return item
-        config = self._site_config()
-        if not config:
-            return self._refuse(
-                503, 'state_stale', 'announce again in a second', 1.0
-            )
-        if item.service not in config.services:
-            return self._refuse(
-                400,
-                'service_unknown',
-                f'add service {item.service!r} to the base file or correct '
-                'the announcement',
-                5.0,
-            )
-        answer = await self.announced(item)
-        if isinstance(answer, owners.Refused):
-            return self._refuse(
-                answer.status,
-                answer.reason,
-                answer.remedy,
-                answer.retry_after_s,
-            )
-        return web.json_response(answer.model_dump())
-
-    async def _leave(self, request: web.Request) -> web.Response:
-        item = await self._read(request, announcements.Leave)
-        if isinstance(item, web.Response):
-            return item
-        owned = self.left(name=item.name, instance=item.instance)
-        if not owned:
-            await self._ask_others(
-                messages.Leave(name=item.name, instance=item.instance)
-            )
-        _log.info('upstream_left', upstream=item.name, owned=owned)
-        return web.json_response({'left': True})
-
-    async def _read(self, request: web.Request, model: type) -> Any:
-        token = request.headers.get(TOKEN_HEADER, '').encode()
-        expected = self._token_hash or ''
-        given = hashlib.sha256(token).hexdigest()
-        if not expected or not hmac.compare_digest(given, expected):
-            self._counts['unauthenticated'] += 1
-            return self._refuse(
-                403,
-                'announce_token_wrong',
-                f'send the deployment token in {TOKEN_HEADER}, and set '
-                'announce_token_hash to its sha256 in the settings',
-                5.0,
-            )
-        try:
-            if (request.content_length or MAX_BODY_BYTES) >= MAX_BODY_BYTES:
-                raise errors.ValidationError(
-                    f'send Content-Length, less than {MAX_BODY_BYTES} bytes'
-                )
-            return announcements.parse(model, await request.json())
-        except (ValueError, RecursionError, errors.ValidationError) as error:
-            return self._refuse(400, 'announcement_invalid', str(error), 5.0)
-
-    def _refuse(
-        self, status: int, reason: str, remedy: str, retry_after_s: float
-    ) -> web.Response:
-        self._counts['refused'] += 1
-        _log.info('announcement_refused', reason=reason, status=status)
-        return web.json_response(
-            {
-                'reason': reason,
-                'remedy': remedy,
-                'retry_after_s': retry_after_s,
-            },
-            status=status,
-        )
+    async def pass_on_leave(self, *, name: str, instance: str) -> None:
+        """Tell the domain's other hosts that an upstream leaves."""
+        await self._ask_others(messages.Leave(name=name, instance=instance))
--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import math
 import random
 
@@ -11,18 +10,19 @@
 from skylarkpitch.peers import network
 from skylarkpitch import ports
 from skylarkpitch.settings import deployment
+from skylarkpitch.steering import hold_offs
 from skylarkpitch.steering import link_budget
 from skylarkpitch.steering import rates
+from skylarkpitch.steering import remote_slot
 from skylarkpitch.steering import shares
 from skylarkpitch.steering import tickets
+from skylarkpitch.steering import tiers
 
-__all__ = ['Borrower', 'RemoteSlot', 'domain_tiers']
+__all__ = ['Borrower']
 
 ASK_TIMEOUT_S = 0.4
 ASKS_A_DOMAIN = 2
 ASKS_A_TIER = 8
-HOLD_OFF_FIRST_S = 0.02
-HOLD_OFF_LONGEST_S = 0.5
 HOLD_OFF_NEAR_S = 0.1
 IDLE_S = 0.3
 MAX_WANTED = 64
@@ -31,69 +31,6 @@
 HOLD_WEIGHT = 0.05
 RATE_TAU_S = 0.5
 REQUESTS_KEPT = 1000
-RELAY_PATH = '/skylark/v1/relay'
-TICKET_HEADER = 'Skylark-Ticket'
-FAR_MS = 1e6
-
-
-class RemoteSlot:
-    """One slot of an upstream of another host, reached by its relay."""
-
-    def __init__(
-        self,
-        *,
-        lender: directories.Host,
-        ticket: str,
-        finish: Callable[[ports.Exchange], None],
-        account: Callable[[int], None],
-    ) -> None:
-        self.upstream = f'relay:{lender.name}'
-        self.url = f'http://{lender.relay_address}{RELAY_PATH}'
-        self.headers = {TICKET_HEADER: ticket}
-        self._finish = finish
-        self._account = account
-
-    def finish(self, exchange: ports.Exchange, *, latency_s: float) -> None:
-        """Tell how the exchange with the lender's relay ended."""
-        self._finish(exchange)
-
-    def account(self, more_bytes: int) -> None:
-        """Count bytes over those that the call was expected to need."""
-        self._account(more_bytes)
-
-
-@dataclasses.dataclass(slots=True)
-class _HoldOff:
-    until_s: float = 0.0
-    step: int = 0
-
-
-def domain_tiers(
-    directory: directories.Directory, config: deployment.SiteConfig
-) -> list[list[str]]:
-    """Return the failure domains of entry hosts, nearest first.
-
-    Domains of equal distance stand together: the own one, the others of the
-    own region, then those of other regions by ``one_way_ms``.
-    """
-    own = directory.own
-    far_ms = {own.region: 0.0}
-    for link in config.links:
-        if own.region in link.between:
-            one, other = link.between
-            far = other if one == own.region else one
-            far_ms[far] = link.one_way_ms
-    tiers: dict[tuple, list[str]] = {}
-    for host in directory.with_role('entry'):
-        distance = (
-            host.failure_domain != own.failure_domain,
-            host.region != own.region,
-            far_ms.get(host.region, FAR_MS),
-        )
-        tier = tiers.setdefault(distance, [])
-        if host.failure_domain not in tier:
-            tier.append(host.failure_domain)
-    return [tiers[distance] for distance in sorted(tiers)]
 
 
 class Borrower:
@@ -118,7 +55,7 @@
         self._own = peers.directory.own
         self._config: deployment.SiteConfig | None = None
         self._budgets: dict[str, link_budget.LinkBudget] = {}
-        self._hold_offs: dict[tuple[str, str], _HoldOff] = {}
+        self._hold_offs = hold_offs.HoldOffs(rng=rng)
         self._used: dict[str, rates.RateMeter] = {}
         self._running: dict[str, int] = {}
         self._asked: dict[tuple[str, str], int] = {}
@@ -138,7 +75,7 @@
         if config is self._config:
             return
         self._config = config
-        self._tiers = domain_tiers(self._peers.directory, config)
+        self._tiers = tiers.domain_tiers(self._peers.directory, config)
         own = self._own.region
         hosts = len(self._peers.directory.in_region(own))
         self._budgets = {}
@@ -157,7 +94,7 @@
 
     def take(
         self, service: str, *, body_bytes: int, exclude: frozenset[str]
-    ) -> RemoteSlot | None:
+    ) -> remote_slot.RemoteSlot | None:
         """Use a ticket in hand, the nearest lender's first."""
         held = set(self.purse.lenders(service))
         if not held:
@@ -308,7 +245,7 @@
         service: str,
         host: directories.Host,
         body_bytes: int,
-    ) -> RemoteSlot | None:
+    ) -> remote_slot.RemoteSlot | None:
         now_s = self._clock()
         budget = self._budgets.get(host.region)
         if budget is not None and not budget.has(body_bytes, now_s=now_s):
@@ -322,7 +259,7 @@
         self.counts['used'] += 1
         self._rate(service).add(now_s=now_s)
         self._running[service] = self.running(service) + 1
-        return RemoteSlot(
+        return remote_slot.RemoteSlot(
             lender=host,
             ticket=ticket,
             finish=lambda exchange: self._finished(
@@ -359,7 +296,7 @@
             host
             for host in self._hosts.get(domain, ())
             if (service, host.name) not in self._asked
-            and self._hold_off(service, host.name).until_s <= now_s
+            and not self._hold_offs.is_held(service, host.name, now_s=now_s)
         ]
         if len(hosts) > ASKS_A_DOMAIN:
             hosts = self._rng.sample(hosts, ASKS_A_DOMAIN)
@@ -391,7 +328,7 @@
             return
         self._took(service, self._clock() - sent_s)
         if answer.tickets:
-            self._hold_offs.pop((service, host.name), None)
+            self._hold_offs.lent(service, host.name)
         else:
             self._refused(service, host.name)
         self.counts['borrowed'] += len(answer.tickets)
@@ -415,16 +352,14 @@
         change_s = (round_trip_s - mean_s) * ROUND_TRIP_WEIGHT
         self._round_trips_s[service] = mean_s + change_s
 
-    def _hold_off(self, service: str, host: str) -> _HoldOff:
-        return self._hold_offs.get((service, host), _HoldOff())
-
     def _refused(self, service: str, host: str) -> None:
-        state = self._hold_offs.setdefault((service, host), _HoldOff())
-        longest_s = min(HOLD_OFF_LONGEST_S, HOLD_OFF_FIRST_S * 2**state.step)
-        if (service, host) in self._standing:
-            longest_s = min(HOLD_OFF_NEAR_S, longest_s)
-        state.until_s = self._clock() + longest_s * self._rng.uniform(0.5, 1)
-        state.step = min(state.step + 1, 10)
+        near = (service, host) in self._standing
+        self._hold_offs.refused(
+            service,
+            host,
+            now_s=self._clock(),
+            at_most_s=HOLD_OFF_NEAR_S if near else hold_offs.LONGEST_S,
+        )
 
     def _finished(
         self,
--- /dev/null
+++ b/src/skylarkpitch/steering/lending.py
@@ -0,0 +1,156 @@
+"""Answer the hosts that ask for room of this host's upstreams."""
+
+from collections.abc import Callable
+
+import structlog
+
+from skylarkpitch import errors
+from skylarkpitch.membership import service as membership_service
+from skylarkpitch.messages import steering as messages
+from skylarkpitch.peers import directory as directories
+from skylarkpitch.peers import network
+from skylarkpitch import sentinels
+from skylarkpitch.settings import deployment
+from skylarkpitch.steering import demand as demands
+from skylarkpitch.steering import fair_queue
+from skylarkpitch.steering import lender as lenders
+
+__all__ = ['Lending']
+
+_log = structlog.get_logger(__name__)
+
+
+class Lending:
+    """Hand out tickets at once, or in the turn of the calls they are for.
+
+    Hosts of other failure domains get only what nobody waits for here.
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: network.Peers,
+        membership: membership_service.UpstreamMembership,
+        lender: lenders.Lender,
+        site_config: Callable[[], deployment.SiteConfig | sentinels.Absent],
+        queue_of: Callable[[str], fair_queue.FairQueue],
+        clock: Callable[[], float],
+    ) -> None:
+        self.cap_breaches = 0
+        self._peers = peers
+        self._membership = membership
+        self._lender = lender
+        self._site_config = site_config
+        self._queue_of = queue_of
+        self._clock = clock
+        self._demands: dict[str, demands.Demand] = {}
+
+    def expire(self) -> None:
+        """Forget the calls of hosts that have not renewed their demand."""
+        for demand in self._demands.values():
+            demand.expire(now_s=self._clock())
+
+    async def asked(
+        self, sender: str, message: messages.TicketRequest
+    ) -> messages.TicketGrant | None:
+        """Answer a request for tickets; keep those that must wait."""
+        config = self._site_config()
+        host = self._peers.directory.get(sender)
+        if not config or host is None:
+            return None
+        if message.service not in config.services:
+            return self._answer((), config)
+        now_s = self._clock()
+        tickets = self._granted(message, host, config, now_s)
+        self._queue_for(message, host)
+        return self._answer(tickets, config)
+
+    def _answer(
+        self, tickets: tuple[str, ...], config: deployment.SiteConfig
+    ) -> messages.TicketGrant:
+        return messages.TicketGrant(
+            tickets=tickets,
+            expires_in_s=config.policy.credit_lease_s,
+            domain_slots=self._membership.domain_slots(),
+        )
+
+    def _granted(
+        self,
+        message: messages.TicketRequest,
+        host: directories.Host,
+        config: deployment.SiteConfig,
+        now_s: float,
+    ) -> tuple[str, ...]:
+        if message.wanted < 1 or len(self._queue_of(message.service)):
+            return ()
+        return self._grant(
+            message.service, host, message.wanted, config, now_s
+        )
+
+    def _grant(
+        self,
+        service: str,
+        host: directories.Host,
+        wanted: int,
+        config: deployment.SiteConfig,
+        now_s: float,
+    ) -> tuple[str, ...]:
+        try:
+            return self._lender.grant(
+                service,
+                borrower=lenders.Borrower(
+                    host=host.name,
+                    region=host.region,
+                    failure_domain=host.failure_domain,
+                ),
+                wanted=wanted,
+                config=config,
+                now_s=now_s,
+            )
+        except errors.InvariantError as error:
+            self.cap_breaches += 1
+            _log.error('cap_breach', error=str(error))
+            return ()
+
+    def _queue_for(
+        self,
+        message: messages.TicketRequest,
+        host: directories.Host,
+    ) -> None:
+        service = message.service
+        own = self._peers.directory.own.failure_domain
+        if host.failure_domain != own:
+            return
+        if not self._membership.pool.of(service) or not self._lender.open:
+            return
+        demand = self._demands.setdefault(
+            service, demands.Demand(queue=self._queue_of(service))
+        )
+        demand.replace(
+            host.name,
+            flows=message.flows,
+            number=message.number,
+            now_s=self._clock(),
+        )
+
+    def offer(
+        self,
+        service: str,
+        call: demands.RemoteCall,
+        config: deployment.SiteConfig,
+    ) -> bool:
+        """Send a ticket for a call whose turn it is, if there is room."""
+        host = self._peers.directory.get(call.borrower)
+        tickets = self._grant(service, host, 1, config, self._clock())
+        if not tickets:
+            return False
+        self._peers.send(
+            call.borrower,
+            messages.TicketOffer(
+                service=service,
+                number=call.number,
+                tickets=tickets,
+                expires_in_s=config.policy.credit_lease_s,
+            ),
+        )
+        return True
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -9,12 +9,9 @@
 from typing import Any
 
 import mode
-import structlog
 
-from skylarkpitch import errors
 from skylarkpitch.membership import service as membership_service
 from skylarkpitch.messages import steering as messages
-from skylarkpitch.peers import directory as directories
 from skylarkpitch.peers import network
 from skylarkpitch import ports
 from skylarkpitch import sentinels
@@ -22,6 +19,7 @@
 from skylarkpitch.steering import borrower as borrowers
 from skylarkpitch.steering import demand as demands
 from skylarkpitch.steering import lender as lenders
+from skylarkpitch.steering import lending
 from skylarkpitch.steering import shares
 from skylarkpitch.steering import waiting_line
 
@@ -32,8 +30,6 @@
 SHORTEST_HOLD_S = 0.001
 SURVEY_S = 0.2
 
-_log = structlog.get_logger(__name__)
-
 
 class LentSlot:
     """One slot that a redeemed ticket stood for."""
@@ -87,7 +83,6 @@
         self._borrower = borrowers.Borrower(
             peers=peers, fleet=self._fleet, clock=clock, rng=rng
         )
-        self._demands: dict[str, demands.Demand] = {}
         self._lines: dict[str, waiting_line.WaitingLine] = {}
         self._borrowing: dict[str, asyncio.Task[None]] = {}
         self._counts = dict.fromkeys(
@@ -98,12 +93,19 @@
                 'refused_early',
                 'redeemed',
                 'tickets_unknown',
-                'cap_breaches',
             ),
             0,
         )
+        self._lending = lending.Lending(
+            peers=peers,
+            membership=membership,
+            lender=self.lender,
+            site_config=site_config,
+            queue_of=lambda service: self._line(service).queue,
+            clock=clock,
+        )
         membership.on_room = self._dispatch
-        peers.handle(messages.TicketRequest, self._lend)
+        peers.handle(messages.TicketRequest, self._lending.asked)
         peers.handle(messages.TicketOffer, self._offered)
         peers.handle(messages.TicketReturn, self._returned)
         super().__init__(**options)
@@ -193,6 +195,7 @@
         return {
             **self._counts,
             **self._borrower.counts,
+            'cap_breaches': self._lending.cap_breaches,
             'overload': self._membership.counters()['overload'],
             'running': sum(pool.in_use(name) for name in services),
             'waiting': sum(len(x.queue) for x in self._lines.values()),
@@ -218,8 +221,7 @@
         for service in self.lender.expire(now_s=self._clock()):
             self._dispatch(service)
         self._borrower.give_back_idle()
-        for demand in self._demands.values():
-            demand.expire(now_s=self._clock())
+        self._lending.expire()
 
     @mode.Service.timer(SURVEY_S)
     async def _survey(self) -> None:
@@ -287,7 +289,7 @@
         config: deployment.SiteConfig,
     ) -> bool:
         if isinstance(wanted, demands.RemoteCall):
-            return self._offer_to(service, wanted, config)
+            return self._lending.offer(service, wanted, config)
         if wanted.future.done():
             return True
         slot = self._take_now(service, wanted, config)
@@ -322,104 +324,6 @@
             await asyncio.sleep(BORROW_PAUSE_S)
         self._borrower.withdraw(service)
 
-    async def _lend(
-        self, sender: str, message: messages.TicketRequest
-    ) -> messages.TicketGrant | None:
-        config = self._site_config()
-        host = self._peers.directory.get(sender)
-        if not config or host is None:
-            return None
-        now_s = self._clock()
-        tickets = self._granted(message, host, config, now_s)
-        self._queue_for(message, host, config)
-        return messages.TicketGrant(
-            tickets=tickets,
-            expires_in_s=config.policy.credit_lease_s,
-            domain_slots=self._membership.domain_slots(),
-        )
-
-    def _granted(
-        self,
-        message: messages.TicketRequest,
-        host: directories.Host,
-        config: deployment.SiteConfig,
-        now_s: float,
-    ) -> tuple[str, ...]:
-        line = self._lines.get(message.service)
-        if message.wanted < 1 or (line is not None and len(line.queue)):
-            return ()
-        return self._grant(
-            message.service, host, message.wanted, config, now_s
-        )
-
-    def _grant(
-        self,
-        service: str,
-        host: directories.Host,
-        wanted: int,
-        config: deployment.SiteConfig,
-        now_s: float,
-    ) -> tuple[str, ...]:
-        try:
-            return self.lender.grant(
-                service,
-                borrower=lenders.Borrower(
-                    host=host.name,
-                    region=host.region,
-                    failure_domain=host.failure_domain,
-                ),
-                wanted=wanted,
-                config=config,
-                now_s=now_s,
-            )
-        except errors.InvariantError as error:
-            self._counts['cap_breaches'] += 1
-            _log.error('cap_breach', error=str(error))
-            return ()
-
-    def _queue_for(
-        self,
-        message: messages.TicketRequest,
-        host: directories.Host,
-        config: deployment.SiteConfig,
-    ) -> None:
-        service = message.service
-        own = self._peers.directory.own.failure_domain
-        if host.failure_domain != own or service not in config.services:
-            return
-        if not self._membership.pool.of(service) or not self.lender.open:
-            return
-        demand = self._demands.setdefault(
-            service, demands.Demand(queue=self._line(service).queue)
-        )
-        demand.replace(
-            host.name,
-            flows=message.flows,
-            number=message.number,
-            now_s=self._clock(),
-        )
-
-    def _offer_to(
-        self,
-        service: str,
-        call: demands.RemoteCall,
-        config: deployment.SiteConfig,
-    ) -> bool:
-        host = self._peers.directory.get(call.borrower)
-        tickets = self._grant(service, host, 1, config, self._clock())
-        if not tickets:
-            return False
-        self._peers.send(
-            call.borrower,
-            messages.TicketOffer(
-                service=service,
-                number=call.number,
-                tickets=tickets,
-                expires_in_s=config.policy.credit_lease_s,
-            ),
-        )
-        return True
-
     async def _offered(
         self, sender: str, message: messages.TicketOffer
     ) -> None:
--- a/tests/test_membership_ownership.py
+++ b/tests/test_membership_ownership.py
@@ -6,6 +6,7 @@
 
 from skylarkpitch.membership import owner as owners
 from skylarkpitch.membership import ownership
+from skylarkpitch.membership import terms
 from tests.stand_ins import fake_peers
 from tests.stand_ins import room_hosts
 
@@ -166,7 +167,7 @@
             'h1', previous_owner='h1', echo=answer.echo
         )
         assert slots(hosts, 'h1') == 0
-        assert isinstance(late, owners.Refused) or not late.owner
+        assert isinstance(late, terms.Refused) or not late.owner
 
     asyncio.run(run())
 
