Test the cores of steering and scenarios of a whole domain

Tables for shares, growth, links, tickets, queues and hold-offs; scenarios in virtual time for one organisation at five times its rate, a planned stop and a dead owner.

--- /dev/null
+++ b/tests/test_steering_cores.py
@@ -0,0 +1,247 @@
+"""Check the pure parts of steering: shares, shift, links, tickets, queues."""
+
+import random
+
+import pytest
+
+from skylarkpitch import errors
+from skylarkpitch.steering import demand as demands
+from skylarkpitch.steering import fair_queue
+from skylarkpitch.steering import hold_offs
+from skylarkpitch.steering import link_budget
+from skylarkpitch.steering import shares
+from skylarkpitch.steering import shift
+from skylarkpitch.steering import tickets
+from skylarkpitch.steering import tiers
+from tests.stand_ins import fake_peers
+from tests.stand_ins import room_hosts
+
+
+def regions(region_percent, one_percent, other_percent):
+    return room_hosts.config(
+        regions={
+            'r1': {
+                'max_share_percent': region_percent,
+                'failure_domains': {
+                    'd1': {'max_share_percent': one_percent},
+                    'd2': {'max_share_percent': other_percent},
+                },
+            }
+        }
+    )
+
+
+@pytest.mark.parametrize(
+    ('percents', 'expected'),
+    [
+        ((60, 40, 40), 0.3),
+        ((60, 20, 40), 0.2),
+        ((30, 10, 30), 0.075),
+        ((100, 40, 40), 0.4),
+        ((100, 100, 100), 1.0),
+        ((0, 0, 0), 0.0),
+    ],
+)
+def test_cap_of_a_region_is_divided_between_its_domains(percents, expected):
+    cap = shares.domain_cap(
+        regions(*percents), region='r1', failure_domain='d1'
+    )
+    assert cap == pytest.approx(expected)
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_parts_of_the_hosts_never_sum_to_more_than_the_share(seed):
+    rng = random.Random(seed)
+    own = [rng.randint(0, 40) for _ in range(rng.randint(1, 5))]
+    others = rng.randint(0, 300)
+    cap = rng.uniform(0.01, 1.0)
+    parts = [
+        shares.host_limit(
+            cap=cap,
+            own_slots=slots,
+            other_slots=others,
+            domain_hosts=len(own),
+        )
+        for slots in own
+    ]
+    whole = cap * (sum(own) + others)
+    assert sum(parts) <= max(whole + 1e-6, len(own))
+
+
+def test_slots_of_a_silent_domain_count_as_last_announced():
+    fleet = shares.FleetSlots()
+    fleet.note('d2', {'desk': 8})
+    fleet.note('d3', {'desk': 4, 'plan': 1})
+    fleet.note('d2', {'desk': 6})
+    assert (fleet.others('desk'), fleet.others('plan')) == (10, 1)
+
+
+@pytest.mark.parametrize('rate_per_s', [0.5, 1.0, 3.7, 40.0])
+def test_growth_of_foreign_calls_within_any_second(rate_per_s):
+    rng = random.Random(2)
+    ramp = shift.ShiftRamp(now_s=0.0)
+    now_s, level, peaks = 0.0, 0, []
+    while now_s < 30:
+        now_s += rng.expovariate(100)
+        level = max(0, level - rng.choice((0, 0, 0, 1, 5)))
+        room = ramp.room(level, rate_per_s=rate_per_s, now_s=now_s)
+        if room:
+            level += rng.randint(1, room)
+            ramp.grow(level, now_s=now_s)
+        before = [x for at_s, x in peaks if now_s - 11 < at_s <= now_s - 1.05]
+        if before:
+            assert level <= max(before) + max(1, rate_per_s)
+        peaks.append((now_s, level))
+
+
+def test_growth_past_the_cap_is_an_invariant():
+    ramp = shift.ShiftRamp(now_s=0.0)
+    room = ramp.room(0, rate_per_s=3.0, now_s=0.0)
+    with pytest.raises(errors.InvariantError):
+        ramp.grow(room + 1, now_s=0.0)
+
+
+def test_link_bytes_within_any_second():
+    rng = random.Random(3)
+    budget = link_budget.LinkBudget(bytes_per_s=10_000, now_s=0.0)
+    now_s, sent = 0.0, []
+    while now_s < 20:
+        now_s += rng.expovariate(50)
+        size = rng.choice((100, 900, 1900))
+        if budget.has(size, now_s=now_s):
+            budget.spend(size, now_s=now_s)
+            sent.append((now_s, size))
+        last = sum(x for at_s, x in sent if at_s > now_s - 1)
+        assert last <= 10_000
+    assert sum(x for _, x in sent) > 19 * 7_000
+    with pytest.raises(errors.InvariantError):
+        budget.spend(3_000, now_s=now_s)
+
+
+def test_parts_of_a_link_sum_to_its_budget_each_way():
+    part = link_budget.host_bytes_per_s(mbit_per_s=4000, region_hosts=3)
+    assert 2 * 3 * part == pytest.approx(4000 * 125_000)
+
+
+def lent(expires_s=2.0, borrower='h1'):
+    return tickets.Lent(
+        service='desk',
+        borrower=borrower,
+        cross_region=True,
+        expires_s=expires_s,
+    )
+
+
+def test_ticket_is_good_once_and_until_its_time():
+    office = tickets.TicketOffice()
+    for name in ('a', 'b', 'c'):
+        office.issue(name, lent())
+    assert office.redeem('a', now_s=1.0)
+    assert office.redeem('a', now_s=1.0).reason == 'ticket_unknown'
+    assert office.redeem('b', now_s=2.0).reason == 'ticket_unknown'
+    assert office.returned('c', borrower='h2') is None
+    assert office.returned('c', borrower='h1')
+    assert office.outstanding('desk') == 1
+    assert len(office.expire(now_s=2.0)) == 1
+    assert office.outstanding_cross_region('desk') == 0
+    with pytest.raises(errors.InvariantError):
+        office.issue('d', lent())
+        office.issue('d', lent())
+
+
+@pytest.mark.parametrize('drift', [0.0, 0.01, 0.1])
+def test_lender_waits_longer_than_the_borrower_may_use(drift):
+    slow_borrower_s = 2.0 / (1 - drift)
+    fast_lender_s = tickets.held_s(lease_s=2.0, drift=drift) / (1 + drift)
+    assert fast_lender_s > slow_borrower_s
+
+
+def test_purse_gives_out_living_tickets_and_returns_idle_ones():
+    purse = tickets.Purse()
+    purse.put('desk', 'h2', ('a', 'b'), now_s=0.0, expires_s=1.0)
+    assert purse.take('desk', 'h2', now_s=0.5) == 'b'
+    assert purse.idle(now_s=0.2, idle_s=0.3) == {}
+    assert purse.idle(now_s=0.4, idle_s=0.3) == {'h2': ['a']}
+    purse.put('desk', 'h2', ('c',), now_s=0.0, expires_s=1.0)
+    assert purse.take('desk', 'h2', now_s=1.0) is None
+
+
+def serve_all(queue, count):
+    return [queue.serve(lambda item: True).flow[0] for _ in range(count)]
+
+
+def test_queue_serves_by_weight_whatever_the_backlog():
+    queue = fair_queue.FairQueue()
+    for _ in range(60):
+        queue.push(('large', ''), weight=1.0, item=0)
+    for _ in range(20):
+        queue.push(('small', ''), weight=1.0, item=0)
+    for _ in range(40):
+        queue.push(('heavy', ''), weight=2.0, item=0)
+    served = serve_all(queue, 40)
+    assert abs(served.count('heavy') - 20) <= 1
+    assert abs(served.count('small') - 10) <= 1
+    assert abs(served.count('large') - 10) <= 1
+
+
+def test_calls_that_give_up_cost_their_flow_nothing():
+    queue = fair_queue.FairQueue()
+    gone = [queue.push(('a', ''), weight=1.0, item=0) for _ in range(50)]
+    for _ in range(5):
+        queue.push(('b', ''), weight=1.0, item=0)
+    for waiter in gone:
+        queue.remove(waiter)
+    queue.push(('a', ''), weight=1.0, item=0)
+    assert 'a' in serve_all(queue, 2)
+
+
+def test_full_queue_drops_from_the_longest_backlog():
+    queue = fair_queue.FairQueue()
+    for _ in range(5):
+        last = queue.push(('large', ''), weight=1.0, item=0)
+    assert queue.victim(('small', ''), weight=1.0) is last
+    assert queue.victim(('large', ''), weight=1.0) is None
+    assert queue.ahead(('small', ''), weight=1.0) == 1
+    assert queue.ahead(('large', ''), weight=1.0) == 5
+
+
+def test_remote_calls_take_their_turn_until_they_run_out():
+    queue = fair_queue.FairQueue()
+    demand = demands.Demand(queue=queue)
+    flows = (('a', 'reads', 1.0, 3), ('b', 'reads', 1.0, 100))
+    demand.replace('h2', flows=flows, number=1, now_s=0.0)
+    assert len(queue) == 3 + demands.MAX_CALLS_A_FLOW
+    demand.replace('h2', flows=flows[:1], number=2, now_s=0.1)
+    assert len(queue) == 3
+    assert queue.serve(lambda call: call.number == 2)
+    demand.expire(now_s=0.1 + demands.KEPT_S)
+    assert len(queue) == 0
+
+
+def test_hosts_that_refuse_are_held_off_for_longer_each_time():
+    held = hold_offs.HoldOffs(rng=random.Random(1))
+    spans_s = []
+    for _ in range(5):
+        held.refused('desk', 'h2', now_s=0.0)
+        now_s = 0.0
+        while held.is_held('desk', 'h2', now_s=now_s):
+            now_s += 0.001
+        spans_s.append(now_s)
+    assert spans_s[-1] > 4 * spans_s[0]
+    held.lent('desk', 'h2')
+    assert not held.is_held('desk', 'h2', now_s=0.0)
+
+
+def test_domains_of_equal_distance_stand_together():
+    hosts = [
+        fake_peers.host('h1', 'r1', 'd1'),
+        fake_peers.host('h2', 'r1', 'd2'),
+        fake_peers.host('h3', 'r2', 'd3'),
+        fake_peers.host('h4', 'r2', 'd4'),
+    ]
+    directory = fake_peers.FakeNetwork(hosts=hosts).join('h1').directory
+    assert tiers.domain_tiers(directory, room_hosts.config()) == [
+        ['d1'],
+        ['d2'],
+        ['d3', 'd4'],
+    ]
--- a/tests/test_steering_room.py
+++ b/tests/test_steering_room.py
@@ -7,6 +7,7 @@
 from skylarkpitch import ports
 from tests.stand_ins import fake_peers
 from tests.stand_ins import room_hosts
+from tests.stand_ins import room_world
 
 
 def fleet(**sections):
@@ -158,3 +159,141 @@
         finish(first)
 
     asyncio.run(run())
+
+
+def test_share_of_the_domain_bounds_own_calls_and_tickets():
+    async def run():
+        hosts = fleet(
+            regions={
+                'r1': {
+                    'max_share_percent': 50,
+                    'failure_domains': {
+                        'd1': {'max_share_percent': 25},
+                        'd2': {'max_share_percent': 25},
+                    },
+                }
+            }
+        )
+        for number, host in enumerate(('h1', 'h2', 'h3'), 1):
+            await hosts.own(host, name=f'u{number}', slots=10)
+        await survey(hosts)
+        local = [await take(hosts) for _ in range(8)]
+        names = [slot.upstream for slot in local]
+        assert names == ['u1'] * 7 + ['relay:h2']
+        assert (await take(hosts, 'h2')).upstream == 'u2'
+        counters = [room.counters() for room in hosts.room.values()]
+        assert not any(item['cap_breaches'] for item in counters)
+
+    asyncio.run(run())
+
+
+def test_calls_to_another_region_grow_by_the_cap_only():
+    async def run():
+        hosts = fleet(policy={'shift_percent_per_s': 10})
+        await hosts.own('h3', name='u3', slots=40)
+        await survey(hosts)
+        got = [await take(hosts) for _ in range(8)]
+        lent = sum(bool(slot) for slot in got)
+        assert lent == 3
+        hosts.clock.now_s += 1.1
+        got = [await take(hosts) for _ in range(8)]
+        assert sum(bool(slot) for slot in got) == 3
+
+    asyncio.run(run())
+
+
+def test_bytes_over_a_link_are_bounded():
+    async def run():
+        hosts = fleet(policy={'shift_percent_per_s': 100})
+        await hosts.own('h3', name='u3', slots=40)
+        await survey(hosts)
+        assert (await take(hosts, body_bytes=2_000_000)).reason == 'no_room'
+        assert hosts.room['h1'].counters()['link_refused'] > 0
+        assert await take(hosts, body_bytes=100_000)
+
+    asyncio.run(run())
+
+
+def one_domain(upstreams=2):
+    world = room_world.World(
+        seed=1,
+        places=room_world.places({'r1': ['d1']}),
+        site=room_hosts.config(),
+        latency_s=lambda one, other: 0.0003,
+    )
+    for number in range(upstreams):
+        world.add_upstream(
+            name=f'u{number}',
+            service='desk',
+            domain='d1',
+            slots=4,
+            work_s=0.02,
+        )
+    return world
+
+
+async def answered_part(world, organisation, rate_per_s, seconds):
+    outcomes = []
+    hosts = sorted(world.hosts)
+    for number in range(int(rate_per_s * seconds)):
+        await asyncio.sleep(1 / rate_per_s)
+        call = world.call(
+            hosts[number % 2],
+            'desk',
+            organisation=organisation,
+            deadline_s=2.0,
+        )
+        outcomes.append(world.spawn(call))
+    answers = await asyncio.gather(*outcomes)
+    return answers.count('answered') / len(answers)
+
+
+def test_one_organisation_at_five_times_leaves_the_others_alone():
+    async def run():
+        world = one_domain()
+        await asyncio.sleep(3)
+        served = await asyncio.gather(
+            answered_part(world, 'large', 500, 3),
+            answered_part(world, 'small', 50, 3),
+            answered_part(world, 'tiny', 10, 3),
+        )
+        assert served[0] < 0.9
+        assert min(served[1:]) > 0.98
+        assert not world.violations
+
+    room_world.run(run())
+
+
+def test_planned_stop_cuts_no_call_and_moves_the_upstreams():
+    async def run():
+        world = one_domain(upstreams=4)
+        await asyncio.sleep(3)
+        stopping, staying = (world.hosts[n] for n in sorted(world.hosts))
+        calls = world.spawn(answered_part(world, 'small', 100, 4))
+        await asyncio.sleep(0.5)
+        stopping.room.stop_granting()
+        assert await stopping.membership.hand_over(timeout_s=5)
+        assert await calls == 1.0
+        assert stopping.membership.upstreams() == []
+        names = [item.name for item in staying.membership.upstreams()]
+        assert names == ['u0', 'u1', 'u2', 'u3']
+        assert not world.violations
+
+    room_world.run(run())
+
+
+def test_dead_owner_is_replaced_without_a_slot_used_twice():
+    async def run():
+        world = one_domain()
+        await asyncio.sleep(3)
+        names = sorted(world.hosts)
+        calls = world.spawn(answered_part(world, 'small', 150, 15))
+        await asyncio.sleep(1)
+        world.kill(names[0])
+        await asyncio.sleep(12)
+        owned = world.hosts[names[1]].membership.upstreams()
+        assert [item.name for item in owned] == ['u0', 'u1']
+        await calls
+        assert not world.violations
+
+    room_world.run(run())
