--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -30,6 +30,8 @@
 ROUND_TRIP_WEIGHT = 0.3
 HOLD_WEIGHT = 0.05
 RATE_TAU_S = 0.5
+SURVEY_S = 0.2
+SURVEY_A_DOMAIN_S = 0.02
 REQUESTS_KEPT = 1000
 
 
@@ -61,6 +63,7 @@
         self._asked: dict[tuple[str, str], int] = {}
         self._standing: set[tuple[str, str]] = set()
         self._numbers = 0
+        self._surveyed = 0
         self._sent_s: dict[int, float] = {}
         self._holds_s: dict[str, float] = {}
         self._tiers: list[list[str]] = []
@@ -212,10 +215,15 @@
         return 0.0 if hold_s is None else running / max(hold_s, 1e-3)
 
     async def survey(self) -> None:
-        """Ask one host of one other domain for the slots it has there."""
+        """Ask one host of the next domain for the slots it has there."""
         domains = self._other_domains()
         if domains:
-            await self._survey_domain(self._rng.choice(domains))
+            self._surveyed = (self._surveyed + 1) % len(domains)
+            await self._survey_domain(domains[self._surveyed])
+
+    def survey_interval_s(self) -> float:
+        """Return the time between surveys: longer for a larger fleet."""
+        return max(SURVEY_S, SURVEY_A_DOMAIN_S * len(self._hosts))
 
     async def survey_all(self) -> None:
         """Ask one host of each other domain, as :meth:`survey` does."""
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -28,7 +28,6 @@
 BORROW_PAUSE_S = 0.005
 EXPIRE_S = 0.05
 SHORTEST_HOLD_S = 0.001
-SURVEY_S = 0.2
 
 
 class LentSlot:
@@ -223,9 +222,11 @@
         self._borrower.give_back_idle()
         self._lending.expire()
 
-    @mode.Service.timer(SURVEY_S)
+    @mode.Service.task
     async def _survey(self) -> None:
-        await self.survey()
+        while not self.should_stop:
+            await self.survey()
+            await self.sleep(self._borrower.survey_interval_s())
 
     async def survey(self) -> None:
         """Learn the slots of one other failure domain."""
