Send tickets to other domains when room comes free

Cause: after a region's death the slots that came free elsewhere waited for the next question, a round trip between regions away.

Calls that wait at hosts of other domains now stand in a second fair queue at the lender, served only while nobody of its own domain waits.

--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -24,7 +24,7 @@
 ASKS_A_DOMAIN = 2
 ASKS_A_TIER = 8
 HOLD_OFF_NEAR_S = 0.1
-IDLE_S = 0.3
+IDLE_S = 0.15
 MAX_WANTED = 64
 PREFETCH_S = 0.01
 ROUND_TRIP_WEIGHT = 0.3
@@ -169,14 +169,12 @@
         )
 
     def withdraw(self, service: str) -> None:
-        """Tell the domain's hosts that no call waits any more."""
-        for host in self._hosts.get(self._own.failure_domain, ()):
-            if (service, host.name) in self._standing:
-                self._standing.discard((service, host.name))
-                self._peers.send(
-                    host.name,
-                    messages.TicketRequest(service=service, wanted=0),
-                )
+        """Tell the hosts that were asked that no call waits any more."""
+        for key in [key for key in self._standing if key[0] == service]:
+            self._standing.discard(key)
+            self._peers.send(
+                key[1], messages.TicketRequest(service=service, wanted=0)
+            )
 
     def _start(
         self,
@@ -188,8 +186,8 @@
         key = (service, host.name)
         self._asked[key] = wanted
         if host.failure_domain != self._own.failure_domain:
-            flows = ()
-        elif flows:
+            flows = _at_most(flows, wanted)
+        if flows:
             self._standing.add(key)
         task = asyncio.create_task(self._ask(host, service, wanted, flows))
         task.add_done_callback(lambda done: self._asked.pop(key, None))
@@ -383,3 +381,21 @@
             self._holds_s[service] += (took_s - mean_s) * HOLD_WEIGHT
         if exchange is ports.Exchange.FAILED:
             self._refused(service, lender)
+
+
+def _at_most(
+    flows: tuple[messages.FlowDemand, ...], wanted: int
+) -> tuple[messages.FlowDemand, ...]:
+    total = sum(count for *_, count in flows)
+    if total <= wanted:
+        return flows
+    parts = (
+        (
+            organisation,
+            request_class,
+            weight,
+            math.ceil(count * wanted / total),
+        )
+        for organisation, request_class, weight, count in flows
+    )
+    return tuple(parts)
--- a/src/skylarkpitch/steering/lending.py
+++ b/src/skylarkpitch/steering/lending.py
@@ -43,7 +43,8 @@
         self._site_config = site_config
         self._queue_of = queue_of
         self._clock = clock
-        self._demands: dict[str, demands.Demand] = {}
+        self._demands: dict[tuple[str, bool], demands.Demand] = {}
+        self._far: dict[str, fair_queue.FairQueue] = {}
 
     def expire(self) -> None:
         """Forget the calls of hosts that have not renewed their demand."""
@@ -112,19 +113,29 @@
             _log.error('cap_breach', error=str(error))
             return ()
 
+    def offer_far(self, service: str, config: deployment.SiteConfig) -> None:
+        """Send tickets to other domains; only when nobody waits here."""
+        queue = self._far.get(service)
+        while queue is not None and len(queue):
+            if not queue.serve(lambda call: self.offer(service, call, config)):
+                return
+
     def _queue_for(
         self,
         message: messages.TicketRequest,
         host: directories.Host,
     ) -> None:
         service = message.service
-        own = self._peers.directory.own.failure_domain
-        if host.failure_domain != own:
-            return
         if not self._membership.pool.of(service) or not self._lender.open:
             return
+        own = self._peers.directory.own.failure_domain
+        near = host.failure_domain == own
+        if near:
+            queue = self._queue_of(service)
+        else:
+            queue = self._far.setdefault(service, fair_queue.FairQueue())
         demand = self._demands.setdefault(
-            service, demands.Demand(queue=self._queue_of(service))
+            (service, near), demands.Demand(queue=queue)
         )
         demand.replace(
             host.name,
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -273,15 +273,16 @@
         return answer
 
     def _dispatch(self, service: str) -> None:
-        line = self._lines.get(service)
         config = self._site_config()
-        if line is None or not config:
+        if not config:
             return
+        line = self._line(service)
         while len(line.queue):
             if not line.serve(
                 lambda wanted: self._offer(service, wanted, config)
             ):
                 return
+        self._lending.offer_far(service, config)
 
     def _offer(
         self,
--- a/tests/test_steering_room.py
+++ b/tests/test_steering_room.py
@@ -248,6 +248,27 @@
     return answers.count('answered') / len(answers)
 
 
+def test_other_domains_get_what_comes_free_when_nobody_waits_here():
+    async def run():
+        hosts = fleet()
+        await hosts.own('h2', name='u2', slots=1)
+        await survey(hosts)
+        own = await take(hosts, 'h2')
+        waiting = asyncio.ensure_future(take(hosts, 'h1', wait_s=5))
+        await asyncio.sleep(0.03)
+        near = asyncio.ensure_future(take(hosts, 'h2', wait_s=5))
+        await asyncio.sleep(0)
+        finish(own)
+        near_slot = await near
+        assert near_slot.upstream == 'u2'
+        assert not waiting.done()
+        await hosts.own('h2', name='u3', slots=4)
+        hosts.room['h2']._dispatch('desk')
+        assert (await waiting).upstream == 'relay:h2'
+
+    asyncio.run(run())
+
+
 def test_one_organisation_at_five_times_leaves_the_others_alone():
     async def run():
         world = one_domain()
