--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import math
 import random
 
@@ -11,89 +10,29 @@
 from skylarkpitch.peers import network
 from skylarkpitch import ports
 from skylarkpitch.settings import deployment
+from skylarkpitch.steering import hold_offs
 from skylarkpitch.steering import link_budget
 from skylarkpitch.steering import rates
+from skylarkpitch.steering import remote_slot
 from skylarkpitch.steering import shares
 from skylarkpitch.steering import tickets
+from skylarkpitch.steering import tiers
 
-__all__ = ['Borrower', 'RemoteSlot', 'domain_tiers']
+__all__ = ['Borrower']
 
 ASK_TIMEOUT_S = 0.4
 ASKS_A_DOMAIN = 2
 ASKS_A_TIER = 8
-HOLD_OFF_FIRST_S = 0.02
-HOLD_OFF_LONGEST_S = 0.5
 HOLD_OFF_NEAR_S = 0.1
-IDLE_S = 0.3
+IDLE_S = 0.15
 MAX_WANTED = 64
 PREFETCH_S = 0.01
 ROUND_TRIP_WEIGHT = 0.3
 HOLD_WEIGHT = 0.05
 RATE_TAU_S = 0.5
+SURVEY_S = 0.2
+SURVEY_A_DOMAIN_S = 0.02
 REQUESTS_KEPT = 1000
-RELAY_PATH = '/skylark/v1/relay'
-TICKET_HEADER = 'Skylark-Ticket'
-FAR_MS = 1e6
-
-
-class RemoteSlot:
-    """One slot of an upstream of another host, reached by its relay."""
-
-    def __init__(
-        self,
-        *,
-        lender: directories.Host,
-        ticket: str,
-        finish: Callable[[ports.Exchange], None],
-        account: Callable[[int], None],
-    ) -> None:
-        self.upstream = f'relay:{lender.name}'
-        self.url = f'http://{lender.relay_address}{RELAY_PATH}'
-        self.headers = {TICKET_HEADER: ticket}
-        self._finish = finish
-        self._account = account
-
-    def finish(self, exchange: ports.Exchange, *, latency_s: float) -> None:
-        """Tell how the exchange with the lender's relay ended."""
-        self._finish(exchange)
-
-    def account(self, more_bytes: int) -> None:
-        """Count bytes over those that the call was expected to need."""
-        self._account(more_bytes)
-
-
-@dataclasses.dataclass(slots=True)
-class _HoldOff:
-    until_s: float = 0.0
-    step: int = 0
-
-
-def domain_tiers(
-    directory: directories.Directory, config: deployment.SiteConfig
-) -> list[list[str]]:
-    """Return the failure domains of entry hosts, nearest first.
-
-    Domains of equal distance stand together: the own one, the others of the
-    own region, then those of other regions by ``one_way_ms``.
-    """
-    own = directory.own
-    far_ms = {own.region: 0.0}
-    for link in config.links:
-        if own.region in link.between:
-            one, other = link.between
-            far = other if one == own.region else one
-            far_ms[far] = link.one_way_ms
-    tiers: dict[tuple, list[str]] = {}
-    for host in directory.with_role('entry'):
-        distance = (
-            host.failure_domain != own.failure_domain,
-            host.region != own.region,
-            far_ms.get(host.region, FAR_MS),
-        )
-        tier = tiers.setdefault(distance, [])
-        if host.failure_domain not in tier:
-            tier.append(host.failure_domain)
-    return [tiers[distance] for distance in sorted(tiers)]
 
 
 class Borrower:
@@ -118,12 +57,13 @@
         self._own = peers.directory.own
         self._config: deployment.SiteConfig | None = None
         self._budgets: dict[str, link_budget.LinkBudget] = {}
-        self._hold_offs: dict[tuple[str, str], _HoldOff] = {}
+        self._hold_offs = hold_offs.HoldOffs(rng=rng)
         self._used: dict[str, rates.RateMeter] = {}
         self._running: dict[str, int] = {}
         self._asked: dict[tuple[str, str], int] = {}
         self._standing: set[tuple[str, str]] = set()
         self._numbers = 0
+        self._surveyed = 0
         self._sent_s: dict[int, float] = {}
         self._holds_s: dict[str, float] = {}
         self._tiers: list[list[str]] = []
@@ -138,7 +78,7 @@
         if config is self._config:
             return
         self._config = config
-        self._tiers = domain_tiers(self._peers.directory, config)
+        self._tiers = tiers.domain_tiers(self._peers.directory, config)
         own = self._own.region
         hosts = len(self._peers.directory.in_region(own))
         self._budgets = {}
@@ -157,7 +97,7 @@
 
     def take(
         self, service: str, *, body_bytes: int, exclude: frozenset[str]
-    ) -> RemoteSlot | None:
+    ) -> remote_slot.RemoteSlot | None:
         """Use a ticket in hand, the nearest lender's first."""
         held = set(self.purse.lenders(service))
         if not held:
@@ -229,14 +169,12 @@
         )
 
     def withdraw(self, service: str) -> None:
-        """Tell the domain's hosts that no call waits any more."""
-        for host in self._hosts.get(self._own.failure_domain, ()):
-            if (service, host.name) in self._standing:
-                self._standing.discard((service, host.name))
-                self._peers.send(
-                    host.name,
-                    messages.TicketRequest(service=service, wanted=0),
-                )
+        """Tell the hosts that were asked that no call waits any more."""
+        for key in [key for key in self._standing if key[0] == service]:
+            self._standing.discard(key)
+            self._peers.send(
+                key[1], messages.TicketRequest(service=service, wanted=0)
+            )
 
     def _start(
         self,
@@ -248,8 +186,8 @@
         key = (service, host.name)
         self._asked[key] = wanted
         if host.failure_domain != self._own.failure_domain:
-            flows = ()
-        elif flows:
+            flows = _at_most(flows, wanted)
+        if flows:
             self._standing.add(key)
         task = asyncio.create_task(self._ask(host, service, wanted, flows))
         task.add_done_callback(lambda done: self._asked.pop(key, None))
@@ -275,10 +213,15 @@
         return 0.0 if hold_s is None else running / max(hold_s, 1e-3)
 
     async def survey(self) -> None:
-        """Ask one host of one other domain for the slots it has there."""
+        """Ask one host of the next domain for the slots it has there."""
         domains = self._other_domains()
         if domains:
-            await self._survey_domain(self._rng.choice(domains))
+            self._surveyed = (self._surveyed + 1) % len(domains)
+            await self._survey_domain(domains[self._surveyed])
+
+    def survey_interval_s(self) -> float:
+        """Return the time between surveys: longer for a larger fleet."""
+        return max(SURVEY_S, SURVEY_A_DOMAIN_S * len(self._hosts))
 
     async def survey_all(self) -> None:
         """Ask one host of each other domain, as :meth:`survey` does."""
@@ -308,7 +251,7 @@
         service: str,
         host: directories.Host,
         body_bytes: int,
-    ) -> RemoteSlot | None:
+    ) -> remote_slot.RemoteSlot | None:
         now_s = self._clock()
         budget = self._budgets.get(host.region)
         if budget is not None and not budget.has(body_bytes, now_s=now_s):
@@ -322,7 +265,7 @@
         self.counts['used'] += 1
         self._rate(service).add(now_s=now_s)
         self._running[service] = self.running(service) + 1
-        return RemoteSlot(
+        return remote_slot.RemoteSlot(
             lender=host,
             ticket=ticket,
             finish=lambda exchange: self._finished(
@@ -359,7 +302,7 @@
             host
             for host in self._hosts.get(domain, ())
             if (service, host.name) not in self._asked
-            and self._hold_off(service, host.name).until_s <= now_s
+            and not self._hold_offs.is_held(service, host.name, now_s=now_s)
         ]
         if len(hosts) > ASKS_A_DOMAIN:
             hosts = self._rng.sample(hosts, ASKS_A_DOMAIN)
@@ -391,7 +334,7 @@
             return
         self._took(service, self._clock() - sent_s)
         if answer.tickets:
-            self._hold_offs.pop((service, host.name), None)
+            self._hold_offs.lent(service, host.name)
         else:
             self._refused(service, host.name)
         self.counts['borrowed'] += len(answer.tickets)
@@ -415,16 +358,14 @@
         change_s = (round_trip_s - mean_s) * ROUND_TRIP_WEIGHT
         self._round_trips_s[service] = mean_s + change_s
 
-    def _hold_off(self, service: str, host: str) -> _HoldOff:
-        return self._hold_offs.get((service, host), _HoldOff())
-
     def _refused(self, service: str, host: str) -> None:
-        state = self._hold_offs.setdefault((service, host), _HoldOff())
-        longest_s = min(HOLD_OFF_LONGEST_S, HOLD_OFF_FIRST_S * 2**state.step)
-        if (service, host) in self._standing:
-            longest_s = min(HOLD_OFF_NEAR_S, longest_s)
-        state.until_s = self._clock() + longest_s * self._rng.uniform(0.5, 1)
-        state.step = min(state.step + 1, 10)
+        near = (service, host) in self._standing
+        self._hold_offs.refused(
+            service,
+            host,
+            now_s=self._clock(),
+            at_most_s=HOLD_OFF_NEAR_S if near else hold_offs.LONGEST_S,
+        )
 
     def _finished(
         self,
@@ -440,3 +381,21 @@
             self._holds_s[service] += (took_s - mean_s) * HOLD_WEIGHT
         if exchange is ports.Exchange.FAILED:
             self._refused(service, lender)
+
+
+def _at_most(
+    flows: tuple[messages.FlowDemand, ...], wanted: int
+) -> tuple[messages.FlowDemand, ...]:
+    total = sum(count for *_, count in flows)
+    if total <= wanted:
+        return flows
+    parts = (
+        (
+            organisation,
+            request_class,
+            weight,
+            math.ceil(count * wanted / total),
+        )
+        for organisation, request_class, weight, count in flows
+    )
+    return tuple(parts)
