--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -81,6 +81,7 @@
         on_applied: Callable[[], None],
         limits: Limits,
         threads: Threads | None = None,
+        incarnation: Callable[[], str] = journals.new_incarnation,
     ) -> None:
         self._folder = folder
         self._machine = state_machine
@@ -88,6 +89,7 @@
         self._clock = clock
         self._on_applied = on_applied
         self._limits = limits
+        self._incarnation = incarnation
         self._threads = threads or Threads()
         self._saved: concurrent.futures.Future[None] | None = None
         self._saved_info: messages.SnapshotInfo | None = None
@@ -101,7 +103,7 @@
         """Read the data folder. Raises ``JournalError``."""
         self._folder.open()
         self.journal, recovered, data = journals.open_journal(
-            folder=self._folder, host=host
+            folder=self._folder, host=host, incarnation=self._incarnation
         )
         self.core = cores.Core(
             identity=self.journal.identity,
--- a/src/skylarkpitch/consensus/journal.py
+++ b/src/skylarkpitch/consensus/journal.py
@@ -23,7 +23,7 @@
 from skylarkpitch.consensus import state as states
 from skylarkpitch.messages import consensus as messages
 
-__all__ = ['Journal', 'open_journal']
+__all__ = ['Journal', 'new_incarnation', 'open_journal']
 
 NAME = 'journal'
 FORMAT_VERSION = 1
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -176,7 +176,7 @@
             'journal_syncs': self._engine.journal.syncs,
             'inbox_drops': self._inbox_drops,
             'failed': float(self._failure is not None),
-            'leads': float(self._failure is None and self._core.is_leader),
+            'leads': float(self._leads()),
         }
 
     async def add_member(self, host: str, *, timeout_s: float = 5.0) -> str:
@@ -229,11 +229,11 @@
 
         Tells whether this member leads no longer when it returns.
         """
-        self._put(lambda now_s: self._core.hand_over())
         deadline_s = self._clock() + timeout_s
-        while self._core.is_leader and self._clock() < deadline_s:
-            await asyncio.sleep(self._timing.heartbeat_s / 10)
-        return not self._core.is_leader
+        while self._leads() and self._clock() < deadline_s:
+            self._put(lambda now_s: self._core.hand_over())
+            await asyncio.sleep(self._timing.heartbeat_s)
+        return not self._leads()
 
     async def _append(
         self, propose: Callable[[float], int], *, timeout_s: float
@@ -281,7 +281,8 @@
             self._wake.set()
 
     async def _on_message(self, sender: str, message: Any) -> None:
-        if member_sets.host_of(message.sender) != sender:
+        own_name = member_sets.host_of(message.sender) == sender
+        if not own_name or not self._may_be_member(sender):
             self._core.state.count('messages_of_wrong_sender')
             return
         if len(self._inbox) >= MAX_INBOX_ITEMS:
@@ -289,6 +290,11 @@
             return
         self._put(lambda now_s: self._core.receive(message, now_s=now_s))
 
+    def _may_be_member(self, name: str) -> bool:
+        host = self._peers.directory.get(name)
+        is_control = host is not None and 'control' in host.roles
+        return is_control or name in self._voters
+
     async def _on_introduction(
         self, sender: str, ask: messages.IntroductionAsk
     ) -> messages.Introduction:
@@ -366,6 +372,9 @@
                 leader=None,
             )
 
+    def _leads(self) -> bool:
+        return self._failure is None and self._core.is_leader
+
     def _leader(self) -> str | None:
         leader = self._core.state.leader
         if leader is None or self._failure is not None:
--- a/tests/stand_ins/simulated_log.py
+++ b/tests/stand_ins/simulated_log.py
@@ -51,6 +51,7 @@
         self.rate = simulation.rng.uniform(0.95, 1.05)
         self.offset_s = simulation.rng.uniform(0, 1000)
         self.wake_s = None
+        self.checked_index = 0
         self._simulation = simulation
         self.wipe()
 
@@ -85,6 +86,7 @@
             return
         simulation = self._simulation
         self.machine = counting_machine.CountingMachine()
+        self.checked_index = 0
         engine = engines.Engine(
             folder=self.folder,
             state_machine=self.machine,
@@ -93,6 +95,7 @@
             on_applied=lambda: None,
             limits=simulation.limits,
             threads=_NoThreads(),
+            incarnation=lambda: f'{simulation.rng.getrandbits(64):016x}',
         )
         try:
             engine.open(
@@ -355,7 +358,6 @@
         self._simulation = simulation
         self._leaders = {}
         self._committed = {}
-        self._checked = {}
         self.commits = 0
 
     def check(self, member):
@@ -373,15 +375,14 @@
         self._check_committed(member, state)
 
     def _check_committed(self, member, state):
-        key = id(member.engine)
-        start = max(self._checked.get(key, 0), state.log.base_index)
+        start = max(member.checked_index, state.log.base_index)
         for entry in state.log.after(start, up_to=state.commit_index):
             known = self._committed.setdefault(entry.index, entry)
             self._require(
                 known == entry,
                 f'entry {entry.index} was committed twice: {known}, {entry}',
             )
-        self._checked[key] = max(start, state.commit_index)
+        member.checked_index = max(start, state.commit_index)
         self.commits = max(self.commits, state.commit_index)
 
     def check_machine(self, member):
