Borrow elsewhere while the holder of the own domain does not answer

Ruled out: the configuration change, the rates (half used), the wait for a new lease. Conclusion: the other domains' holders lend what their own domain does not need, by the same accounts, so nothing changes for safety.

--- a/src/skylarkpitch/limits/book.py
+++ b/src/skylarkpitch/limits/book.py
@@ -76,6 +76,7 @@
         self._number = 0
         self._organisations: dict[str, Organisation] = {}
         self._bounds: Bounds | None = None
+        self._silent: set[str] = set()
 
     def configure(
         self,
@@ -172,6 +173,7 @@
         now_s: float,
     ) -> None:
         """Take the answer to the request sent at ``sent_s``."""
+        self._silent.discard(lender)
         for grant in answer.grants:
             organisation = self._organisations.get(grant.organisation)
             if organisation is None:
@@ -194,11 +196,26 @@
 
     def lose(self, lender: str, request: messages.LoanRequest) -> None:
         """Expect nothing more of a lender that did not answer."""
+        self._silent.add(lender)
         for wish in request.wishes:
             organisation = self._organisations.get(wish.organisation)
             if organisation is not None:
                 organisation.wishes.note_spare(lender, shares.NOTHING)
 
+    def lenders(self, name: str) -> tuple[str, ...]:
+        """Return the hosts of whom this one borrows now.
+
+        A host borrows of the holder in its failure domain, and of those in
+        the others while that one does not answer.
+        """
+        holder = self.holders.local(name)
+        remote = self.holders.remote(name)
+        if holder is None or holder == self.holders.own:
+            return remote
+        if holder in self._silent:
+            return (holder, *remote)
+        return (holder,)
+
     def short_of(
         self, borrower: str, request: messages.LoanRequest, *, now_s: float
     ) -> tuple[str, ...]:
@@ -279,7 +296,7 @@
     def _wants(self, name: str, now_s: float) -> dict[str, shares.Share]:
         organisation = self._organisations[name]
         organisation.account.settle(now_s=now_s)
-        borrowed = organisation.account.borrowed()
+        borrowed = dict(organisation.account.borrowed())
         holder = self.holders.local(name)
         if holder == self.holders.own:
             missing = self._domain_need(organisation, now_s)
@@ -293,7 +310,16 @@
         need = self.need(name, now_s=now_s)
         if holder is None or not (need or borrowed):
             return {}
-        return {holder: need}
+        if holder not in self._silent:
+            return {holder: need}
+        missing = need - borrowed.pop(holder, shares.NOTHING)
+        elsewhere = organisation.wishes.divide(
+            missing.at_least(shares.NOTHING),
+            lenders=self.holders.remote(name),
+            borrowed=borrowed,
+            limit=organisation.limit,
+        )
+        return {holder: need, **elsewhere}
 
     def _can_wait(
         self, name: str, lender: str, want: shares.Share, now_s: float
--- a/src/skylarkpitch/limits/service.py
+++ b/src/skylarkpitch/limits/service.py
@@ -270,12 +270,7 @@
     def _may_be_wrong(
         self, name: str, organisation: books.Organisation
     ) -> bool:
-        holders = self._book.holders
-        holder = holders.local(name)
-        lenders = holders.remote(name)
-        if holder != holders.own:
-            lenders = (holder,) if holder else lenders
-        return organisation.wishes.knows_spare(lenders)
+        return organisation.wishes.knows_spare(self._book.lenders(name))
 
     def _ask_urgently(self, name: str, queue: _Queue, now_s: float) -> None:
         if now_s - queue.asked_s < queue.interval_s:
