--- a/benchmarks/soaks/consensus.py
+++ b/benchmarks/soaks/consensus.py
@@ -11,16 +11,28 @@
 import random
 import time
 
+from skylarkpitch.consensus import state as states
 from skylarkpitch import errors
+from skylarkpitch.messages import consensus as messages
 from tests.stand_ins import simulated_log
 
 VOTERS = ('a', 'b', 'c')
 SPARES = ('d', 'e')
 EPISODE_S = 40.0
+# The second has elections all the time, over a network slower than it is.
+TIMINGS = (
+    states.Timing(),
+    states.Timing(heartbeat_s=0.04, election_min_s=0.1, election_max_s=0.2),
+)
+FAULT_INTERVALS_S = (0.2, 1.5)
+RESTARTS_S = ((0.001, 0.05), (0.1, 3.0))
 CALM_S = 60.0
 MAX_VOTERS = 5
 MIN_VOTERS = 3
 
+CRASHES_A_PROMISE = {messages.VoteAnswer: 0.05, messages.AppendAnswer: 0.001}
+PROMISES = tuple(CRASHES_A_PROMISE)
+
 __all__ = ['run']
 
 
@@ -28,10 +40,15 @@
     """One cluster from its first start to its last check."""
 
     def __init__(self, *, seed):
+        self.rng = random.Random(seed ^ 0x5EED)
         self.simulation = simulated_log.Simulation(
-            seed=seed, voters=VOTERS, others=SPARES
+            seed=seed,
+            voters=VOTERS,
+            others=SPARES,
+            timing=self.rng.choice(TIMINGS),
         )
-        self.rng = random.Random(seed ^ 0x5EED)
+        self._fault_interval_s = self.rng.choice(FAULT_INTERVALS_S)
+        self.simulation.restart_s = self.rng.choice(RESTARTS_S)
         self.acknowledged = []
         self.uncertain = 0
         self.reads = 0
@@ -43,13 +60,14 @@
     def run(self):
         """Raise ``InvariantError`` when a promise is broken."""
         simulation = self.simulation
+        simulation.on_sent = self._crash_after_promise
         simulation.start()
         simulation.run(3)
         self._weather()
         for interval_s, action in (
             (0.03, self._submit),
             (0.2, self._confirm),
-            (1.5, self._fault),
+            (self._fault_interval_s, self._fault),
             (0.4, self._operate),
             (2.5, self._weather),
         ):
@@ -106,7 +124,8 @@
         running = self._running()
         if not running:
             return
-        member = self.simulation.leader() or self.rng.choice(running)
+        leading = [member for member in running if member.leads]
+        member = self.rng.choice(leading or running)
         future = self.simulation.confirm(member)
         future.add_done_callback(lambda f: self._confirmed(member, f))
 
@@ -132,13 +151,20 @@
 
     def _crash(self):
         running = self._running()
-        if running:
+        if not running:
+            return
+        leader = self.simulation.leader()
+        if leader is not None and self.rng.random() < 0.4:
+            self._crash_member(leader)
+        else:
             self._crash_member(self.rng.choice(running))
 
     def _crash_member(self, member):
+        if not member.runs:
+            return
         self.simulation.crashes += 1
         member.crash()
-        self._restart_later(member)
+        self.simulation.restart_later(member)
 
     def _crash_in_write(self):
         running = self._running()
@@ -147,8 +173,13 @@
         member = self.rng.choice(running)
         member.folder.crash_soon(self.rng.randrange(4))
 
-    def _restart_later(self, member):
-        self.simulation.after(self.rng.uniform(0.1, 3), member.start)
+    def _crash_after_promise(self, sender, message):
+        """Crash a member right behind what it must not forget."""
+        if self._calm or not isinstance(message, PROMISES):
+            return
+        if self.rng.random() < CRASHES_A_PROMISE[type(message)]:
+            member = self.simulation.members[sender]
+            self.simulation.after(0, lambda: self._crash_member(member))
 
     def _partition(self):
         simulation = self.simulation
@@ -189,11 +220,12 @@
         return True
 
     def _is_intact(self, identity, lost):
+        """Tell whether a voter's own disk is there, not a successor's."""
         host, _, incarnation = identity.rpartition('/')
-        journal = self.simulation.members[host].folder.files.get('journal')
-        return host != lost and bool(
-            journal and incarnation.encode() in journal
-        )
+        files = self.simulation.members[host].folder.files
+        # The owner is in the second line; entries name other incarnations.
+        owner = files.get('journal', b'\n').split(b'\n', 2)[1]
+        return host != lost and incarnation.encode() in owner
 
     def _operate(self):
         """Add hosts that are no members; sometimes remove one."""
--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -163,7 +163,7 @@
         now_s: float,
     ) -> None:
         if self._follows(ask, now_s):
-            replication.answer_append(state, ask, now_s=now_s)
+            replication.answer_append(state, ask)
 
     def _on_chunk(
         self,
@@ -173,7 +173,7 @@
         now_s: float,
     ) -> None:
         if self._follows(chunk, now_s):
-            replication.answer_snapshot(state, chunk, now_s=now_s)
+            replication.answer_snapshot(state, chunk)
 
     def _follows(
         self,
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -1,5 +1,6 @@
 """Hand entries and snapshots to the other members and count what they hold."""
 
+import dataclasses
 import zlib
 
 from skylarkpitch.consensus import rules
@@ -148,9 +149,7 @@
     )
 
 
-def answer_append(
-    state: states.State, ask: messages.AppendAsk, *, now_s: float
-) -> None:
+def answer_append(state: states.State, ask: messages.AppendAsk) -> None:
     """Take entries of the leader that fit the own log."""
     if ask.previous_index < state.log.base_index:
         ask = _behind_base(state, ask)
@@ -171,15 +170,10 @@
 ) -> messages.AppendAsk:
     """Leave out what a snapshot replaced; that is committed and the same."""
     base = state.log.base_index
-    return messages.AppendAsk(
-        cluster=ask.cluster,
-        sender=ask.sender,
-        to=ask.to,
-        term=ask.term,
+    return dataclasses.replace(
+        ask,
         previous_index=base,
         previous_term=state.log.base_term,
-        commit_index=ask.commit_index,
-        round=ask.round,
         entries=tuple(e for e in ask.entries if e.index > base),
     )
 
@@ -282,7 +276,7 @@
 
 
 def answer_snapshot(
-    state: states.State, chunk: messages.SnapshotChunk, *, now_s: float
+    state: states.State, chunk: messages.SnapshotChunk
 ) -> None:
     """Collect the parts of a snapshot and take it when it is whole."""
     if chunk.info.index <= state.commit_index:
--- a/tests/stand_ins/simulated_log.py
+++ b/tests/stand_ins/simulated_log.py
@@ -20,7 +20,6 @@
 from tests.stand_ins import memory_folder
 
 FOUNDING_INTERVAL_S = 0.2
-RESTART_S = 1.0
 LIMITS = engines.Limits(snapshot_entries=40, kept_entries=15)
 
 
@@ -128,7 +127,7 @@
         except memory_folder.CrashError:
             self._simulation.crashes += 1
             self.crash()
-            self._simulation.after(RESTART_S, self.start)
+            self._simulation.restart_later(self)
             return
         self._simulation.checker.check(self)
         self._wake_when_due()
@@ -192,6 +191,8 @@
         self.loss = 0.0
         self.duplication = 0.0
         self.delay_s = (0.001, 0.02)
+        self.restart_s = (0.5, 1.5)
+        self.on_sent = lambda sender, message: None
         self.cut_pairs = set()
         self.voters = tuple(voters)
         self.limits = limits
@@ -237,10 +238,14 @@
             if other != name:
                 self.cut(name, other)
 
+    def restart_later(self, member):
+        self.after(self.rng.uniform(*self.restart_s), member.start)
+
     def heal(self):
         self.cut_pairs.clear()
 
     def send(self, sender, host, message):
+        self.on_sent(sender, message)
         copies = 1 + (self.rng.random() < self.duplication)
         for _ in range(copies):
             if self.rng.random() >= self.loss:
--- /dev/null
+++ b/tests/test_consensus_core.py
@@ -0,0 +1,251 @@
+"""Hand single messages to one member's core and look at what it does."""
+
+import random
+import zlib
+
+import pytest
+
+from skylarkpitch.consensus import core as cores
+from skylarkpitch.consensus import members
+from skylarkpitch.consensus import replication
+from skylarkpitch.consensus import state as states
+from skylarkpitch.messages import consensus as messages
+
+OWN, OTHER, THIRD = 'a/1', 'b/1', 'c/1'
+CLUSTER = members.cluster_of((OWN, OTHER, THIRD))
+LATER_S = 10.0
+
+
+def _entry(index, term):
+    return messages.Entry(
+        index=index, term=term, kind=messages.EntryKind.COMMAND
+    )
+
+
+def _founding():
+    data = members.encode(messages.Members(voters=(OWN, OTHER, THIRD)))
+    return messages.Entry(
+        index=1, term=1, kind=messages.EntryKind.MEMBERS, data=data
+    )
+
+
+def _core(*, terms=(), term=1, vote=None, commit_index=1):
+    entries = [_entry(i, t) for i, t in enumerate(terms, start=2)]
+    return cores.Core(
+        identity=OWN,
+        recovered=cores.Recovered(
+            cluster=CLUSTER,
+            hard_state=states.HardState(
+                term=term, vote=vote, commit_index=commit_index
+            ),
+            entries=(_founding(), *entries),
+        ),
+        rng=random.Random(1),
+        now_s=0.0,
+    )
+
+
+def _header(term, sender=OTHER, to=OWN, cluster=CLUSTER):
+    return {'cluster': cluster, 'sender': sender, 'to': to, 'term': term}
+
+
+def _vote_ask(term, *, last=(1, 1), pre=False, **header):
+    last_term, last_index = last
+    return messages.VoteAsk(
+        **_header(term, **header),
+        last_index=last_index,
+        last_term=last_term,
+        pre=pre,
+    )
+
+
+def _append(term, *, previous=(1, 1), entries=(), commit_index=1, **header):
+    previous_term, previous_index = previous
+    return messages.AppendAsk(
+        **_header(term, **header),
+        previous_index=previous_index,
+        previous_term=previous_term,
+        commit_index=commit_index,
+        round=1,
+        entries=tuple(entries),
+    )
+
+
+@pytest.mark.parametrize(
+    ('options', 'ask', 'granted'),
+    [
+        ({}, _vote_ask(2), True),
+        ({'term': 2, 'vote': OTHER}, _vote_ask(2), True),
+        ({'term': 2, 'vote': THIRD}, _vote_ask(2), False),
+        ({'term': 2, 'vote': THIRD}, _vote_ask(3), True),
+        ({'term': 3}, _vote_ask(2), False),
+        ({'terms': (1,)}, _vote_ask(2), False),
+        ({'terms': (1,)}, _vote_ask(2, last=(1, 2)), True),
+        ({'terms': (1, 1)}, _vote_ask(3, last=(2, 2)), True),
+        ({}, _vote_ask(2, pre=True), True),
+        ({'term': 2}, _vote_ask(2, pre=True), False),
+        ({'terms': (1,)}, _vote_ask(2, pre=True), False),
+    ],
+)
+def test_vote_is_given_by_the_rules_and_synced_first(options, ask, granted):
+    core = _core(**options)
+    core.receive(ask, now_s=LATER_S)
+    output = core.take_output()
+    (answer,) = output.after
+    assert answer.granted == granted
+    assert output.before == ()
+    if granted and not ask.pre and options.get('vote') != OTHER:
+        assert output.write.hard_state.vote == OTHER
+        assert output.write.hard_state.term == ask.term
+
+
+def test_vote_is_refused_while_a_leader_is_heard():
+    core = _core()
+    core.receive(_append(2, sender=THIRD), now_s=LATER_S)
+    core.take_output()
+    core.receive(_vote_ask(9, last=(9, 9)), now_s=LATER_S + 0.4)
+    (answer,) = core.take_output().after
+    assert not answer.granted
+    assert core.state.term == 2
+    core.receive(_vote_ask(9, last=(9, 9)), now_s=LATER_S + 0.6)
+    (answer,) = core.take_output().after
+    assert answer.granted
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        _vote_ask(5, to='a/0'),
+        _vote_ask(5, cluster='another'),
+        _append(5, to='a/0'),
+        _append(5, cluster='another'),
+    ],
+)
+def test_messages_for_another_identity_or_cluster_are_dropped(message):
+    core = _core()
+    core.receive(message, now_s=LATER_S)
+    assert not core.take_output()
+    assert core.state.term == 1
+
+
+@pytest.mark.parametrize(
+    ('terms', 'ask', 'accepted', 'index', 'log_terms'),
+    [
+        ((), _append(2, entries=[_entry(2, 2)]), True, 2, [1, 2]),
+        ((1,), _append(2, entries=[_entry(2, 2)]), True, 2, [1, 2]),
+        ((1, 1), _append(2, entries=[_entry(2, 1)]), True, 2, [1, 1, 1]),
+        ((1,), _append(2, previous=(1, 3)), False, 2, [1, 1]),
+        ((1,), _append(2, previous=(2, 2)), False, 1, [1, 1]),
+        ((), _append(0, entries=[_entry(2, 0)]), False, 0, [1]),
+    ],
+)
+def test_entries_are_synced_before_they_are_acknowledged(
+    terms, ask, accepted, index, log_terms
+):
+    core = _core(terms=terms)
+    core.receive(ask, now_s=LATER_S)
+    output = core.take_output()
+    (answer,) = output.after
+    assert (answer.accepted, answer.index) == (accepted, index)
+    assert output.before == ()
+    log = core.state.log
+    assert [e.term for e in log.after(0)] == log_terms
+    if log_terms[1:] != list(terms):
+        assert output.write.entries == ask.entries
+
+
+def test_snapshot_leaves_entries_behind_it_that_were_acknowledged():
+    core = _core(terms=(1, 1, 1))
+    data = b'state'
+    info = messages.SnapshotInfo(
+        index=3,
+        term=1,
+        members=messages.Members(voters=(OWN, OTHER, THIRD)),
+        members_index=1,
+        size_bytes=len(data),
+        checksum=zlib.crc32(data),
+    )
+    chunk = messages.SnapshotChunk(
+        **_header(2), round=1, info=info, offset_bytes=0, data=data
+    )
+    core.receive(chunk, now_s=LATER_S)
+    assert core.state.log.last_index == 4
+    assert core.state.commit_index == 3
+    assert core.take_output().write.snapshot is None
+
+
+def _leading(terms):
+    """Return a core that leads term 3 and holds entries of these terms."""
+    core = _core(terms=terms, term=2)
+    now_s = LATER_S
+    core.tick(now_s=now_s)
+    for pre in (True, False):
+        core.take_output()
+        core.persisted(now_s=now_s)
+        answer = messages.VoteAnswer(**_header(3), granted=True, pre=pre)
+        core.receive(answer, now_s=now_s)
+    assert core.is_leader
+    return core
+
+
+@pytest.mark.parametrize(
+    ('acknowledged', 'committed'), [(1, 1), (2, 1), (3, 1), (4, 4)]
+)
+def test_older_terms_are_committed_with_one_of_the_own(
+    acknowledged, committed
+):
+    core = _leading(terms=(1, 2))
+    core.take_output()
+    core.persisted(now_s=LATER_S)
+    answer = messages.AppendAnswer(
+        **_header(3), accepted=True, index=acknowledged, round=1
+    )
+    core.receive(answer, now_s=LATER_S)
+    assert core.state.commit_index == committed
+
+
+def test_leader_counts_itself_only_after_its_sync():
+    core = _leading(terms=())
+    answer = messages.AppendAnswer(
+        **_header(3), accepted=True, index=2, round=1
+    )
+    core.receive(answer, now_s=LATER_S)
+    assert core.state.commit_index == 1
+    core.take_output()
+    core.persisted(now_s=LATER_S)
+    assert core.state.commit_index == 2
+
+
+def test_question_needs_a_round_sent_after_it():
+    core = _leading(terms=())
+    core.take_output()
+    core.persisted(now_s=LATER_S)
+    for round_number, confirmed in ((1, 0), (1, 0), (2, 1)):
+        answer = messages.AppendAnswer(
+            **_header(3), accepted=True, index=2, round=round_number
+        )
+        core.receive(answer, now_s=LATER_S)
+        if not core.state.reads:
+            core.ask('token')
+            core.flush(now_s=LATER_S + 0.01)
+        found = core.take_confirmed()
+        assert len(found) == confirmed
+    assert found[0].sent_s == LATER_S + 0.01
+
+
+def test_large_logs_are_sent_in_bounded_messages():
+    core = _leading(terms=(1,) * 5000)
+    core.persisted(now_s=LATER_S)
+    core.take_output()
+    refused = messages.AppendAnswer(
+        **_header(3), accepted=False, index=1, round=1
+    )
+    core.receive(refused, now_s=LATER_S)
+    sent = [m for m in core.take_output().before if m.to == OTHER]
+    assert len(sent[0].entries) == replication.MAX_PROBE_ENTRIES
+    accepted = messages.AppendAnswer(
+        **_header(3), accepted=True, index=17, round=1
+    )
+    core.receive(accepted, now_s=LATER_S)
+    sent = [m for m in core.take_output().before if m.to == OTHER]
+    assert len(sent[0].entries) == replication.MAX_APPEND_ENTRIES
