--- a/src/skylarkpitch/limits/escrow.py
+++ b/src/skylarkpitch/limits/escrow.py
@@ -249,6 +249,8 @@
         self, loan: _Lent, held: shares.Share, returned_tokens: int
     ) -> None:
         freed = loan.share - held.at_most(loan.share)
+        if not freed:
+            return
         loan.share = loan.share - freed
         self._recount()
         self._tokens += min(returned_tokens, freed.burst)
--- a/src/skylarkpitch/limits/planning.py
+++ b/src/skylarkpitch/limits/planning.py
@@ -39,6 +39,7 @@
     def __init__(self) -> None:
         self._noted: dict[str, _Noted] = {}
         self._spare: dict[str, shares.Share] = {}
+        self._remote: set[str] = set()
 
     def note(
         self,
@@ -49,6 +50,8 @@
         now_s: float,
     ) -> None:
         """Remember what a borrower would like to hold."""
+        if not is_local:
+            self._remote.add(borrower)
         self._noted[borrower] = _Noted(
             want=want, is_local=is_local, noted_s=now_s
         )
@@ -92,18 +95,18 @@
         """
         total = self.local_total(need, now_s=now_s, lease_s=account.lease_s)
         if is_local:
-            amount = self._for_domain(account)
-            wants = self._wants(is_local=True)
-            wants[''] = need
+            amount, wanted = self._for_domain(account), total
         else:
             floor = account.entitlement.scaled(FLOOR_PERCENT, 100)
             amount = account.entitlement - total.at_least(floor)
             amount = amount.at_least(shares.NOTHING)
-            wants = self._wants(is_local=False)
-        wanted = _sum(wants.values())
+            wanted = _sum(self._wants(is_local=False).values())
         spare = (amount - wanted).at_least(shares.NOTHING)
         if wanted.within(amount):
-            return Planned(target=wants[borrower], spare=spare)
+            return Planned(target=self._noted[borrower].want, spare=spare)
+        wants = self._wants(is_local=is_local)
+        if is_local:
+            wants[''] = need
         return Planned(target=_fair(amount, wants)[borrower], spare=spare)
 
     def divide(
@@ -153,12 +156,13 @@
 
     def _for_domain(self, account: escrow.Account) -> shares.Share:
         amount = account.entitlement + _sum(account.borrowed().values())
-        remote = [
-            share
-            for (name, _), share in account.lent().items()
-            if name in self._noted and not self._noted[name].is_local
-        ]
-        return (amount - _sum(remote)).at_least(shares.NOTHING)
+        if self._remote:
+            amount = amount - _sum(
+                share
+                for (name, _), share in account.lent().items()
+                if name in self._remote
+            )
+        return amount.at_least(shares.NOTHING)
 
     def _wants(self, *, is_local: bool) -> dict[str, shares.Share]:
         return {
