--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -31,6 +31,7 @@
 from skylarkpitch import sentinels
 from skylarkpitch.settings import daemon as daemon_settings
 from skylarkpitch.steering import lookup
+from skylarkpitch.steering import lookup_blocks
 from skylarkpitch.steering import room
 
 __all__ = ['EntryRole']
@@ -137,6 +138,8 @@
             is_leaving=self._board.not_serving,
             room=self._board.room,
             id_prefix=self._ledger.id_prefix,
+            blocks=_client_blocks(self._settings),
+            scheme='http' if self._settings.tls is None else 'https',
         )
         self._path = request_path.RequestPath(
             site_config=self._follower.site_config,
@@ -304,3 +307,11 @@
 
     async def _metrics_page(self, _request: web.Request) -> web.Response:
         return web.Response(text=metrics.text_page(self._status.counters()))
+
+
+def _client_blocks(
+    settings: daemon_settings.DaemonSettings,
+) -> lookup_blocks.BlockTable:
+    if settings.client_blocks_file is None:
+        return lookup_blocks.BlockTable()
+    return lookup_blocks.load(settings.client_blocks_file)
--- a/src/skylarkpitch/settings/daemon.py
+++ b/src/skylarkpitch/settings/daemon.py
@@ -111,6 +111,7 @@
     data_folder: pathlib.Path | None = None
     secret_key_file: pathlib.Path
     announce_token_hash: str | None = None
+    client_blocks_file: pathlib.Path | None = None
     peers: tuple[PeerSettings, ...] = ()
     control: ControlSettings | None = None
     statsd: StatsdSettings | None = None
