--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -8,6 +8,7 @@
 from skylarkpitch.requests import bodies
 from skylarkpitch.requests import crash_watch as crash_watches
 from skylarkpitch.requests import exchange
+from skylarkpitch.requests import exchange_results as results
 from skylarkpitch.requests import headers as header_rules
 from skylarkpitch.requests import refusals
 from skylarkpitch.requests import relay_outcomes
@@ -29,7 +30,7 @@
 
     sent: bool
     died: bool = False
-    answer: exchange.Answer | None = None
+    answer: results.Answer | None = None
     refusal: refusals.Refusal | None = None
     finish: Callable[[ports.Exchange], None] = lambda result: None
 
@@ -148,14 +149,14 @@
         except BaseException:
             finish(ports.Exchange.CANCELLED)
             raise
-        if isinstance(result, exchange.Answer) and _is_remote(slot):
+        if _is_remote(slot):
             result = relay_outcomes.translate(result)
-        if isinstance(result, exchange.Failure):
-            result = exchange.without_blame(result, broken=body.broken)
+        if isinstance(result, results.Failure):
+            result = results.without_blame(result, reason=body.broken)
             finish(result.exchange)
             return _failed(result, sent=sent or result.sent)
         if result.whole:
-            finish(exchange.judged(result.status))
+            finish(results.judged(result.status))
             finish = _nothing
         return Ended(sent=True, answer=result, finish=finish)
 
@@ -172,11 +173,11 @@
     if ended.answer is None:
         return True
     return (
-        ended.answer.status in exchange.RETRIED_STATUSES and ended.answer.whole
+        ended.answer.status in results.RETRIED_STATUSES and ended.answer.whole
     )
 
 
-def _failed(failure: exchange.Failure, *, sent: bool) -> Ended:
+def _failed(failure: results.Failure, *, sent: bool) -> Ended:
     refusal = refusals.refusal(
         failure.reason,
         failure.message,
--- a/src/skylarkpitch/requests/exchange.py
+++ b/src/skylarkpitch/requests/exchange.py
@@ -1,37 +1,27 @@
 """Run one exchange with an upstream, or with another host's relay.
 
-An exchange ends as an :class:`Answer`, whose end the caller of this module
-reads, or as a :class:`Failure`, which tells whether a byte of the request
-may have left. An answer is taken only when its framing shows its end.
+An exchange ends as an ``Answer``, whose rest is read by whoever asked, or as
+a ``Failure``, which tells whether a byte of the request may have left. An
+answer is taken only when its framing shows its end.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
-import contextvars
 import dataclasses
-from typing import Any
 
 import aiohttp
 import yarl
 
 from skylarkpitch import ports
+from skylarkpitch.requests import exchange_results as results
+from skylarkpitch.requests import exchange_sessions as sessions
 from skylarkpitch.requests import headers as header_rules
 from skylarkpitch.settings import daemon
 
-__all__ = [
-    'Answer',
-    'Exchanger',
-    'Failure',
-    'Outgoing',
-    'judged',
-    'without_blame',
-]
+__all__ = ['Exchanger', 'Outgoing']
 
 HEAD_BYTES = 64 * 1024
-CONNECT_TIMEOUT_S = 1.0
-KEEPALIVE_S = 15.0
-RETRIED_STATUSES = (502, 503, 504)
 _BODILESS_STATUSES = (204, 304)
 _OMITTED_HEADERS = (
     'User-Agent',
@@ -41,16 +31,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class _Progress:
-    connected: bool = False
-
-
-_progress: contextvars.ContextVar[_Progress] = contextvars.ContextVar(
-    'skylarkpitch_exchange_progress'
-)
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Outgoing:
     """Request as it goes to the upstream.
@@ -66,86 +46,6 @@
     repeatable: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Failure:
-    """Exchange without a usable answer.
-
-    ``sent`` is False only when no byte can have left. ``died`` tells that
-    the upstream closed the connection while the request ran.
-    """
-
-    exchange: ports.Exchange
-    sent: bool
-    reason: str
-    message: str
-    died: bool = False
-
-
-class Answer:
-    """Answer of an upstream: its head at once, the rest by iteration."""
-
-    def __init__(
-        self,
-        *,
-        status: int,
-        headers: header_rules.Pairs,
-        head: bytes,
-        rest: AsyncIterator[bytes] | None = None,
-        response: aiohttp.ClientResponse | None = None,
-        relay_headers: dict[str, str] | None = None,
-    ) -> None:
-        self.status = status
-        self.headers = headers
-        self.head = head
-        self.rest = rest
-        self.relay_headers = relay_headers or {}
-        self._response = response
-
-    @property
-    def whole(self) -> bool:
-        """Tell whether ``head`` is the whole body."""
-        return self.rest is None
-
-    def close(self) -> None:
-        """Close the connection unless the answer was read to its end."""
-        if self._response is not None:
-            self._response.close()
-
-
-class _UnsentError(Exception):
-    """The connection could not be made."""
-
-
-class _BrokenError(Exception):
-    """The connection broke after the request began to leave."""
-
-
-class _Connector(aiohttp.TCPConnector):
-    """Hand out connections that hold nothing of an earlier exchange."""
-
-    async def connect(self, req, traces, timeout):
-        """Return a connection and note that bytes may leave from now on."""
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            if not connection.protocol.should_close:
-                break
-            connection.close()
-        _progress.get().connected = True
-        return connection
-
-
-async def _translate_errors(
-    request: aiohttp.ClientRequest, handler: Callable[..., Any]
-) -> aiohttp.ClientResponse:
-    """Keep the client from sending a request again by itself."""
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError as error:
-        raise _UnsentError(str(error)) from error
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _BrokenError(str(error)) from error
-
-
 class Exchanger:
     """Own the client sessions towards upstreams and relays.
 
@@ -170,14 +70,14 @@
 
     async def run(
         self, slot: ports.Slot, outgoing: Outgoing, *, deadline_s: float
-    ) -> Answer | Failure:
+    ) -> results.Answer | results.Failure:
         """Send a request and return the start of its answer.
 
         The connection is closed on a time-out, on cancellation and after
         an answer that breaks its framing.
         """
-        progress = _Progress()
-        _progress.set(progress)
+        progress = sessions.Progress()
+        sessions.progress.set(progress)
         try:
             async with asyncio.timeout(deadline_s - self._clock()):
                 response = await self._send(slot, outgoing)
@@ -187,13 +87,13 @@
                     response.close()
                     raise
         except (TimeoutError, aiohttp.ServerTimeoutError):
-            return _timed_out(progress)
-        except _UnsentError as error:
-            return _unsent(str(error))
-        except (_BrokenError, aiohttp.ClientPayloadError) as error:
-            return _broken(progress, str(error))
+            return results.timed_out(connected=progress.connected)
+        except sessions.UnsentError as error:
+            return results.unsent(str(error))
+        except (sessions.BrokenError, aiohttp.ClientPayloadError) as error:
+            return results.broken(str(error), connected=progress.connected)
         except (aiohttp.ClientError, ValueError) as error:
-            return _malformed(progress, str(error))
+            return results.malformed(str(error), connected=progress.connected)
 
     async def _send(
         self, slot: ports.Slot, outgoing: Outgoing
@@ -210,16 +110,16 @@
 
     async def _receive(
         self, response: aiohttp.ClientResponse, method: str
-    ) -> Answer | Failure:
+    ) -> results.Answer | results.Failure:
         bodiless = method == 'HEAD' or response.status in _BODILESS_STATUSES
         problem = self._framing_problem(response, bodiless=bodiless)
         if problem:
             response.close()
-            return _malformed(_Progress(connected=True), problem)
+            return results.malformed(problem, connected=True)
         head, ended = await _read_head(response, bodiless=bodiless)
         if ended:
             response.release()
-        return Answer(
+        return results.Answer(
             status=response.status,
             headers=header_rules.end_to_end(response.headers),
             head=head,
@@ -261,48 +161,12 @@
 
     def _session(self, repeatable: bool) -> aiohttp.ClientSession:
         if repeatable not in self._sessions:
-            self._sessions[repeatable] = _new_session(repeatable)
+            self._sessions[repeatable] = sessions.new_session(
+                repeatable=repeatable
+            )
         return self._sessions[repeatable]
 
 
-def _new_session(repeatable: bool) -> aiohttp.ClientSession:
-    options: dict[str, Any] = {'keepalive_timeout': KEEPALIVE_S}
-    if not repeatable:
-        options = {'force_close': True}
-    return aiohttp.ClientSession(
-        connector=_Connector(limit=0, **options),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
-        auto_decompress=False,
-        middlewares=(_translate_errors,),
-    )
-
-
-def judged(status: int) -> ports.Exchange:
-    """Return what a whole answer's status tells of the upstream."""
-    if status == 503:
-        return ports.Exchange.SHED
-    if status in RETRIED_STATUSES:
-        return ports.Exchange.FAILED
-    return ports.Exchange.ANSWERED
-
-
-def without_blame(failure: Failure, *, broken: str) -> Failure:
-    """Put a failure down to the sender when its body broke off.
-
-    ``broken`` is the reason of the refusal, or empty.
-    """
-    if not broken:
-        return failure
-    return dataclasses.replace(
-        failure,
-        exchange=ports.Exchange.CANCELLED,
-        reason=broken,
-        message='the body broke off while it was sent on',
-        died=False,
-    )
-
-
 def _destination(
     slot: ports.Slot, target: str
 ) -> tuple[yarl.URL, list[tuple[str, str]]]:
@@ -335,46 +199,3 @@
         for name, value in response.headers.items()
         if name.lower().startswith('skylark-relay-')
     }
-
-
-def _timed_out(progress: _Progress) -> Failure:
-    if not progress.connected:
-        return _unsent('no connection in time')
-    return Failure(
-        exchange=ports.Exchange.TIMED_OUT,
-        sent=True,
-        reason='upstream_timeout',
-        message='the upstream did not answer within the deadline',
-    )
-
-
-def _unsent(message: str) -> Failure:
-    return Failure(
-        exchange=ports.Exchange.NOT_SENT,
-        sent=False,
-        reason='no_room',
-        message=f'the upstream could not be reached ({message})',
-    )
-
-
-def _broken(progress: _Progress, message: str) -> Failure:
-    if not progress.connected:
-        return _unsent(message)
-    return Failure(
-        exchange=ports.Exchange.FAILED,
-        sent=True,
-        reason='upstream_failed',
-        message=f'the upstream broke off ({message})',
-        died=True,
-    )
-
-
-def _malformed(progress: _Progress, message: str) -> Failure:
-    if not progress.connected:
-        return _unsent(message)
-    return Failure(
-        exchange=ports.Exchange.FAILED,
-        sent=True,
-        reason='upstream_malformed',
-        message=f'the answer of the upstream is unusable ({message})',
-    )
--- a/src/skylarkpitch/requests/ledger_service.py
+++ b/src/skylarkpitch/requests/ledger_service.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
@@ -16,7 +15,6 @@
 from typing import Any
 
 import mode
-import structlog
 
 from skylarkpitch import errors
 from skylarkpitch.messages import requests as messages
@@ -25,6 +23,7 @@
 from skylarkpitch.requests import claims
 from skylarkpitch.requests import ledger
 from skylarkpitch.requests import ledger_members
+from skylarkpitch.requests import ledger_teller
 from skylarkpitch.requests import operation_ids
 from skylarkpitch.requests import operation_life
 from skylarkpitch import sentinels
@@ -36,9 +35,6 @@
 LEASE_MARGIN_S = 5.0
 FIRST_PAUSE_S = 0.02
 LONGEST_PAUSE_S = 0.25
-SETTLE_TRIES = 4
-
-_log = structlog.get_logger(__name__)
 
 # A claim is settled after its end, so the chart's events come at once.
 _EVENTS = {
@@ -103,6 +99,9 @@
             clock=clock,
             wall_clock=wall_clock,
         )
+        self._teller = ledger_teller.LedgerTeller(
+            peers=peers, own=self._members
+        )
         super().__init__(**options)
 
     async def on_start(self) -> None:
@@ -274,7 +273,7 @@
             if vote is None or vote.outcome == ledger.Outcome.GRANTED
         )
         register = _register(asked, ledger.State.RELEASED.value)
-        await self._tell(asked.region, written, register)
+        await self._teller.tell(asked.region, written, register)
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
@@ -340,47 +339,7 @@
             claimed.register, state=state.value, **changes
         )
         members = self._list_of(claimed.region)
-        await self._tell(claimed.region, members, register)
-
-    async def _tell(
-        self,
-        region: str,
-        members: tuple[str, ...],
-        register: messages.Register,
-    ) -> None:
-        """Tell all members, and again those that did not answer."""
-        settle = messages.Settle(region=region, register=register)
-        left = list(members)
-        for attempt in range(SETTLE_TRIES):
-            told = await asyncio.gather(
-                *(self._tell_one(name, settle) for name in left)
-            )
-            left = [
-                name for name, ok in zip(left, told, strict=True) if not ok
-            ]
-            if not left:
-                return
-            await asyncio.sleep(LONGEST_PAUSE_S * (attempt + 1))
-        _log.warning(
-            'operation_not_settled_everywhere',
-            region=region,
-            state=register.state,
-            members=left,
-        )
-
-    def _tell_one(self, name: str, settle: messages.Settle) -> Awaitable[bool]:
-        if name == self._own:
-            self._members.settle(settle)
-            return _true()
-        return self._tell_peer(name, settle)
-
-    async def _tell_peer(self, name: str, settle: messages.Settle) -> bool:
-        answer = await self._peers.ask(name, settle, timeout_s=ASK_TIMEOUT_S)
-        return not sentinels.is_absent(answer)
-
-
-async def _true() -> bool:
-    return True
+        await self._teller.tell(claimed.region, members, register)
 
 
 def _register(asked: messages.Claim, state: str) -> messages.Register:
--- a/src/skylarkpitch/requests/relay.py
+++ b/src/skylarkpitch/requests/relay.py
@@ -13,6 +13,7 @@
 from skylarkpitch import ports
 from skylarkpitch.requests import bodies
 from skylarkpitch.requests import exchange
+from skylarkpitch.requests import exchange_results as results
 from skylarkpitch.requests import headers as header_rules
 from skylarkpitch.requests import relay_outcomes
 from skylarkpitch.requests import responses
@@ -85,8 +86,8 @@
         result = await self._exchanger.run(
             slot, _outgoing(request, body, target), deadline_s=deadline_s
         )
-        if isinstance(result, exchange.Failure):
-            result = exchange.without_blame(result, broken=body.broken)
+        if isinstance(result, results.Failure):
+            result = results.without_blame(result, reason=body.broken)
             self._counts['failed'] += 1
             headers = relay_outcomes.failure_headers(result)
             return web.Response(status=502, headers=headers), result.exchange
@@ -95,7 +96,7 @@
             response = responses.whole(
                 result, method=request.method, extra=extra
             )
-            return response, exchange.judged(result.status)
+            return response, results.judged(result.status)
         return await responses.stream(
             request,
             result,
--- a/src/skylarkpitch/requests/relay_outcomes.py
+++ b/src/skylarkpitch/requests/relay_outcomes.py
@@ -4,8 +4,10 @@
 ticket without it did not come from a relay, so nothing is known of it.
 """
 
+import dataclasses
+
 from skylarkpitch import ports
-from skylarkpitch.requests import exchange
+from skylarkpitch.requests import exchange_results as results
 
 __all__ = ['ANSWERED', 'failure_headers', 'outcome_headers', 'translate']
 
@@ -23,7 +25,7 @@
     return {OUTCOME_HEADER: outcome}
 
 
-def failure_headers(failure: exchange.Failure) -> dict[str, str]:
+def failure_headers(failure: results.Failure) -> dict[str, str]:
     """Return the headers that state a failure in full."""
     return {
         OUTCOME_HEADER: UNKNOWN if failure.sent else NOT_RUN,
@@ -33,21 +35,28 @@
     }
 
 
-def translate(answer: exchange.Answer) -> exchange.Answer | exchange.Failure:
-    """Return the upstream's answer, or the failure that the relay met."""
+def translate(
+    answer: results.Answer | results.Failure,
+) -> results.Answer | results.Failure:
+    """Return the upstream's answer, or the failure that the relay met.
+
+    A relay that dies itself is no death of the upstream.
+    """
+    if isinstance(answer, results.Failure):
+        return dataclasses.replace(answer, died=False)
     stated = answer.relay_headers
     outcome = stated.get(OUTCOME_HEADER)
     if outcome == ANSWERED:
         return answer
     answer.close()
     if outcome == NOT_RUN:
-        return exchange.Failure(
+        return results.Failure(
             exchange=ports.Exchange.NOT_SENT,
             sent=False,
             reason='no_room',
             message='the owning host could not reach the upstream',
         )
-    return exchange.Failure(
+    return results.Failure(
         exchange=_exchange(stated.get(EXCHANGE_HEADER)),
         sent=True,
         reason=_reason(stated.get(REASON_HEADER)),
--- a/src/skylarkpitch/requests/responses.py
+++ b/src/skylarkpitch/requests/responses.py
@@ -7,7 +7,7 @@
 import multidict
 
 from skylarkpitch import ports
-from skylarkpitch.requests import exchange
+from skylarkpitch.requests import exchange_results as results
 from skylarkpitch.requests import headers as header_rules
 from skylarkpitch.requests import refusals
 
@@ -33,7 +33,7 @@
 
 
 def whole(
-    answer: exchange.Answer, *, method: str, extra: dict[str, str]
+    answer: results.Answer, *, method: str, extra: dict[str, str]
 ) -> web.StreamResponse:
     """Return the response that passes on an answer at hand."""
     if method == 'HEAD' or answer.status in _BODILESS_STATUSES:
@@ -49,7 +49,7 @@
 
 async def stream(
     request: web.BaseRequest,
-    answer: exchange.Answer,
+    answer: results.Answer,
     *,
     extra: dict[str, str],
     write_timeout_s: float,
