Take callers' own ids at once on the first start of a deployment

Ruled out: opening by default, which runs an operation twice after all members are lost; filling policy.ledger_opened_at_s in on the first push, which would change an operator's document. Conclusion: the follower remembers that it proved the empty control state; a member of such a process is blind to nothing. A host that was cut off or started later has not seen it and copies from the others.

--- a/src/skylarkpitch/dissemination/follower.py
+++ b/src/skylarkpitch/dissemination/follower.py
@@ -10,6 +10,7 @@
 
 from skylarkpitch.config import keys as caller_keys
 from skylarkpitch.dissemination import choice
+from skylarkpitch.dissemination import freshness
 from skylarkpitch.dissemination import leases
 from skylarkpitch.dissemination import pulse as pulses
 from skylarkpitch.dissemination import replica as replicas
@@ -64,6 +65,7 @@
         self._own = peers.directory.own
         self._choice = choice.SourceChoice(sources=sources, rng=rng)
         self._replica = replicas.Replica(site=site)
+        self._saw_beginning = False
         self._serving = serving.ServingState(
             replica=self._replica, site=site, started_at_s=self._started_at_s
         )
@@ -105,6 +107,14 @@
         """Tell whether operators want this host to leave."""
         return self._own.name in self._replica.view.leaving_hosts
 
+    @property
+    def saw_beginning(self) -> bool:
+        """Tell whether this process proved that nothing was accepted yet.
+
+        No call can have been served by any host before that proof.
+        """
+        return self._saw_beginning
+
     @property
     def is_stale(self) -> bool:
         """Tell whether the state was gathered while cut off."""
@@ -218,6 +228,9 @@
             _log.error('state_refused', error=str(error))
             return False
         self._serving.confirm()
+        is_proven = self._replica.proven_at_s > freshness.NEVER_S
+        if is_proven and self._replica.version == 0:
+            self._saw_beginning = True
         if taken.is_useful:
             self._waiters.wake()
             self._unreported.wake()
--- a/src/skylarkpitch/requests/ledger_members.py
+++ b/src/skylarkpitch/requests/ledger_members.py
@@ -36,6 +36,7 @@
         epoch: Callable[[], int],
         retention_s: Callable[[], float],
         opened_s: Callable[[], float],
+        saw_beginning: Callable[[], bool],
         clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
         **options: Any,
@@ -46,6 +47,7 @@
         self._epoch = epoch
         self._retention_s = retention_s
         self._opened_s = opened_s
+        self._saw_beginning = saw_beginning
         self._clock = clock
         self._wall_clock = wall_clock
         self._started_wall_s = wall_clock()
@@ -105,6 +107,10 @@
         for region, sync in self._syncs.items():
             if not sync.done and self._own in self._list_of(region):
                 await self._sync_one(region, sync)
+        for member in self._ledgers.values():
+            if self._saw_beginning() and member.settled:
+                # Nothing can have been granted before this process started.
+                member.blind_before_s = 0.0
 
     async def are_peers_synced(self) -> bool:
         """Tell whether this host's registers would outlive its stop.
--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -28,6 +28,7 @@
         self.members = ('h1', 'h2', 'h3')
         self.epoch = 1
         self.opened_s = 10**12
+        self.saw_beginning = False
         self.wall_shift_s = 0.0
         self.services = {}
 
@@ -42,6 +43,7 @@
                 epoch=lambda: self.epoch,
                 retention_s=lambda: 600.0,
                 opened_s=lambda: self.opened_s,
+                saw_beginning=lambda: self.saw_beginning,
                 wall_clock=lambda: time.time() + self.wall_shift_s,
                 rng=random.Random(name),
             )
@@ -258,3 +260,23 @@
             assert await stopping.wait_for_peers(timeout_s=0)
 
     run(go())
+
+
+def test_first_start_of_a_deployment_takes_callers_own_ids():
+    async def go():
+        async with fleet(*HOSTS) as made:
+            made.opened_s = 0.0
+            assert reason(await made.claim('h4')) == 'ledger_unreachable'
+            made.saw_beginning = True
+            await made.synced(*HOSTS)
+            made.saw_beginning = False
+            won = await made.claim('h4')
+            assert isinstance(won, ports.Claimed)
+            await made.services['h4'].record(won, ANSWER)
+            for name in ('h1', 'h2', 'h3'):
+                await made.start(name)
+                await made.synced(name)
+            assert await made.claim('h4') == ANSWER
+            assert isinstance(await made.claim('h4', 'i2'), ports.Claimed)
+
+    run(go())
--- a/tests/test_requests_relay.py
+++ b/tests/test_requests_relay.py
@@ -96,6 +96,18 @@
     )
 
 
+async def dying(request):
+    """Die as a relay does when its host is lost."""
+    request.transport.abort()
+    return test_requests_path.web.Response()
+
+
+def test_lost_relay_is_no_death_of_the_upstream():
+    _, bench, answer, _ = run(_post('http://127.0.0.1:1', handler=dying))
+    assert answer.headers['Skylark-Outcome'] == 'unknown'
+    assert bench.path.counters()['deaths'] == 0
+
+
 @pytest.mark.parametrize(
     'upstream, ticket, handler, status, outcome, calls',
     [
