Bound the depth of documents and refuse numbers past the range

A deeply nested overlay could exceed the stack in the state machine at a depth that depends on the caller, so members could judge it differently. Numbers such as 1e999 were read as infinity, and lone surrogates could not be written out again.

--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -124,6 +124,10 @@
         (push('x', 1, base='{"a":1,"a":2}'), 'invalid', 'twice'),
         (push('x', 1, base='{"a":NaN}'), 'invalid', 'not a JSON number'),
         (push('x', 1, base='[' * 50_000), 'invalid', 'not valid JSON'),
+        (push('x', 1, base='{"a":1e999}'), 'invalid', 'too large'),
+        (push('x', 1, base='{"a":"\\ud800"}'), 'invalid', 'not valid JSON'),
+        (push('x', 1, base='{"a":' * 40 + '1' + '}' * 40), 'invalid', '32'),
+        (push_overlay('x', 1, '{"a":' * 800 + '1' + '}' * 800), 'invalid', ''),
         (push('x', 1, base=changed_base(servces={})), 'invalid', 'servces'),
         (push('x', 1, overlays={'A b': '{}'}), 'invalid', 'not a name'),
         (
