--- a/src/skylarkpitch/dissemination/waiters.py
+++ b/src/skylarkpitch/dissemination/waiters.py
@@ -3,7 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-__all__ = ['Waiters']
+__all__ = ['Waiters', 'first_true']
+
+
+MAX_WAITING = 500
+LONGEST_WAIT_S = 10.0
 
 
 class Waiters:
@@ -18,6 +22,15 @@
         self._event.set()
         self._event = asyncio.Event()
 
+    @property
+    def longest_s(self) -> float:
+        """Return how long one more task may wait.
+
+        Nobody waits beyond ``MAX_WAITING``, so that held questions leave
+        room for the other messages of a host.
+        """
+        return LONGEST_WAIT_S if self.waiting < MAX_WAITING else 0.0
+
     async def wait_for(
         self, condition: Callable[[], bool], *, timeout_s: float
     ) -> bool:
@@ -40,3 +53,17 @@
         except TimeoutError:
             return False
         return True
+
+
+async def first_true(
+    pending: set[asyncio.Task[bool]],
+) -> asyncio.Task[bool] | None:
+    """Return the first task that ends with True, or None."""
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if task.result():
+                return task
+    return None
