Forget the peak of foreign calls after ten seconds, count no slot twice

The peak over which growth counts was kept for up to 20 s when calls came seldom, since a bucket began with the first call after the last one's end. Buckets now lie on a fixed grid.

Also: a host told its domain's slots with those that its neighbour had named up to 2 s before, so slots that changed hands counted twice in the fleet's sum. A host now names only slots whose lease lives for another half lease, and they count for that long, from the asking; on a release they are forgotten.

--- a/src/skylarkpitch/membership/live_hosts.py
+++ b/src/skylarkpitch/membership/live_hosts.py
@@ -17,6 +17,7 @@
     last_s: float
     stopping: bool
     slots: dict[str, int]
+    slots_until_s: float
 
 
 class LiveHosts:
@@ -24,7 +25,7 @@
 
     def __init__(self, *, own: str, others: int = 0) -> None:
         self._own = own
-        self._silent_after_s = max(
+        self.silent_after_s = max(
             SILENT_AFTER_S, SILENT_AFTER_S_A_HOST * others
         )
         self._heard: dict[str, _Heard] = {}
@@ -35,17 +36,29 @@
         host: str,
         *,
         stopping: bool,
-        slots: dict[str, int],
         now_s: float,
     ) -> None:
         """Take a sign of life."""
         known = self._heard.get(host)
-        if known is None or now_s - known.last_s > self._silent_after_s:
-            self._heard[host] = _Heard(now_s, now_s, stopping, slots)
+        if known is None or now_s - known.last_s > self.silent_after_s:
+            self._heard[host] = _Heard(now_s, now_s, stopping, {}, now_s)
             return
         known.last_s = now_s
         known.stopping = stopping
-        known.slots = slots
+
+    def owns(
+        self, host: str, slots: dict[str, int], *, until_s: float
+    ) -> None:
+        """Take it that a host owns slots until ``until_s`` at least."""
+        known = self._heard.get(host)
+        if known is not None:
+            known.slots = slots
+            known.slots_until_s = until_s
+
+    def forget_slots(self) -> None:
+        """Forget what the others own; some of it is changing hands."""
+        for known in self._heard.values():
+            known.slots = {}
 
     def lost(self, host: str) -> None:
         """Take it that a host does not answer."""
@@ -56,7 +69,7 @@
         return tuple(
             host
             for host, heard in sorted(self._heard.items())
-            if now_s - heard.last_s <= self._silent_after_s
+            if now_s - heard.last_s <= self.silent_after_s
         )
 
     def preferred(self, upstream: str, *, now_s: float) -> str | None:
@@ -79,6 +92,8 @@
         """Return the slots that the other live hosts own, by service."""
         total: dict[str, int] = {}
         for host in self.live(now_s=now_s):
+            if self._heard[host].slots_until_s <= now_s:
+                continue
             for service, count in self._heard[host].slots.items():
                 total[service] = total.get(service, 0) + count
         return total
--- a/src/skylarkpitch/membership/pool.py
+++ b/src/skylarkpitch/membership/pool.py
@@ -108,10 +108,15 @@
         """Return the slots of a service that are in use."""
         return sum(u.slots.in_use for u in self.of(service))
 
-    def owned_slots(self, *, now_s: float) -> dict[str, int]:
-        """Return the announced slots under a living lease, by service."""
+    def owned_slots(
+        self, *, now_s: float, for_s: float = 0.0
+    ) -> dict[str, int]:
+        """Return the announced slots by service.
+
+        Only those count whose lease lives for another ``for_s``.
+        """
         counts = {
-            service: self.slots_of(service, now_s=now_s)
+            service: self.slots_of(service, now_s=now_s + for_s)
             for service in self.services()
         }
         return {service: count for service, count in counts.items() if count}
--- a/src/skylarkpitch/membership/service.py
+++ b/src/skylarkpitch/membership/service.py
@@ -229,14 +229,21 @@
             self.on_room(service)
 
     async def _greet(self, host: str) -> bool:
+        asked_s = self._clock()
         answer = await self._peers.ask(
             host,
-            messages.Hello(**self._own_state()),
+            messages.Hello(stopping=self.hosts.stopping),
             timeout_s=HELLO_TIMEOUT_S,
         )
         if not isinstance(answer, messages.HelloHeard):
             return False
         self._heard(host, answer)
+        drift = self._terms(None).drift
+        self.hosts.owns(
+            host,
+            answer.slots,
+            until_s=asked_s + answer.owned_for_s * (1 - drift),
+        )
         return True
 
     async def _hello(
@@ -245,7 +252,17 @@
         if sender not in self._others:
             return None
         self._heard(sender, message)
-        return messages.HelloHeard(**self._own_state())
+        for_s = self._terms(None).lease_s / 2
+        if len(self._others) > GREETED_AT_ONCE:
+            for_s = self.hosts.silent_after_s
+        return messages.HelloHeard(
+            stopping=self.hosts.stopping,
+            slots=self.pool.owned_slots(
+                now_s=self._clock(),
+                for_s=min(for_s, self._terms(None).lease_s / 2),
+            ),
+            owned_for_s=for_s,
+        )
 
     def _heard(
         self, host: str, message: messages.Hello | messages.HelloHeard
@@ -253,16 +270,9 @@
         self.hosts.heard(
             host,
             stopping=message.stopping,
-            slots=message.slots,
             now_s=self._clock(),
         )
 
-    def _own_state(self) -> dict[str, Any]:
-        return {
-            'stopping': self.hosts.stopping,
-            'slots': self.pool.owned_slots(now_s=self._clock()),
-        }
-
     async def _release(
         self, sender: str, message: messages.Release
     ) -> messages.Released | None:
@@ -294,6 +304,7 @@
                 for host in self._others
             )
         )
+        self.hosts.forget_slots()
         return {
             host: answer if isinstance(answer, messages.Released) else None
             for host, answer in zip(self._others, answers, strict=True)
--- a/src/skylarkpitch/messages/membership.py
+++ b/src/skylarkpitch/messages/membership.py
@@ -15,21 +15,22 @@
 
 @codec.message('membership.hello')
 class Hello:
-    """Tell a host of the own failure domain that the sender lives.
-
-    ``slots`` counts the slots that the sender owns, by service.
-    """
+    """Tell a host of the own failure domain that the sender lives."""
 
     stopping: bool
-    slots: dict[str, int]
 
 
 @codec.message('membership.hello_heard')
 class HelloHeard:
-    """Answer a :class:`Hello` with the same about the receiver."""
+    """Answer a :class:`Hello`.
+
+    ``slots`` counts, by service, the slots that the sender owns for another
+    ``owned_for_s`` at least, unless it is asked to release them.
+    """
 
     stopping: bool
     slots: dict[str, int]
+    owned_for_s: float
 
 
 @codec.message('membership.leave')
--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -170,7 +170,7 @@
 
     def withdraw(self, service: str) -> None:
         """Tell the hosts that were asked that no call waits any more."""
-        for key in [key for key in self._standing if key[0] == service]:
+        for key in sorted(key for key in self._standing if key[0] == service):
             self._standing.discard(key)
             self._peers.send(
                 key[1], messages.TicketRequest(service=service, wanted=0)
--- a/src/skylarkpitch/steering/lending.py
+++ b/src/skylarkpitch/steering/lending.py
@@ -155,7 +155,7 @@
         tickets = self._grant(service, host, 1, config, self._clock())
         if not tickets:
             return False
-        self._peers.send(
+        sent = self._peers.send(
             call.borrower,
             messages.TicketOffer(
                 service=service,
@@ -164,4 +164,6 @@
                 expires_in_s=config.policy.credit_lease_s,
             ),
         )
+        if not sent:
+            self._lender.returned(tickets, borrower=call.borrower)
         return True
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -217,7 +217,7 @@
 
     def tick(self) -> None:
         """Free the slots of late tickets and give unused ones back."""
-        for service in self.lender.expire(now_s=self._clock()):
+        for service in sorted(self.lender.expire(now_s=self._clock())):
             self._dispatch(service)
         self._borrower.give_back_idle()
         self._lending.expire()
@@ -336,7 +336,7 @@
         self, sender: str, message: messages.TicketReturn
     ) -> None:
         services = self.lender.returned(message.tickets, borrower=sender)
-        for service in services:
+        for service in sorted(services):
             self._dispatch(service)
 
     def _line(self, service: str) -> waiting_line.WaitingLine:
--- a/src/skylarkpitch/steering/shift.py
+++ b/src/skylarkpitch/steering/shift.py
@@ -37,7 +37,7 @@
 
     def __init__(self, *, now_s: float) -> None:
         self._peaks = [0, 0]
-        self._bucket_s = now_s
+        self._bucket = int(now_s // PEAK_BUCKET_S)
         self._grown: collections.deque[tuple[float, int]] = collections.deque()
         self._allowed = 0
 
@@ -69,9 +69,9 @@
         self._grown.append((now_s, above))
 
     def _roll(self, level: int, now_s: float) -> None:
-        age_s = now_s - self._bucket_s
-        if age_s < PEAK_BUCKET_S:
+        bucket = int(now_s // PEAK_BUCKET_S)
+        if bucket == self._bucket:
             return
-        kept = self._peaks[0] if age_s < 2 * PEAK_BUCKET_S else level
+        kept = self._peaks[0] if bucket == self._bucket + 1 else level
         self._peaks = [level, kept]
-        self._bucket_s = now_s
+        self._bucket = bucket
--- a/tests/test_steering_cores.py
+++ b/tests/test_steering_cores.py
@@ -94,6 +94,15 @@
         peaks.append((now_s, level))
 
 
+def test_a_peak_counts_for_ten_seconds_at_most():
+    ramp = shift.ShiftRamp(now_s=0.1)
+    assert ramp.room(0, rate_per_s=3.0, now_s=0.1) == 3
+    ramp.grow(3, now_s=0.1)
+    assert ramp.room(0, rate_per_s=3.0, now_s=9.9) == 6
+    assert ramp.room(0, rate_per_s=3.0, now_s=10.1) == 3
+    assert ramp.room(0, rate_per_s=3.0, now_s=19.0) == 3
+
+
 def test_growth_past_the_cap_is_an_invariant():
     ramp = shift.ShiftRamp(now_s=0.0)
     room = ramp.room(0, rate_per_s=3.0, now_s=0.0)
