--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -81,6 +81,7 @@
         on_applied: Callable[[], None],
         limits: Limits,
         threads: Threads | None = None,
+        incarnation: Callable[[], str] = journals.new_incarnation,
     ) -> None:
         self._folder = folder
         self._machine = state_machine
@@ -88,6 +89,7 @@
         self._clock = clock
         self._on_applied = on_applied
         self._limits = limits
+        self._incarnation = incarnation
         self._threads = threads or Threads()
         self._saved: concurrent.futures.Future[None] | None = None
         self._saved_info: messages.SnapshotInfo | None = None
@@ -101,7 +103,7 @@
         """Read the data folder. Raises ``JournalError``."""
         self._folder.open()
         self.journal, recovered, data = journals.open_journal(
-            folder=self._folder, host=host
+            folder=self._folder, host=host, incarnation=self._incarnation
         )
         self.core = cores.Core(
             identity=self.journal.identity,
@@ -137,7 +139,7 @@
             item(now_s)
         if now_s >= self.core.next_due_s():
             self.core.tick(now_s=now_s)
-        self.core.send_proposed(now_s=now_s)
+        self.core.flush(now_s=now_s)
         while output := self.core.take_output():
             await self._act(output)
         await self._apply()
@@ -192,6 +194,13 @@
             return self._machine.apply(entry.index, entry.data)
         except errors.SkylarkError as error:
             return error
+        except Exception as error:
+            # Every member fails alike on it, so none may stop for it.
+            _log.exception('apply_failed', index=entry.index)
+            return errors.InvariantError(
+                f'the change at {entry.index} failed ({error!r}); report '
+                'this as a fault of the program'
+            )
 
     def _settle(self) -> None:
         state = self.core.state
--- a/src/skylarkpitch/consensus/journal.py
+++ b/src/skylarkpitch/consensus/journal.py
@@ -23,7 +23,7 @@
 from skylarkpitch.consensus import state as states
 from skylarkpitch.messages import consensus as messages
 
-__all__ = ['Journal', 'open_journal']
+__all__ = ['Journal', 'new_incarnation', 'open_journal']
 
 NAME = 'journal'
 FORMAT_VERSION = 1
@@ -77,8 +77,8 @@
 class Journal:
     """The journal of one member, open for writing.
 
-    Any error leaves it closed for writing, since what an operating system
-    holds after a failed sync is unknown.
+    Write no more after an error: what the operating system holds after a
+    failed sync is unknown.
     """
 
     def __init__(
@@ -303,6 +303,6 @@
         snapshot=info,
         base_index=base.index,
         base_term=base.term,
-        entries=entries,
+        entries=tuple(entries),
     )
     return recovered, state
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -18,7 +18,7 @@
 
 from skylarkpitch.consensus import engine as engines
 from skylarkpitch.consensus import folder as folders
-from skylarkpitch.consensus import founding
+from skylarkpitch.consensus import introductions
 from skylarkpitch.consensus import members as member_sets
 from skylarkpitch.consensus import ports
 from skylarkpitch.consensus import state as states
@@ -32,7 +32,6 @@
 MAX_COMMAND_BYTES = 16 * 1024 * 1024
 MAX_INBOX_ITEMS = 20_000
 FOUNDING_INTERVAL_S = 0.2
-INTRODUCTION_TIMEOUT_S = 1.0
 
 MEMBER_MESSAGES = (
     messages.VoteAsk,
@@ -177,7 +176,7 @@
             'journal_syncs': self._engine.journal.syncs,
             'inbox_drops': self._inbox_drops,
             'failed': float(self._failure is not None),
-            'leads': float(self._failure is None and self._core.is_leader),
+            'leads': float(self._leads()),
         }
 
     async def add_member(self, host: str, *, timeout_s: float = 5.0) -> str:
@@ -188,8 +187,9 @@
         ``NotLeaderError`` or ``UncertainError``.
         """
         self._check_works()
-        ask = messages.IntroductionAsk(identity=self._engine.journal.identity)
-        answer = await self._introduction_of(host, ask)
+        answer = await introductions.ask(
+            self._peers, host, identity=self._engine.journal.identity
+        )
         if sentinels.is_absent(answer):
             raise member_sets.MemberChangeError(
                 f'{host} does not answer ({answer}); start it with the '
@@ -229,11 +229,11 @@
 
         Tells whether this member leads no longer when it returns.
         """
-        self._put(lambda now_s: self._core.hand_over())
         deadline_s = self._clock() + timeout_s
-        while self._core.is_leader and self._clock() < deadline_s:
-            await asyncio.sleep(self._timing.heartbeat_s / 10)
-        return not self._core.is_leader
+        while self._leads() and self._clock() < deadline_s:
+            self._put(lambda now_s: self._core.hand_over())
+            await asyncio.sleep(self._timing.heartbeat_s)
+        return not self._leads()
 
     async def _append(
         self, propose: Callable[[float], int], *, timeout_s: float
@@ -269,7 +269,7 @@
             return
         self._engine.waiting.add_read(future)
         try:
-            self._core.ask(future, now_s=now_s)
+            self._core.ask(future)
         except errors.NotLeaderError as error:
             future.set_result(
                 sentinels.Absent('not_leader', error.leader or '')
@@ -281,7 +281,8 @@
             self._wake.set()
 
     async def _on_message(self, sender: str, message: Any) -> None:
-        if member_sets.host_of(message.sender) != sender:
+        own_name = member_sets.host_of(message.sender) == sender
+        if not own_name or not self._may_be_member(sender):
             self._core.state.count('messages_of_wrong_sender')
             return
         if len(self._inbox) >= MAX_INBOX_ITEMS:
@@ -289,6 +290,11 @@
             return
         self._put(lambda now_s: self._core.receive(message, now_s=now_s))
 
+    def _may_be_member(self, name: str) -> bool:
+        host = self._peers.directory.get(name)
+        is_control = host is not None and 'control' in host.roles
+        return is_control or name in self._voters
+
     async def _on_introduction(
         self, sender: str, ask: messages.IntroductionAsk
     ) -> messages.Introduction:
@@ -303,24 +309,16 @@
             voters=self._voters,
         )
 
-    async def _introduction_of(
-        self, host: str, ask: messages.IntroductionAsk
-    ) -> messages.Introduction | sentinels.Absent:
-        answer = await self._peers.ask(
-            host, ask, timeout_s=INTRODUCTION_TIMEOUT_S
-        )
-        if sentinels.is_absent(answer):
-            return answer
-        if member_sets.host_of(answer.identity) != host:
-            return sentinels.Absent('identity_of_other_host', answer.identity)
-        return answer
-
     @mode.Service.task
     async def _found(self) -> None:
         """Look for founders, or found the cluster, at the first start."""
         told = None
         while not self.should_stop and not self._core.state.cluster:
-            found = await self._look_for_founders()
+            found = await introductions.look_for_founders(
+                self._peers,
+                identity=self._engine.journal.identity,
+                voters=self._voters,
+            )
             if not sentinels.is_absent(found):
                 self._put(functools.partial(self._join_founders, found))
             elif found != told:
@@ -332,27 +330,6 @@
         if not self._core.state.cluster:
             self._core.found(found, now_s=now_s)
 
-    async def _look_for_founders(
-        self,
-    ) -> tuple[str, ...] | sentinels.Absent:
-        own = self._peers.directory.own.name
-        control = {h.name for h in self._peers.directory.with_role('control')}
-        hosts = sorted((control | set(self._voters)) - {own})
-        ask = messages.IntroductionAsk(identity=self._engine.journal.identity)
-        answers = await asyncio.gather(
-            *(self._introduction_of(host, ask) for host in hosts)
-        )
-        return founding.decide(
-            identity=self._engine.journal.identity,
-            voters=self._voters,
-            control_hosts=hosts,
-            answers={
-                host: answer
-                for host, answer in zip(hosts, answers, strict=True)
-                if not sentinels.is_absent(answer)
-            },
-        )
-
     @mode.Service.task
     async def _run(self) -> None:
         while not self.should_stop:
@@ -363,6 +340,15 @@
             except (errors.JournalError, errors.InvariantError) as error:
                 self._fail(error)
                 return
+            except Exception as error:
+                _log.exception('log_step_failed')
+                self._fail(
+                    errors.InvariantError(
+                        f'a step failed ({error!r}); restart this host and '
+                        'report it as a fault of the program'
+                    )
+                )
+                return
             self._introduce()
 
     async def _sleep_until_due(self) -> None:
@@ -386,6 +372,9 @@
                 leader=None,
             )
 
+    def _leads(self) -> bool:
+        return self._failure is None and self._core.is_leader
+
     def _leader(self) -> str | None:
         leader = self._core.state.leader
         if leader is None or self._failure is not None:
--- a/src/skylarkpitch/limits/book.py
+++ b/src/skylarkpitch/limits/book.py
@@ -43,6 +43,7 @@
     """What one host keeps of one organisation."""
 
     limit: shares.Share
+    spare_tokens: float
     account: escrow.Account
     entitlement: entitlements.Entitlement
     audit: entitlements.SpendAudit
@@ -53,6 +54,12 @@
     wrongly_refused: int = 0
 
 
+# A loan that differs from the need by less is not resized before half its
+# lease is over.
+TOLERANCE_PERCENT = 25
+MAX_SPARE_TOKENS = 4.0
+
+
 class Book:
     """Spend, ask and lend for every organisation of the configuration."""
 
@@ -69,6 +76,7 @@
         self._number = 0
         self._organisations: dict[str, Organisation] = {}
         self._bounds: Bounds | None = None
+        self._silent: set[str] = set()
 
     def configure(
         self,
@@ -128,6 +136,8 @@
             for lender, want in self._wants(name, now_s).items():
                 if (name, lender) in busy:
                     continue
+                if not urgent and self._can_wait(name, lender, want, now_s):
+                    continue
                 wish = self._wish(name, lender, want, now_s)
                 wishes.setdefault(lender, []).append(wish)
         return {
@@ -163,6 +173,7 @@
         now_s: float,
     ) -> None:
         """Take the answer to the request sent at ``sent_s``."""
+        self._silent.discard(lender)
         for grant in answer.grants:
             organisation = self._organisations.get(grant.organisation)
             if organisation is None:
@@ -183,6 +194,28 @@
                 now_s=now_s,
             )
 
+    def lose(self, lender: str, request: messages.LoanRequest) -> None:
+        """Expect nothing more of a lender that did not answer."""
+        self._silent.add(lender)
+        for wish in request.wishes:
+            organisation = self._organisations.get(wish.organisation)
+            if organisation is not None:
+                organisation.wishes.note_spare(lender, shares.NOTHING)
+
+    def lenders(self, name: str) -> tuple[str, ...]:
+        """Return the hosts of whom this one borrows now.
+
+        A host borrows of the holder in its failure domain, and of those in
+        the others while that one does not answer.
+        """
+        holder = self.holders.local(name)
+        remote = self.holders.remote(name)
+        if holder is None or holder == self.holders.own:
+            return remote
+        if holder in self._silent:
+            return (holder, *remote)
+        return (holder,)
+
     def short_of(
         self, borrower: str, request: messages.LoanRequest, *, now_s: float
     ) -> tuple[str, ...]:
@@ -207,15 +240,13 @@
 
     def need(self, name: str, *, now_s: float) -> shares.Share:
         """Return what this host needs for its own calls."""
-        organisation = self._organisations[name]
-        return organisation.demand.need(
-            now_s=now_s, queued=organisation.queued, limit=organisation.limit
-        )
+        return _need(self._organisations[name], now_s)
 
     def _open(self, limit: shares.Share, now_s: float) -> Organisation:
         bounds = self._bounds
         return Organisation(
             limit=limit,
+            spare_tokens=self._spare_tokens(limit),
             account=escrow.Account(
                 lease_s=bounds.lease_s, drift=bounds.drift, now_s=now_s
             ),
@@ -227,12 +258,18 @@
             wishes=planning.Wishes(),
         )
 
+    def _spare_tokens(self, limit: shares.Share) -> float:
+        """Return half of what an even split would give each host."""
+        even = limit.burst / shares.TOKEN / self.holders.host_count
+        return min(MAX_SPARE_TOKENS, max(1.0, even / 2))
+
     def _change(self, name: str, limit: shares.Share, now_s: float) -> None:
         organisation = self._organisations[name]
         grace_s = self._bounds.grace_s
         if limit != organisation.limit:
             organisation.audit.change(limit, now_s=now_s, grace_s=grace_s)
         organisation.limit = limit
+        organisation.spare_tokens = self._spare_tokens(limit)
         organisation.entitlement.change(
             self.holders.entitlement(name, limit),
             now_s=now_s,
@@ -242,11 +279,10 @@
     def _domain_need(
         self, organisation: Organisation, now_s: float
     ) -> shares.Share:
-        need = organisation.demand.need(
-            now_s=now_s, queued=organisation.queued, limit=organisation.limit
-        )
         return organisation.wishes.local_total(
-            need, now_s=now_s, lease_s=self._bounds.lease_s
+            _need(organisation, now_s),
+            now_s=now_s,
+            lease_s=self._bounds.lease_s,
         ).at_most(organisation.limit)
 
     def _is_short(self, organisation: Organisation, now_s: float) -> bool:
@@ -260,7 +296,7 @@
     def _wants(self, name: str, now_s: float) -> dict[str, shares.Share]:
         organisation = self._organisations[name]
         organisation.account.settle(now_s=now_s)
-        borrowed = organisation.account.borrowed()
+        borrowed = dict(organisation.account.borrowed())
         holder = self.holders.local(name)
         if holder == self.holders.own:
             missing = self._domain_need(organisation, now_s)
@@ -274,7 +310,27 @@
         need = self.need(name, now_s=now_s)
         if holder is None or not (need or borrowed):
             return {}
-        return {holder: need}
+        if holder not in self._silent:
+            return {holder: need}
+        missing = need - borrowed.pop(holder, shares.NOTHING)
+        elsewhere = organisation.wishes.divide(
+            missing.at_least(shares.NOTHING),
+            lenders=self.holders.remote(name),
+            borrowed=borrowed,
+            limit=organisation.limit,
+        )
+        return {holder: need, **elsewhere}
+
+    def _can_wait(
+        self, name: str, lender: str, want: shares.Share, now_s: float
+    ) -> bool:
+        """Tell whether a loan is about right and lasts a while yet."""
+        account = self._organisations[name].account
+        held = account.borrowed_from(lender)
+        if not held:
+            return not want
+        left_s = account.expires_s(lender) - now_s
+        return left_s > self._bounds.lease_s / 2 and _is_near(held, want)
 
     def _wish(
         self, name: str, lender: str, want: shares.Share, now_s: float
@@ -335,3 +391,26 @@
             spare_rate=planned.spare.rate,
             spare_burst=planned.spare.burst,
         )
+
+
+def _is_near(held: shares.Share, want: shares.Share) -> bool:
+    return all(
+        abs(one - other) * 100 <= TOLERANCE_PERCENT * max(one, other)
+        for one, other in (
+            (held.rate, want.rate),
+            (held.burst, want.burst),
+        )
+    )
+
+
+def _need(organisation: Organisation, now_s: float) -> shares.Share:
+    account = organisation.account
+    account.settle(now_s=now_s)
+    return organisation.demand.need(
+        now_s=now_s,
+        queued=organisation.queued,
+        limit=organisation.limit,
+        burst=account.own.burst,
+        tokens=account.tokens,
+        spare_tokens=organisation.spare_tokens,
+    )
--- a/src/skylarkpitch/membership/service.py
+++ b/src/skylarkpitch/membership/service.py
@@ -46,6 +46,7 @@
     used: int
     connections: int
     owner: str
+    url: str
 
 
 class LocalSlot:
@@ -140,6 +141,7 @@
                 used=item.slots.in_use,
                 connections=item.slots.report.connections,
                 owner=self._peers.directory.own.name,
+                url=item.url,
             )
             for item in self.pool.all()
         ]
--- a/src/skylarkpitch/steering/lookup_answers.py
+++ b/src/skylarkpitch/steering/lookup_answers.py
@@ -6,6 +6,7 @@
 import functools
 import hashlib
 import math
+import statistics
 
 import msgspec
 
@@ -18,9 +19,10 @@
 # Weight of a host in the caller's own failure domain, in its region and
 # elsewhere, for usual room.
 WEIGHTS = (1000, 100, 10)
-# Room is rounded to this many steps, so that small changes of a
-# measurement leave the answers alone.
-ROOM_STEPS = 4
+# Steps of room, so that small changes of a measurement leave the answers
+# alone: the least part of the usual room, and the step it counts as.
+FULL_STEP = 4
+ROOM_STEPS = ((0.5, FULL_STEP), (0.1, 2), (0.0, 1))
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,12 +98,11 @@
         inputs = _Inputs(
             services=services, lifetime_s=lifetime_s, length=length
         )
-        weights = {
-            name: 0 if name in leaving else _steps(room.get(name, 1.0))
-            for name in self._hosts
-        }
+        weights = self._weigh(leaving, room)
         if not any(weights.values()):
             weights = {name: int(name not in leaving) for name in weights}
+        if inputs == self._inputs and weights == self._weights:
+            return
         changed = {
             name
             for name in weights
@@ -114,6 +115,19 @@
             if everything or not changed.isdisjoint(self._reach_of(place)):
                 self._compute(place)
 
+    def _weigh(
+        self, leaving: frozenset[str], room: Mapping[str, float]
+    ) -> dict[str, int]:
+        known = [value for value in room.values() if value > 0]
+        usual = statistics.median(known) if known else 1.0
+        weights = dict.fromkeys(self._hosts, FULL_STEP)
+        for name, value in room.items():
+            if name in weights:
+                weights[name] = _step(value / usual)
+        for name in leaving & weights.keys():
+            weights[name] = 0
+        return weights
+
     def _reach_of(self, place: str) -> frozenset[str]:
         """Return the hosts whose changes can alter a place's answers."""
         local = self._reach[place]
@@ -147,19 +161,23 @@
         return answers
 
     def _ranked(self, place: str) -> tuple[list[str], ...]:
-        """Return the hosts in the place, in its region, and elsewhere."""
-        ranks: tuple[list[str], ...] = ([], [], [])
-        region = self._regions[place]
-        for name, host in self._hosts.items():
-            if not self._weights[name]:
-                continue
-            if host.failure_domain == place:
-                ranks[0].append(name)
-            elif host.region == region:
-                ranks[1].append(name)
-            else:
-                ranks[2].append(name)
-        return ranks
+        """Return the hosts in the place, in its region, and elsewhere.
+
+        Those elsewhere are left out where the region has enough.
+        """
+        region = self._alive(self._reach[place])
+        near = [name for name in region if self._is_at(name, place)]
+        far = [name for name in region if not self._is_at(name, place)]
+        if len(region) >= self._inputs.length:
+            return near, far, []
+        others = self._alive(self._hosts.keys() - self._reach[place])
+        return near, far, others
+
+    def _alive(self, names: Iterable[str]) -> list[str]:
+        return [name for name in names if self._weights[name]]
+
+    def _is_at(self, name: str, place: str) -> bool:
+        return self._hosts[name].failure_domain == place
 
     def _choose(
         self, ranked: tuple[list[str], ...], variant: int
@@ -175,7 +193,7 @@
                 reverse=True,
             )
             chosen += [
-                (name, max(1, weight * self._weights[name] // ROOM_STEPS))
+                (name, max(1, weight * self._weights[name] // FULL_STEP))
                 for name in order[:missing]
             ]
         return chosen
@@ -197,10 +215,10 @@
         return Parts(head=encoded[:-1] + b',"operation_id_prefix":', tail=b'}')
 
 
-def _steps(room: float) -> int:
-    if room <= 0:
+def _step(part: float) -> int:
+    if part <= 0:
         return 0
-    return max(1, min(ROOM_STEPS, round(room * ROOM_STEPS)))
+    return next(step for least, step in ROOM_STEPS if part >= least)
 
 
 def _score(name: str, variant: int, weight: int) -> float:
