--- a/benchmarks/soaks/limits.py
+++ b/benchmarks/soaks/limits.py
@@ -16,6 +16,7 @@
 from skylarkpitch import errors
 from skylarkpitch.limits import book as books
 from skylarkpitch.limits import holders as holder_tables
+from skylarkpitch.limits import organisation as records
 from skylarkpitch.limits import shares
 from skylarkpitch.peers import directory as directories
 
@@ -23,7 +24,7 @@
 
 STEPS_A_TRIAL = 3000
 ORGANISATION = 'org'
-BOUNDS = books.Bounds(lease_s=2.0, drift=0.05, key_lease_s=3.0)
+BOUNDS = records.Bounds(lease_s=2.0, drift=0.05, key_lease_s=3.0)
 LONGEST_DELAY_S = 5.0
 LOSS = 0.15
 DOUBLING = 0.15
--- a/src/skylarkpitch/limits/book.py
+++ b/src/skylarkpitch/limits/book.py
@@ -6,52 +6,17 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 
 from skylarkpitch.limits import demand as demands
 from skylarkpitch.limits import entitlements
 from skylarkpitch.limits import escrow
 from skylarkpitch.limits import holders as holder_tables
+from skylarkpitch.limits import organisation as records
 from skylarkpitch.limits import planning
 from skylarkpitch.limits import shares
 from skylarkpitch.messages import limits as messages
 
-__all__ = ['Book', 'Bounds', 'Organisation']
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Bounds:
-    """Leases and clock error that every host must agree on."""
-
-    lease_s: float
-    drift: float
-    key_lease_s: float
-
-    @property
-    def first_s(self) -> float:
-        """Return the seconds a new process waits with an empty share."""
-        return self.lease_s * (1 + self.drift)
-
-    @property
-    def grace_s(self) -> float:
-        """Return the seconds after which no host uses an older limit."""
-        return (self.lease_s + self.key_lease_s) * (1 + self.drift)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Organisation:
-    """What one host keeps of one organisation."""
-
-    limit: shares.Share
-    spare_tokens: float
-    account: escrow.Account
-    entitlement: entitlements.Entitlement
-    audit: entitlements.SpendAudit
-    demand: demands.Demand
-    wishes: planning.Wishes
-    queued: int = 0
-    refused: int = 0
-    wrongly_refused: int = 0
+__all__ = ['Book']
 
 
 # A loan that differs from the need by less is not resized before half its
@@ -74,14 +39,14 @@
         self.incarnation = incarnation
         self._started_s = now_s
         self._number = 0
-        self._organisations: dict[str, Organisation] = {}
-        self._bounds: Bounds | None = None
+        self._organisations: dict[str, records.Organisation] = {}
+        self._bounds: records.Bounds | None = None
         self._silent: set[str] = set()
 
     def configure(
         self,
         limits: Mapping[str, shares.Share],
-        bounds: Bounds,
+        bounds: records.Bounds,
         *,
         now_s: float,
     ) -> None:
@@ -97,7 +62,7 @@
             account.lease_s = bounds.lease_s
             account.drift = bounds.drift
 
-    def organisations(self) -> Mapping[str, Organisation]:
+    def organisations(self) -> Mapping[str, records.Organisation]:
         """Return every organisation by name."""
         return self._organisations
 
@@ -240,11 +205,11 @@
 
     def need(self, name: str, *, now_s: float) -> shares.Share:
         """Return what this host needs for its own calls."""
-        return _need(self._organisations[name], now_s)
+        return self._organisations[name].need(now_s=now_s)
 
-    def _open(self, limit: shares.Share, now_s: float) -> Organisation:
+    def _open(self, limit: shares.Share, now_s: float) -> records.Organisation:
         bounds = self._bounds
-        return Organisation(
+        return records.Organisation(
             limit=limit,
             spare_tokens=self._spare_tokens(limit),
             account=escrow.Account(
@@ -277,15 +242,17 @@
         )
 
     def _domain_need(
-        self, organisation: Organisation, now_s: float
+        self, organisation: records.Organisation, now_s: float
     ) -> shares.Share:
         return organisation.wishes.local_total(
-            _need(organisation, now_s),
+            organisation.need(now_s=now_s),
             now_s=now_s,
             lease_s=self._bounds.lease_s,
         ).at_most(organisation.limit)
 
-    def _is_short(self, organisation: Organisation, now_s: float) -> bool:
+    def _is_short(
+        self, organisation: records.Organisation, now_s: float
+    ) -> bool:
         account = organisation.account
         account.settle(now_s=now_s)
         held = account.entitlement
@@ -401,16 +368,3 @@
             (held.burst, want.burst),
         )
     )
-
-
-def _need(organisation: Organisation, now_s: float) -> shares.Share:
-    account = organisation.account
-    account.settle(now_s=now_s)
-    return organisation.demand.need(
-        now_s=now_s,
-        queued=organisation.queued,
-        limit=organisation.limit,
-        burst=account.own.burst,
-        tokens=account.tokens,
-        spare_tokens=organisation.spare_tokens,
-    )
--- a/src/skylarkpitch/limits/service.py
+++ b/src/skylarkpitch/limits/service.py
@@ -14,6 +14,7 @@
 from skylarkpitch import errors
 from skylarkpitch.limits import book as books
 from skylarkpitch.limits import holders as holder_tables
+from skylarkpitch.limits import organisation as records
 from skylarkpitch.limits import shares
 from skylarkpitch.messages import limits as messages
 from skylarkpitch.peers import network
@@ -180,7 +181,7 @@
             return
         self._applied = version
         self._lease_s = config.policy.limit_lease_s
-        bounds = books.Bounds(
+        bounds = records.Bounds(
             lease_s=config.policy.limit_lease_s,
             drift=config.policy.clock_drift_percent / 100,
             key_lease_s=config.policy.key_lease_s,
@@ -229,7 +230,7 @@
             if waiter in queue.waiters:
                 queue.waiters.remove(waiter)
 
-    def _longest_queue(self, organisation: books.Organisation) -> int:
+    def _longest_queue(self, organisation: records.Organisation) -> int:
         """Return how many calls the whole limit could serve in time."""
         limit = organisation.limit
         served = limit.burst + limit.rate * self._max_wait_s
@@ -268,7 +269,7 @@
         return sentinels.Absent('rate_exceeded', f'{wait_s:.3f}')
 
     def _may_be_wrong(
-        self, name: str, organisation: books.Organisation
+        self, name: str, organisation: records.Organisation
     ) -> bool:
         return organisation.wishes.knows_spare(self._book.lenders(name))
 
--- a/tests/test_limits_soak.py
+++ b/tests/test_limits_soak.py
@@ -3,8 +3,8 @@
 import pytest
 
 from benchmarks.soaks import limits as soak
-from skylarkpitch.limits import book
 from skylarkpitch.limits import escrow
+from skylarkpitch.limits import organisation
 from skylarkpitch.limits import shares
 
 
@@ -27,7 +27,9 @@
 
 
 def _restarts_without_waiting(monkeypatch):
-    monkeypatch.setattr(book.Bounds, 'first_s', property(lambda _: 0.0))
+    monkeypatch.setattr(
+        organisation.Bounds, 'first_s', property(lambda _: 0.0)
+    )
 
 
 def _takes_back_at_once(monkeypatch):
