--- /dev/null
+++ b/benchmarks/models/log_steps.py
@@ -0,0 +1,331 @@
+"""Steps of the replicated log with crashes, a lost disk and repair.
+
+Hosts 0, 1 and 2 are the founding voters. Host 2 may lose its disk; its next
+incarnation is identity 3, which is a learner at first. The leader then
+removes 2 and, once 3 has caught up, adds it as a voter. Votes and
+acknowledgements arrive one by one, in any order or never, and are counted
+by the rules of ``consensus.rules`` that the program uses.
+
+A member is ``(term, vote, role, log, heard)``: ``log`` is a tuple of
+``(term, kind)``, ``heard`` the voters that granted, or for a leader the
+index that each identity acknowledged. An identity that is gone is None. A
+crash stands for a leader that steps down as well: both forget their role.
+"""
+
+import dataclasses
+import itertools
+
+import minicheck
+
+from skylarkpitch.consensus import rules
+
+__all__ = ['REPAIRED', 'protocol']
+
+LOST = 2
+REPAIRED = 3
+IDENTITIES = (0, 1, LOST, REPAIRED)
+FOUNDERS = (0, 1, LOST)
+
+FOLLOWER, CANDIDATE, LEADER = range(3)
+COMMAND, REMOVE_LOST, ADD_REPAIRED = range(3)
+NOT_LOST, DISK_LOST = range(2)
+
+# Two leaders were lost, each before it handed on its first entry.
+LEADERS_LOST = (
+    (1, 0, FOLLOWER, ((1, COMMAND),), ()),
+    (2, 1, FOLLOWER, ((2, COMMAND),), ()),
+    (2, 1, FOLLOWER, (), ()),
+    None,
+)
+
+BLANK = (0, None, FOLLOWER, (), ())
+NO_ACKS = (0,) * len(IDENTITIES)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Rules:
+    """Bounds of a specification, and what a broken variant leaves out."""
+
+    terms: int
+    entries: int
+    crashes: int
+    losses: int
+    candidates: tuple[int, ...] = IDENTITIES
+    leaders_lost: bool = False
+    syncs_votes: bool = True
+    counts_own_term_only: bool = True
+    keeps_identity: bool = False
+    counts_repaired_at_once: bool = False
+
+
+def _voters(log: tuple, disk: int, variant: Rules) -> tuple:
+    voters = FOUNDERS
+    for _, kind in log:
+        if kind == REMOVE_LOST:
+            voters = (0, 1)
+        elif kind == ADD_REPAIRED:
+            voters = (0, 1, REPAIRED)
+    if variant.counts_repaired_at_once and disk == DISK_LOST:
+        voters = (0, 1, REPAIRED)
+    return voters
+
+
+def _last(log: tuple) -> tuple:
+    return (log[-1][0] if log else 0, len(log))
+
+
+def _with(members: tuple, **changed: tuple) -> tuple:
+    return tuple(
+        changed.get(f'm{i}', member) for i, member in enumerate(members)
+    )
+
+
+class _Transitions:
+    """The steps that a state allows."""
+
+    def __init__(self, variant: Rules) -> None:
+        self._variant = variant
+
+    def __call__(self, state: tuple) -> list:
+        if state[-1]:
+            return []
+        steps = []
+        for i in IDENTITIES:
+            member = state[0][i]
+            if member is None:
+                continue
+            steps += self._time_out(state, i, member)
+            steps += self._crash(state, i, member)
+            if member[2] == CANDIDATE:
+                steps += self._be_granted(state, i, member)
+                steps += self._win(state, i, member)
+            elif member[2] == LEADER:
+                steps += self._append(state, i, member)
+                steps += self._replicate(state, i, member)
+                steps += self._commit(state, i, member)
+        return steps + self._lose_disk(state)
+
+    def _time_out(self, state: tuple, i: int, member: tuple) -> list:
+        members, disk, *rest = state
+        term, _, role, log, _ = member
+        voters = _voters(log, disk, self._variant)
+        if role == LEADER or term >= self._variant.terms:
+            return []
+        if i not in voters or i not in self._variant.candidates:
+            return []
+        after = (term + 1, i, CANDIDATE, log, (i,))
+        return [
+            (f'timeout{i}', (_with(members, **{f'm{i}': after}), disk, *rest))
+        ]
+
+    def _crash(self, state: tuple, i: int, member: tuple) -> list:
+        members, disk, crashes, *rest = state
+        if crashes == 0:
+            return []
+        term, vote, _, log, _ = member
+        if not self._variant.syncs_votes:
+            vote = None
+        after = (term, vote, FOLLOWER, log, ())
+        changed = _with(members, **{f'm{i}': after})
+        return [(f'crash{i}', (changed, disk, crashes - 1, *rest))]
+
+    def _be_granted(self, state: tuple, i: int, member: tuple) -> list:
+        members, *rest = state
+        term, _, _, log, heard = member
+        steps = []
+        for j in IDENTITIES:
+            if j in heard or members[j] is None:
+                continue
+            other_term, vote, _, other_log, _ = members[j]
+            if other_term > term:
+                continue
+            vote = vote if other_term == term else None
+            up_to_date = rules.is_up_to_date(
+                _last(log), other=_last(other_log)
+            )
+            if not rules.may_vote(
+                vote=vote, candidate=i, up_to_date=up_to_date
+            ):
+                continue
+            granted = (term, i, FOLLOWER, other_log, ())
+            counted = (term, i, CANDIDATE, log, tuple(sorted((*heard, j))))
+            changed = {f'm{i}': counted, f'm{j}': granted}
+            steps.append(
+                (f'vote{j}for{i}', (_with(members, **changed), *rest))
+            )
+        return steps
+
+    def _win(self, state: tuple, i: int, member: tuple) -> list:
+        members, disk, crashes, leaders, committed, bad = state
+        term, vote, _, log, heard = member
+        if not rules.has_quorum(heard, _voters(log, disk, self._variant)):
+            return []
+        if leaders[term - 1] is not None:
+            bad = bad or 'two_leaders'
+        # Counting late votes, one may win an older term than the commit's.
+        earlier = _last(committed)[0] < term
+        if earlier and log[: len(committed)] != committed:
+            bad = bad or 'committed_missing'
+        known = list(leaders)
+        known[term - 1] = i
+        grown = (*log, (term, COMMAND))
+        acks = list(NO_ACKS)
+        acks[i] = len(grown)
+        after = (term, vote, LEADER, grown, tuple(acks))
+        changed = _with(members, **{f'm{i}': after})
+        return [
+            (f'win{i}', (changed, disk, crashes, tuple(known), committed, bad))
+        ]
+
+    def _append(self, state: tuple, i: int, member: tuple) -> list:
+        members, disk, *rest = state
+        term, vote, role, log, acks = member
+        if len(log) >= self._variant.entries:
+            return []
+        steps = []
+        for kind in self._kinds(state, member):
+            grown = (*log, (term, kind))
+            own = list(acks)
+            own[i] = len(grown)
+            after = (term, vote, role, grown, tuple(own))
+            changed = _with(members, **{f'm{i}': after})
+            steps.append((f'append{i}', (changed, disk, *rest)))
+        return steps
+
+    def _kinds(self, state: tuple, member: tuple) -> list:
+        _, disk, _, _, committed, _ = state
+        term, _, _, log, acks = member
+        kinds = [COMMAND]
+        own_term = bool(committed) and committed[-1][0] == term
+        pending = any(k != COMMAND for _, k in log[len(committed) :])
+        if disk == NOT_LOST or not own_term or pending:
+            return kinds
+        done = {kind for _, kind in log}
+        if REMOVE_LOST not in done:
+            kinds.append(REMOVE_LOST)
+        elif ADD_REPAIRED not in done and acks[REPAIRED] >= len(committed):
+            kinds.append(ADD_REPAIRED)
+        return kinds
+
+    def _replicate(self, state: tuple, i: int, member: tuple) -> list:
+        members, *rest = state
+        term, vote, role, log, acks = member
+        steps = []
+        for j in IDENTITIES:
+            if j == i or members[j] is None or members[j][0] > term:
+                continue
+            after, index = _appended(members[j], term, log)
+            if after == members[j] and acks[j] == index:
+                continue
+            heard = list(acks)
+            heard[j] = max(heard[j], index)
+            own = (term, vote, role, log, tuple(heard))
+            changed = {f'm{i}': own, f'm{j}': after}
+            steps.append((f'send{i}to{j}', (_with(members, **changed), *rest)))
+        return steps
+
+    def _commit(self, state: tuple, i: int, member: tuple) -> list:
+        members, disk, crashes, leaders, committed, bad = state
+        term, _, _, log, acks = member
+        held = dict(enumerate(acks))
+        voters = _voters(log, disk, self._variant)
+        index = rules.quorum_value(held, voters, missing=0)
+        entry_term = log[index - 1][0] if index else 0
+        if self._variant.counts_own_term_only:
+            counted = rules.may_commit(
+                index=index,
+                commit_index=0,
+                entry_term=entry_term,
+                term=term,
+            )
+        else:
+            counted = index > 0
+        if not counted:
+            return []
+        prefix = log[:index]
+        short = min(len(prefix), len(committed))
+        if prefix[:short] != committed[:short]:
+            bad = bad or 'committed_changed'
+        longer = prefix if len(prefix) > len(committed) else committed
+        if (longer, bad) == (committed, state[5]):
+            return []
+        return [(f'commit{i}', (members, disk, crashes, leaders, longer, bad))]
+
+    def _lose_disk(self, state: tuple) -> list:
+        members, disk, *rest = state
+        if disk == DISK_LOST or self._variant.losses == 0:
+            return []
+        if self._variant.keeps_identity:
+            changed = _with(members, m2=BLANK)
+        else:
+            changed = _with(members, m2=None, m3=BLANK)
+        return [('lose_disk', (changed, DISK_LOST, *rest))]
+
+
+def _appended(member: tuple, term: int, log: tuple) -> tuple:
+    """Return a follower that took one more entry, and what it then holds."""
+    own_term, vote, _, own_log, _ = member
+    common = 0
+    while common < min(len(own_log), len(log)):
+        if own_log[common] != log[common]:
+            break
+        common += 1
+    vote = vote if own_term == term else None
+    if common == len(log):
+        return (term, vote, FOLLOWER, own_log, ()), common
+    kept = (*log[:common], log[common])
+    return (term, vote, FOLLOWER, kept, ()), common + 1
+
+
+def _logs_match(state: dict) -> bool:
+    logs = [member[3] for member in state['members'] if member]
+    pairs = itertools.combinations(logs, 2)
+    return all(_match(one, other) for one, other in pairs)
+
+
+def _match(one: tuple, other: tuple) -> bool:
+    for index in range(min(len(one), len(other)), 0, -1):
+        if one[index - 1] == other[index - 1]:
+            return one[:index] == other[:index]
+    return True
+
+
+def protocol(**options: object) -> minicheck.Protocol:
+    """Return the protocol with the bounds and faults of :class:`Rules`."""
+    variant = Rules(**options)
+    members = (BLANK, BLANK, BLANK, None)
+    leaders = (None,) * variant.terms
+    if variant.leaders_lost:
+        members = LEADERS_LOST
+        leaders = (0, 1, *leaders[2:])
+    return minicheck.Protocol(
+        name='log',
+        candidate=False,
+        fields=(
+            'members',
+            'disk',
+            'crashes',
+            'leaders',
+            'committed',
+            'bad',
+        ),
+        initial=(
+            members,
+            NOT_LOST,
+            variant.crashes,
+            leaders,
+            (),
+            '',
+        ),
+        transitions=_Transitions(variant),
+        invariants={
+            'one_leader_a_term': lambda s: s['bad'] != 'two_leaders',
+            'leader_holds_committed': lambda s: (
+                s['bad'] != 'committed_missing'
+            ),
+            'committed_never_changes': lambda s: (
+                s['bad'] != 'committed_changed'
+            ),
+            'logs_match': _logs_match,
+        },
+    )
