--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -10,6 +10,7 @@
 from skylarkpitch.peers import network
 from skylarkpitch import ports
 from skylarkpitch.settings import deployment
+from skylarkpitch.steering import demand
 from skylarkpitch.steering import hold_offs
 from skylarkpitch.steering import link_budget
 from skylarkpitch.steering import rates
@@ -186,7 +187,7 @@
         key = (service, host.name)
         self._asked[key] = wanted
         if host.failure_domain != self._own.failure_domain:
-            flows = _at_most(flows, wanted)
+            flows = demand.at_most(flows, wanted)
         if flows:
             self._standing.add(key)
         task = asyncio.create_task(self._ask(host, service, wanted, flows))
@@ -381,21 +382,3 @@
             self._holds_s[service] += (took_s - mean_s) * HOLD_WEIGHT
         if exchange is ports.Exchange.FAILED:
             self._refused(service, lender)
-
-
-def _at_most(
-    flows: tuple[messages.FlowDemand, ...], wanted: int
-) -> tuple[messages.FlowDemand, ...]:
-    total = sum(count for *_, count in flows)
-    if total <= wanted:
-        return flows
-    parts = (
-        (
-            organisation,
-            request_class,
-            weight,
-            math.ceil(count * wanted / total),
-        )
-        for organisation, request_class, weight, count in flows
-    )
-    return tuple(parts)
--- a/src/skylarkpitch/steering/demand.py
+++ b/src/skylarkpitch/steering/demand.py
@@ -5,11 +5,12 @@
 """
 
 import dataclasses
+import math
 
 from skylarkpitch.messages import steering as messages
 from skylarkpitch.steering import fair_queue
 
-__all__ = ['Demand', 'RemoteCall']
+__all__ = ['Demand', 'RemoteCall', 'at_most']
 
 KEPT_S = 0.3
 MAX_CALLS_A_FLOW = 16
@@ -68,3 +69,22 @@
         for borrower, places in list(self._places.items()):
             if not places or places[0].item.expires_s <= now_s:
                 self.forget(borrower)
+
+
+def at_most(
+    flows: tuple[messages.FlowDemand, ...], wanted: int
+) -> tuple[messages.FlowDemand, ...]:
+    """Return the flows in the same ratio, with about ``wanted`` calls."""
+    total = sum(count for *_, count in flows)
+    if total <= wanted:
+        return flows
+    parts = (
+        (
+            organisation,
+            request_class,
+            weight,
+            math.ceil(count * wanted / total),
+        )
+        for organisation, request_class, weight, count in flows
+    )
+    return tuple(parts)
