Push one overlay, name a withdrawn key's lease, judge only hosts that beat here

Cause: the tool could not push one overlay although the API takes it; a withdrawal showed the longest lease of any organisation; beyond 33 hosts a host counted everyone it never hears as not serving, so look-ups would have left out most of the fleet. The operators' API wrote the same handler four times. Conclusion: one handler serves the plain changes; a host that sends no heartbeats here is judged by what it said, not by its silence.

--- a/src/skylarkpitch/membership/hosts.py
+++ b/src/skylarkpitch/membership/hosts.py
@@ -34,18 +34,30 @@
 
 
 def not_serving(
-    views: dict[str, HostView], names: tuple[str, ...], *, now_s: float
+    views: dict[str, HostView],
+    names: tuple[str, ...],
+    *,
+    expected: frozenset[str],
+    now_s: float,
 ) -> frozenset[str]:
-    """Return the hosts that are silent, starting or leaving."""
+    """Return the hosts that are silent, starting or leaving.
+
+    ``expected`` are the hosts that send their heartbeats here; of another
+    host only what it said counts, not that it was never heard.
+    """
     return frozenset(
         name
         for name in names
-        if name not in views
-        or views[name].life_cycle != SERVING
-        or now_s - views[name].heard_s > SILENCE_S
+        if not _serves(views.get(name), name in expected, now_s)
     )
 
 
+def _serves(view: HostView | None, is_expected: bool, now_s: float) -> bool:
+    if view is None:
+        return not is_expected
+    return view.life_cycle == SERVING and now_s - view.heard_s <= SILENCE_S
+
+
 class HostBoard(mode.Service):
     """Send this host's heartbeats and keep those of the others."""
 
@@ -72,7 +84,13 @@
             host.name for host in self._peers.directory.with_role('entry')
         )
         self._hear_own()
-        return not_serving(self._views, names, now_s=self._clock())
+        is_mesh = len(names) <= MAX_MESH_HOSTS + 1
+        return not_serving(
+            self._views,
+            names,
+            expected=frozenset(names if is_mesh else ()),
+            now_s=self._clock(),
+        )
 
     def room(self) -> dict[str, float]:
         """Return the free slots that each host last told."""
--- a/src/skylarkpitch/operators/api.py
+++ b/src/skylarkpitch/operators/api.py
@@ -112,10 +112,18 @@
             ('GET', 'config/status', self._config_status),
             ('GET', 'config/history', self._history),
             ('GET', 'keys', self._list_keys),
-            ('POST', 'keys', self._issue),
+            (
+                'POST',
+                'keys',
+                self._change(models.IssueBody, commands.IssueKey),
+            ),
             ('POST', 'keys/withdraw', self._withdraw),
             ('GET', 'keys/unconfirmed', self._unconfirmed),
-            ('POST', 'upstreams/drain', self._drain),
+            (
+                'POST',
+                'upstreams/drain',
+                self._change(models.DrainBody, commands.SetDrain),
+            ),
             ('POST', 'hosts/stop', self._stop_host),
             ('GET', 'hosts', self._hosts),
             ('GET', 'status', self._status),
@@ -132,6 +140,11 @@
             for method, path, handler in table
         ]
 
+    def _change(
+        self, model: type[pydantic.BaseModel], command: type
+    ) -> _Handler:
+        return functools.partial(self._apply, model, command)
+
     async def _guarded(
         self, handler: _Handler, request: web.Request
     ) -> web.Response:
@@ -161,7 +174,7 @@
         return any(matches)
 
     async def _submit(
-        self, command: commands.Command, *, operator: str
+        self, command: commands.Command, *, operator: str, **extra: Any
     ) -> web.Response:
         result = await self._log.submit(
             commands.encode(command), timeout_s=SUBMIT_TIMEOUT_S
@@ -185,7 +198,7 @@
                 {'reason': result.reason, 'message': result.message},
                 status=422,
             )
-        return _json(result)
+        return _json({**msgspec.to_builtins(result), **extra})
 
     async def _is_current(self) -> bool:
         confirmed = await self._log.confirm(timeout_s=CONFIRM_TIMEOUT_S)
@@ -279,28 +292,27 @@
         ]
         return _json({'keys': keys, 'current': await self._is_current()})
 
-    async def _issue(self, request: web.Request) -> web.Response:
-        body = await _body(request, models.IssueBody)
-        command = commands.IssueKey(
-            operation_id=body.operation_id,
-            operator=body.operator,
-            at_s=self._wall_clock(),
-            key_id=body.key_id,
-            organisation=body.organisation,
-            salt=body.salt,
-            secret_hash=body.secret_hash,
-        )
-        return await self._submit(command, operator=body.operator)
+    async def _apply(
+        self,
+        model: type[pydantic.BaseModel],
+        command: type,
+        request: web.Request,
+    ) -> web.Response:
+        body = await _body(request, model)
+        made = command(**body.model_dump(), at_s=self._wall_clock())
+        return await self._submit(made, operator=body.operator)
 
     async def _withdraw(self, request: web.Request) -> web.Response:
         body = await _body(request, models.WithdrawBody)
+        record = self._state.keys.get(body.key_id)
         command = commands.WithdrawKey(
-            operation_id=body.operation_id,
+            **body.model_dump(), at_s=self._wall_clock()
+        )
+        return await self._submit(
+            command,
             operator=body.operator,
-            at_s=self._wall_clock(),
-            key_id=body.key_id,
+            organisation=None if record is None else record.organisation,
         )
-        return await self._submit(command, operator=body.operator)
 
     async def _unconfirmed(self, request: web.Request) -> web.Response:
         try:
@@ -318,17 +330,6 @@
             }
         )
 
-    async def _drain(self, request: web.Request) -> web.Response:
-        body = await _body(request, models.DrainBody)
-        command = commands.SetDrain(
-            operation_id=body.operation_id,
-            operator=body.operator,
-            at_s=self._wall_clock(),
-            upstream=body.upstream,
-            draining=body.draining,
-        )
-        return await self._submit(command, operator=body.operator)
-
     async def _stop_host(self, request: web.Request) -> web.Response:
         body = await _body(request, models.StopHostBody)
         if self._peers.directory.get(body.host) is None:
@@ -337,11 +338,7 @@
                 'host; see skylark hosts list'
             )
         command = commands.SetHostLeaving(
-            operation_id=body.operation_id,
-            operator=body.operator,
-            at_s=self._wall_clock(),
-            host=body.host,
-            leaving=body.leaving,
+            **body.model_dump(), at_s=self._wall_clock()
         )
         return await self._submit(command, operator=body.operator)
 
--- a/src/skylarkpitch/operators/config_commands.py
+++ b/src/skylarkpitch/operators/config_commands.py
@@ -188,6 +188,49 @@
     outputs.show(answer, output, _accepted_text)
 
 
+@config.command('push-overlay')
+@click.argument('site')
+@click.option(
+    '--file',
+    'path',
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help='Overlay of the site, in JSON.',
+)
+@click.option(
+    '--against',
+    type=int,
+    default=None,
+    help='Version the change was made against; default: the present one.',
+)
+@contexts.operation_option
+@outputs.option
+@contexts.pass_context
+def push_overlay(
+    context: contexts.Context,
+    site: str,
+    path: pathlib.Path,
+    against: int | None,
+    operation_id: str | None,
+    output: str,
+) -> None:
+    """Replace the overlay of SITE and leave all others as they are."""
+    overlay = _read_json(path)
+    client = context.client()
+    shown = client.get('/operators/v1/config')
+    deployment.validate_site(shown['base'], overlay, site=site)
+    body = context.change(
+        operation_id,
+        against_version=(
+            shown['config_version'] if against is None else against
+        ),
+        site=site,
+        overlay=overlay,
+    )
+    answer = client.post('/operators/v1/config/overlay', body)
+    outputs.show(answer, output, _accepted_text)
+
+
 def _changes_text(answer: dict[str, Any]) -> str:
     if not answer['changes']:
         return 'no changes'
--- a/src/skylarkpitch/operators/key_commands.py
+++ b/src/skylarkpitch/operators/key_commands.py
@@ -2,6 +2,7 @@
 
 import secrets
 from typing import Any
+from urllib import parse
 
 import click
 
@@ -66,8 +67,11 @@
         '/operators/v1/keys/withdraw',
         context.change(operation_id, key_id=key_id),
     )
+    query = {'version': answer['version']}
+    if answer['organisation'] is not None:
+        query['organisation'] = answer['organisation']
     answer['unconfirmed'] = client.get(
-        f'/operators/v1/keys/unconfirmed?version={answer["version"]}'
+        f'/operators/v1/keys/unconfirmed?{parse.urlencode(query)}'
     )['unconfirmed']
     outputs.show(answer, output, _withdrawn_text)
 
