End with the status and the message of what could not start

Cause: an address in use ended the daemon with status 1 and a stack of 60 lines; the message that names the setting stood in the middle of one of them. A control role that had not started failed on its own stop. Before: status 1, a traceback; after: status 2 for settings, 1 for any other part, the message on the last line, no traceback (tests/test_daemon_process). Conclusion: expected errors are logged without their stack.

--- a/src/skylarkpitch/daemon/control.py
+++ b/src/skylarkpitch/daemon/control.py
@@ -53,7 +53,8 @@
 
     async def on_stop(self) -> None:
         """Hand the lead to another voter, so that operators do not wait."""
-        await self._control_log.resign()
+        if self._control_log.started:
+            await self._control_log.resign()
 
     def on_init_dependencies(self) -> list[mode.Service]:
         """Return the parts in the order in which they start."""
--- a/src/skylarkpitch/daemon/main.py
+++ b/src/skylarkpitch/daemon/main.py
@@ -24,6 +24,7 @@
 
 __all__ = ['Daemon', 'main']
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
 _log = structlog.get_logger(__name__)
@@ -42,6 +43,7 @@
     ) -> None:
         self._settings = settings
         self.malformed = 0
+        self.failure: errors.SkylarkError | None = None
         self._peers = network.PeerNetwork(
             directory=directory.from_settings(
                 settings, public_key=keys.public_key_of(secret_key)
@@ -71,6 +73,14 @@
         """Return the transport, then the roles."""
         return [self._peers, *self._roles]
 
+    async def start(self) -> None:
+        """Start every part, and keep the error of one that cannot start."""
+        try:
+            await super().start()
+        except errors.SkylarkError as error:
+            self.failure = error
+            raise
+
     async def on_started(self) -> None:
         """Log that every part runs."""
         _log.info(
@@ -94,7 +104,10 @@
 
 
 def run(settings: daemon_settings.DaemonSettings, secret_key: str) -> None:
-    """Run the daemon until it is told to stop."""
+    """Run the daemon until it is told to stop.
+
+    Raises the ``SkylarkError`` of a part that could not start.
+    """
     logs.configure(host=settings.host, level=settings.log_level)
     loop.use('uvloop')
     asyncio.set_event_loop(asyncio.new_event_loop())
@@ -108,7 +121,13 @@
         redirect_stdouts=False,
         loop=asyncio.get_event_loop(),
     )
-    worker.execute_from_commandline()
+    try:
+        worker.execute_from_commandline()
+    except SystemExit:
+        if daemon.failure is None:
+            raise
+    if daemon.failure is not None:
+        raise daemon.failure
 
 
 @click.command()
@@ -125,8 +144,8 @@
 def main(path: pathlib.Path, check: bool) -> None:
     """Run one host of skylarkpitch.
 
-    SIGTERM is a planned stop: callers are led away first. Exit status 2
-    means that the settings are wrong.
+    SIGTERM is a planned stop: callers are led away first. Exit status: 0
+    stopped as planned, 1 a part failed, 2 the settings are wrong.
     """
     try:
         settings, secret_key = _load(path)
@@ -134,6 +153,7 @@
             click.echo(f'{path}: valid, roles {", ".join(settings.roles)}')
             return
         run(settings, secret_key)
-    except errors.SettingsError as error:
+    except errors.SkylarkError as error:
         click.echo(f'skylarkd: {error}', err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
+        is_setting = isinstance(error, errors.SettingsError)
+        sys.exit(EXIT_BAD_SETTINGS if is_setting else EXIT_FAILED)
--- a/src/skylarkpitch/observability/logs.py
+++ b/src/skylarkpitch/observability/logs.py
@@ -6,10 +6,15 @@
 
 import structlog
 
+from skylarkpitch import errors
+
 __all__ = ['configure']
 
 
 def _is_worth_a_line(record: logging.LogRecord) -> bool:
+    if record.exc_info and isinstance(record.exc_info[1], errors.SkylarkError):
+        # Its message names the remedy; the stack tells an operator nothing.
+        record.exc_info = None
     # The service library tells each start and stop of each part.
     is_life_cycle = str(record.msg).startswith('[^')
     return not is_life_cycle or record.levelno > logging.INFO
