Count the bytes of answers against the link that they cross

Cause: a call to another region spent only its request's bytes of the link's budget; the path never told the slot how long the answer was, so large answers could overrun a link. Conclusion: the port of a slot has account(), which does nothing for an own upstream.

--- a/src/skylarkpitch/membership/service.py
+++ b/src/skylarkpitch/membership/service.py
@@ -70,6 +70,9 @@
         """Give the slot back and tell how the exchange ended."""
         self._finish(self._held, exchange, self._taken_s)
 
+    def account(self, more_bytes: int) -> None:
+        """Do nothing: an own upstream is not behind a link."""
+
 
 class UpstreamMembership(mode.Service):
     """Own upstreams of the failure domain together with its other hosts."""
--- a/src/skylarkpitch/ports.py
+++ b/src/skylarkpitch/ports.py
@@ -54,6 +54,9 @@
     def finish(self, exchange: Exchange, *, latency_s: float) -> None:
         """Give the slot back and tell how the exchange ended."""
 
+    def account(self, more_bytes: int) -> None:
+        """Count bytes of the answer against the link that they cross."""
+
 
 class Authenticator(Protocol):
     """Tell which organisation a key belongs to."""
--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -1,5 +1,6 @@
 """Send an admitted request to upstreams until one answers or none may."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
 
@@ -151,6 +152,7 @@
             raise
         if _is_remote(slot):
             result = relay_outcomes.translate(result)
+            _count_bytes(result, slot)
         if isinstance(result, results.Failure):
             result = results.without_blame(result, reason=body.broken)
             finish(result.exchange)
@@ -169,6 +171,24 @@
     return header_rules.TICKET_HEADER in slot.headers
 
 
+def _count_bytes(
+    result: results.Answer | results.Failure, slot: ports.Slot
+) -> None:
+    if isinstance(result, results.Failure):
+        return
+    slot.account(len(result.head))
+    if result.rest is not None:
+        result.rest = _counted(result.rest, slot)
+
+
+async def _counted(
+    chunks: AsyncIterator[bytes], slot: ports.Slot
+) -> AsyncIterator[bytes]:
+    async for chunk in chunks:
+        slot.account(len(chunk))
+        yield chunk
+
+
 def _wants_retry(ended: Ended) -> bool:
     if ended.answer is None:
         return True
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -45,6 +45,9 @@
         self._ended()
         self._slot.finish(exchange, latency_s=latency_s)
 
+    def account(self, more_bytes: int) -> None:
+        """Do nothing: the borrower counts the bytes over the link."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Wanted:
--- a/tests/stand_ins/request_ports.py
+++ b/tests/stand_ins/request_ports.py
@@ -68,6 +68,10 @@
         self.url = url
         self.headers = headers or {}
         self.ends = []
+        self.counted_bytes = 0
+
+    def account(self, more_bytes):
+        self.counted_bytes += more_bytes
 
     def finish(self, exchange, *, latency_s):
         self.ends.append(exchange)
--- /dev/null
+++ b/tests/test_requests_link_bytes.py
@@ -0,0 +1,32 @@
+"""Tests that answers from other regions count against their link."""
+
+from aiohttp import web
+import pytest
+
+from tests.stand_ins import request_ports
+from tests import test_requests_path
+from tests import test_requests_relay
+
+
+@pytest.mark.parametrize('size_bytes', [0, 10, 3_000_000])
+def test_answer_of_a_relay_is_counted_whole(size_bytes):
+    async def answer(request):
+        return web.Response(body=b'x' * size_bytes)
+
+    async def go():
+        async with request_ports.serving(answer) as upstream:
+            owner = test_requests_relay.Owner(upstream)
+            async with (
+                request_ports.serving(owner.server.handle) as relay_url,
+                test_requests_path.benched() as bench,
+            ):
+                test_requests_relay.remote_slots(bench, relay_url)
+                async with bench.caller.get(
+                    '/svc/a', headers=test_requests_path.KEY
+                ) as response:
+                    body = await response.read()
+            await owner.server.close()
+        return len(body), bench.room.slots[0].counted_bytes
+
+    read, counted = test_requests_path.run(go())
+    assert read == counted == size_bytes
