Bound calls of another region's callers by the cap on shift

Cause: when a region dies its callers look up hosts of other regions, and their calls counted there as the host's own, so this part of a shift had no cap. Ruled out: bounding it in the look-up answers, since callers keep a list of hosts and answers live for seconds. An entry host knows a caller's region from the table of client blocks and counts its calls on the same ramp as tickets lent to other regions; a call over the cap waits its turn and holds up no other.

--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -119,6 +119,7 @@
 
     def _make_request_parts(self) -> None:
         directory = self._peers.directory
+        self._blocks = _client_blocks(self._settings)
         self._ledger = ledger_service.OperationLedger(
             peers=self._peers,
             region=self._settings.region,
@@ -139,7 +140,7 @@
             is_leaving=self._board.not_serving,
             room=self._board.room,
             id_prefix=self._ledger.id_prefix,
-            blocks=_client_blocks(self._settings),
+            blocks=self._blocks,
             scheme='http' if self._settings.tls is None else 'https',
         )
         self._path = request_path.RequestPath(
@@ -152,6 +153,7 @@
             is_stopping=lambda: self._chart.state == 'stopped',
             on_done=self._on_done,
             crash_watch=self._crash_watch(),
+            region_of=self._region_of,
             rng=self._rng,
         )
         self._relay = relay.RelayServer(
@@ -161,6 +163,13 @@
             settings=self._settings.limits,
         )
 
+    def _region_of(self, client_ip: str) -> str | None:
+        found = self._blocks.find(client_ip)
+        config = self._follower.site_config()
+        if not found or found.place is None or not config:
+            return None
+        return config.region_of(found.place)
+
     def _crash_watch(self) -> crash_watch.CrashWatch:
         return crash_watch.CrashWatch(
             quarantine_s=lambda: self._policy(
--- a/src/skylarkpitch/ports.py
+++ b/src/skylarkpitch/ports.py
@@ -38,10 +38,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Caller:
-    """Organisation that a request runs for; None on routes open to all."""
+    """Organisation that a request runs for; None on routes open to all.
+
+    ``region`` is the one that the caller's address belongs to, None where
+    no table of client blocks tells.
+    """
 
     organisation: str | None
     weight: float = 1.0
+    region: str | None = None
 
 
 class Slot(Protocol):
--- a/src/skylarkpitch/requests/admission.py
+++ b/src/skylarkpitch/requests/admission.py
@@ -45,10 +45,12 @@
         site_config: Callable[[], deployment.SiteConfig | sentinels.Absent],
         authenticator: ports.Authenticator,
         max_header_bytes: int,
+        region_of: Callable[[str], str | None] = lambda client_ip: None,
     ) -> None:
         self._site_config = site_config
         self._authenticator = authenticator
         self._max_header_bytes = max_header_bytes
+        self._region_of = region_of
         self._routed: deployment.SiteConfig | None = None
         self._routes = targets.RouteTable(services={})
 
@@ -79,7 +81,9 @@
             method=request.method,
             target=request.raw_path,
             matched=matched,
-            caller=caller,
+            caller=dataclasses.replace(
+                caller, region=self._region_of(request.remote or '')
+            ),
             key=key,
             operation_id=request.headers.get(header_rules.ID_HEADER),
             headers=header_rules.end_to_end(request.headers),
--- a/src/skylarkpitch/requests/path.py
+++ b/src/skylarkpitch/requests/path.py
@@ -73,6 +73,7 @@
         is_stopping: Callable[[], bool],
         on_done: Callable[[Done], None] = lambda done: None,
         crash_watch: crash_watches.CrashWatch | None = None,
+        region_of: Callable[[str], str | None] = lambda client_ip: None,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
@@ -88,6 +89,7 @@
             site_config=site_config,
             authenticator=authenticator,
             max_header_bytes=settings.max_header_bytes,
+            region_of=region_of,
         )
         self._bodies = bodies.BodyReader(settings=settings)
         self._exchanger = exchange.Exchanger(settings=settings, clock=clock)
--- a/src/skylarkpitch/steering/lender.py
+++ b/src/skylarkpitch/steering/lender.py
@@ -85,6 +85,37 @@
         running = self._running_cross.get(service, 0)
         return running + self.office.outstanding_cross_region(service)
 
+    def shift_room(
+        self, service: str, *, config: deployment.SiteConfig, now_s: float
+    ) -> int:
+        """Return how many more calls of other regions may run here."""
+        own = self._own_slots(service, now_s)
+        return self._ramp(service, now_s).room(
+            self.level_cross_region(service),
+            rate_per_s=shift.host_rate_per_s(
+                shift_percent_per_s=config.policy.shift_percent_per_s,
+                fleet_slots=own + self._fleet.others(service),
+                region_hosts=self._place.region_hosts,
+            )
+            * (1 - config.policy.clock_drift_percent / 100),
+            now_s=now_s,
+        )
+
+    def foreign_began(self, service: str, *, now_s: float) -> None:
+        """Take it that a call of another region's caller runs here.
+
+        Raises ``InvariantError`` past :meth:`shift_room`.
+        """
+        running = self._running_cross.get(service, 0)
+        self._running_cross[service] = running + 1
+        self._ramp(service, now_s).grow(
+            self.level_cross_region(service), now_s=now_s
+        )
+
+    def foreign_ended(self, service: str) -> None:
+        """Take it that a call of another region's caller has ended."""
+        self._running_cross[service] -= 1
+
     def grant(
         self,
         service: str,
@@ -181,23 +212,10 @@
             self.share_room(service, config=config, now_s=now_s),
         )
         if borrower.region != self._place.region:
-            room = min(room, self._shift_room(service, config, now_s))
-        return max(0, min(wanted, room))
-
-    def _shift_room(
-        self, service: str, config: deployment.SiteConfig, now_s: float
-    ) -> int:
-        own = self._own_slots(service, now_s)
-        return self._ramp(service, now_s).room(
-            self.level_cross_region(service),
-            rate_per_s=shift.host_rate_per_s(
-                shift_percent_per_s=config.policy.shift_percent_per_s,
-                fleet_slots=own + self._fleet.others(service),
-                region_hosts=self._place.region_hosts,
+            room = min(
+                room, self.shift_room(service, config=config, now_s=now_s)
             )
-            * (1 - config.policy.clock_drift_percent / 100),
-            now_s=now_s,
-        )
+        return max(0, min(wanted, room))
 
     def _ramp(self, service: str, now_s: float) -> shift.ShiftRamp:
         if service not in self._ramps:
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import random
 import secrets
 import time
@@ -17,46 +16,21 @@
 from skylarkpitch import sentinels
 from skylarkpitch.settings import deployment
 from skylarkpitch.steering import borrower as borrowers
+from skylarkpitch.steering import counted_slot
 from skylarkpitch.steering import demand as demands
 from skylarkpitch.steering import lender as lenders
 from skylarkpitch.steering import lending
 from skylarkpitch.steering import shares
+from skylarkpitch.steering import waiting_calls as calls
 from skylarkpitch.steering import waiting_line
 
-__all__ = ['FleetRoom', 'LentSlot']
+__all__ = ['FleetRoom']
 
 BORROW_PAUSE_S = 0.005
 EXPIRE_S = 0.05
 SHORTEST_HOLD_S = 0.001
 
 
-class LentSlot:
-    """One slot that a redeemed ticket stood for."""
-
-    def __init__(self, *, slot: ports.Slot, ended: Callable[[], None]) -> None:
-        self.upstream = slot.upstream
-        self.url = slot.url
-        self.headers = slot.headers
-        self._slot = slot
-        self._ended = ended
-
-    def finish(self, exchange: ports.Exchange, *, latency_s: float) -> None:
-        """Give the slot back and tell how the exchange ended."""
-        self._ended()
-        self._slot.finish(exchange, latency_s=latency_s)
-
-    def account(self, more_bytes: int) -> None:
-        """Do nothing: the borrower counts the bytes over the link."""
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class _Wanted:
-    body_bytes: int
-    deadline_s: float
-    exclude: frozenset[str]
-    future: asyncio.Future
-
-
 class FleetRoom(mode.Service):
     """Implement ``ports.Room`` over all hosts of the fleet."""
 
@@ -107,6 +81,8 @@
             clock=clock,
         )
         membership.on_room = self._dispatch
+        self._region = peers.directory.own.region
+        self._ramping: set[str] = set()
         peers.handle(messages.TicketRequest, self._lending.asked)
         peers.handle(messages.TicketOffer, self._offered)
         peers.handle(messages.TicketReturn, self._returned)
@@ -132,13 +108,14 @@
             return sentinels.Absent('no_room', 'service unknown here')
         self._borrower.configure(config)
         line = self._line(service)
-        wanted = _Wanted(
+        wanted = calls.Wanted(
             body_bytes,
             deadline_s,
             exclude,
             asyncio.get_running_loop().create_future(),
+            caller.region not in (None, self._region),
         )
-        if not len(line.queue):
+        if self._is_next(service, wanted):
             slot = self._take_now(service, wanted, config)
             if slot is not None:
                 self._keep_tickets(service)
@@ -156,6 +133,8 @@
         if not waiter:
             self._counts['refused_early'] += 1
             return waiter
+        if wanted.is_foreign:
+            self._ramping.add(service)
         return await self._wait(line, waiter, wanted.future)
 
     def redeem(
@@ -180,7 +159,9 @@
             return slot
         self._counts['redeemed'] += 1
         self.lender.began(lent)
-        return LentSlot(slot=slot, ended=lambda: self.lender.ended(lent))
+        return counted_slot.CountedSlot(
+            slot=slot, ended=lambda: self.lender.ended(lent)
+        )
 
     def stop_granting(self) -> None:
         """Hand out no ticket any more; those handed out are honoured."""
@@ -222,6 +203,10 @@
         """Free the slots of late tickets and give unused ones back."""
         for service in sorted(self.lender.expire(now_s=self._clock())):
             self._dispatch(service)
+        for service in sorted(self._ramping):
+            self._dispatch(service)
+            if not self._line(service).queue.backlog(calls.is_foreign):
+                self._ramping.discard(service)
         self._borrower.give_back_idle()
         self._lending.expire()
 
@@ -235,8 +220,33 @@
         """Learn the slots of one other failure domain."""
         await self._borrower.survey()
 
+    def _is_next(self, service: str, wanted: calls.Wanted) -> bool:
+        """Tell whether nobody waits who takes a slot before this call."""
+        queue = self._line(service).queue
+        if not len(queue):
+            return True
+        if wanted.is_foreign or service not in self._ramping:
+            return False
+        return not queue.backlog(calls.is_home)
+
     def _take_now(
-        self, service: str, wanted: _Wanted, config: deployment.SiteConfig
+        self, service: str, wanted: calls.Wanted, config: deployment.SiteConfig
+    ) -> ports.Slot | None:
+        if not wanted.is_foreign:
+            return self._take_any(service, wanted, config)
+        now_s = self._clock()
+        if not self.lender.shift_room(service, config=config, now_s=now_s):
+            return None
+        slot = self._take_any(service, wanted, config)
+        if slot is None:
+            return None
+        self.lender.foreign_began(service, now_s=now_s)
+        return counted_slot.CountedSlot(
+            slot=slot, ended=lambda: self.lender.foreign_ended(service)
+        )
+
+    def _take_any(
+        self, service: str, wanted: calls.Wanted, config: deployment.SiteConfig
     ) -> ports.Slot | None:
         now_s = self._clock()
         if self.lender.share_room(service, config=config, now_s=now_s) > 0:
@@ -261,12 +271,12 @@
     ) -> ports.Slot | sentinels.Absent:
         timeout_s = max(0.0, waiter.until_s - self._clock())
         timer = asyncio.get_running_loop().call_later(
-            timeout_s, _refuse, future
+            timeout_s, calls.refuse, future
         )
         try:
             answer = await future
         except asyncio.CancelledError:
-            _give_back(future)
+            calls.give_back(future)
             raise
         finally:
             timer.cancel()
@@ -290,7 +300,7 @@
     def _offer(
         self,
         service: str,
-        wanted: _Wanted | demands.RemoteCall,
+        wanted: calls.Wanted | demands.RemoteCall,
         config: deployment.SiteConfig,
     ) -> bool:
         if isinstance(wanted, demands.RemoteCall):
@@ -307,7 +317,7 @@
         running = self._borrowing.get(service)
         if running is not None and not running.done():
             return
-        waiting = self._line(service).queue.backlog(_is_own)
+        waiting = self._line(service).queue.backlog(calls.is_own)
         if waiting or self._borrower.needs_more(service):
             self._borrowing[service] = asyncio.create_task(
                 self._borrow(service)
@@ -316,7 +326,7 @@
     async def _borrow(self, service: str) -> None:
         line = self._line(service)
         while True:
-            flows = line.queue.backlog(_is_own)
+            flows = line.queue.backlog(calls.is_own)
             if not flows and not self._borrower.needs_more(service):
                 break
             asked = self._borrower.ask_for_more(
@@ -344,7 +354,7 @@
 
     def _line(self, service: str) -> waiting_line.WaitingLine:
         if service not in self._lines:
-            self._lines[service] = waiting_line.WaitingLine(drop=_put_out)
+            self._lines[service] = waiting_line.WaitingLine(drop=calls.put_out)
         return self._lines[service]
 
     def _served_per_s(self, service: str) -> float | None:
@@ -358,31 +368,6 @@
         return per_s or None
 
 
-def _refuse(future: asyncio.Future) -> None:
-    if not future.done():
-        future.set_result(
-            sentinels.Absent('no_room', 'none came free in time')
-        )
-
-
-def _is_own(item: _Wanted | demands.RemoteCall) -> bool:
-    return isinstance(item, _Wanted)
-
-
-def _put_out(wanted: _Wanted | demands.RemoteCall) -> None:
-    if isinstance(wanted, _Wanted) and not wanted.future.done():
-        wanted.future.set_result(
-            sentinels.Absent('no_room', 'others have waited for less')
-        )
-
-
-def _give_back(future: asyncio.Future) -> None:
-    if future.done() and not future.cancelled():
-        slot = future.result()
-        if slot:
-            slot.finish(ports.Exchange.NOT_SENT, latency_s=0.0)
-
-
 def _place(peers: network.Peers) -> lenders.Place:
     directory = peers.directory
     own = directory.own
--- /dev/null
+++ b/tests/test_steering_foreign.py
@@ -0,0 +1,94 @@
+"""Check that callers of another region arrive within the cap on shift."""
+
+import asyncio
+
+import pytest
+
+from skylarkpitch import ports
+from tests.stand_ins import fake_peers
+from tests.stand_ins import room_hosts
+
+SLOTS = 40
+
+
+def fleet(shift_percent_per_s):
+    return room_hosts.Hosts(
+        hosts=[
+            fake_peers.host('h1', 'r1', 'd1'),
+            fake_peers.host('h3', 'r2', 'd3'),
+        ],
+        site=room_hosts.config(
+            policy={'shift_percent_per_s': shift_percent_per_s},
+            regions={'r1': {'failure_domains': {'d2': None}}},
+        ),
+    )
+
+
+async def take(hosts, region, *, wait_s=0.0):
+    return await hosts.room['h1'].take(
+        service='desk',
+        caller=ports.Caller(organisation='o', region=region),
+        request_class='reads',
+        body_bytes=10,
+        deadline_s=hosts.clock.now_s + 0.02 + wait_s,
+        exclude=frozenset(),
+    )
+
+
+async def held(hosts, region, count):
+    taken = [await take(hosts, region) for _ in range(count)]
+    return [slot for slot in taken if slot]
+
+
+@pytest.mark.parametrize(
+    'region, percent, admitted',
+    [
+        (None, 5.0, 20),
+        ('r1', 5.0, 20),
+        ('r2', 5.0, 1),
+        ('r2', 20.0, 7),
+        ('r2', 100.0, 20),
+    ],
+)
+def test_growth_of_foreign_calls_is_bounded(region, percent, admitted):
+    async def run():
+        hosts = fleet(percent)
+        await hosts.own('h1', name='u1', slots=SLOTS)
+        return len(await held(hosts, region, 20))
+
+    found = asyncio.run(run())
+    assert found == pytest.approx(admitted, abs=1)
+
+
+def test_foreign_calls_may_grow_again_after_a_second():
+    async def run():
+        hosts = fleet(20.0)
+        await hosts.own('h1', name='u1', slots=SLOTS)
+        levels = []
+        for _ in range(3):
+            levels.append(len(await held(hosts, 'r2', 12)))
+            hosts.clock.now_s += 1.1
+            await hosts.own('h1', name='u1', slots=SLOTS)
+        return levels
+
+    levels = asyncio.run(run())
+    assert max(levels) - min(levels) <= 1
+    assert min(levels) > 0
+
+
+def test_waiting_foreign_call_holds_up_no_other_and_runs_later():
+    async def run():
+        hosts = fleet(5.0)
+        await hosts.own('h1', name='u1', slots=SLOTS)
+        first = await held(hosts, 'r2', 2)
+        waiting = asyncio.ensure_future(take(hosts, 'r2', wait_s=5))
+        await asyncio.sleep(0)
+        own = await take(hosts, 'r1')
+        assert own.upstream == 'u1'
+        assert not waiting.done()
+        for slot in first:
+            slot.finish(ports.Exchange.ANSWERED, latency_s=0.01)
+        hosts.room['h1'].tick()
+        return (await waiting).upstream
+
+    assert asyncio.run(run()) == 'u1'
