Restart every host in turn under load

Cause: a planned stop was shown for one host only; users asked for a rolling restart of all of them.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup check format lint imports test demo model soak faults costs bench capacity
+.PHONY: setup check format lint imports test demo model soak faults rolling costs bench capacity
 
 setup: $(STAMP)
 
@@ -54,6 +54,10 @@
 	$(BIN)/python -m benchmarks.faults --deployment $(DEPLOYMENT) \
 		--seed $(SEED) --seconds $(SECONDS)
 
+rolling: $(STAMP)
+	$(BIN)/python -m benchmarks.faults --deployment $(DEPLOYMENT) \
+		--seed $(SEED) --rolling
+
 costs: $(STAMP)
 	$(BIN)/python -m benchmarks.costs --deployment $(DEPLOYMENT)
 
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -148,7 +148,7 @@
                         caller,
                         session,
                         calls_per_s=CALLS_PER_S / len(self.callers),
-                        until_s=until_s,
+                        until=lambda: until_s,
                         choose=self.choose,
                     )
                 )
--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import math
 import pathlib
 import random
 import signal
@@ -31,9 +32,22 @@
 WRITE_FRACTION = 0.5
 FAULT_EVERY_S = 3.0
 FREEZE_S = 2.5
+POLL_S = 0.2
+POLLS = 150
+HEALTH_PATH = '/skylark/v1/health'
 FAULTS = ('kill', 'freeze', 'planned_stop')
 
 
+async def _is_healthy(url: str) -> bool:
+    timeout = aiohttp.ClientTimeout(total=1.0)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async with session.get(url) as answer:
+                return answer.status == 200
+    except (aiohttp.ClientError, TimeoutError):
+        return False
+
+
 class FaultRun:
     """Drive one deployment through faults and count what callers saw."""
 
@@ -42,13 +56,17 @@
         self.rng = random.Random(seed)
         self.demo = demos.Demo(fleet=fleet, seed=seed)
         self.faults: list[str] = []
-        self.cut_by_planned_stop = 0
-        self._leaving: set[str] = set()
+        self._until_s = 0.0
 
-    async def run(self, seconds: float) -> None:
-        """Call under faults for a time, then let everything settle."""
+    async def run(self, seconds: float, *, rolling: bool) -> None:
+        """Call under faults for a time, then let everything settle.
+
+        ``rolling`` restarts each host in turn instead of drawing faults, for
+        as long as that takes.
+        """
         self.demo.make_callers()
-        until_s = time.monotonic() + seconds
+        self._until_s = time.monotonic() + (math.inf if rolling else seconds)
+        breaking = self._roll() if rolling else self._break_things()
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with aiohttp.ClientSession(
             timeout=timeout, connector=aiohttp.TCPConnector(limit=0)
@@ -58,12 +76,12 @@
                     caller,
                     session,
                     calls_per_s=CALLS_PER_S / len(self.demo.callers),
-                    until_s=until_s,
+                    until=lambda: self._until_s,
                     choose=self._call,
                 )
                 for caller in self.demo.callers
             ]
-            await asyncio.gather(*load, self._break_things(until_s))
+            await asyncio.gather(*load, breaking)
 
     async def _call(self, caller, session) -> None:
         shape = self.fleet.shape
@@ -83,8 +101,25 @@
                 return
             await asyncio.sleep(RESEND_PAUSE_S)
 
-    async def _break_things(self, until_s: float) -> None:
-        while time.monotonic() + FAULT_EVERY_S < until_s:
+    async def _roll(self) -> None:
+        await asyncio.sleep(FAULT_EVERY_S)
+        for name in sorted(self.fleet.processes):
+            self.faults.append(f'planned_stop:{name}')
+            demos.say(f'restart {name}')
+            await self._planned_stop(name)
+            await self._until_serving(name)
+        self._until_s = time.monotonic()
+
+    async def _until_serving(self, name: str) -> None:
+        url = self.fleet.caller_url(name) + HEALTH_PATH
+        for _ in range(POLLS):
+            await asyncio.sleep(POLL_S)
+            if await _is_healthy(url):
+                return
+        raise RuntimeError(f'{name} does not serve again')
+
+    async def _break_things(self) -> None:
+        while time.monotonic() + FAULT_EVERY_S < self._until_s:
             await asyncio.sleep(FAULT_EVERY_S)
             name = self.rng.choice(sorted(self.fleet.processes))
             fault = self.rng.choice(FAULTS)
@@ -123,6 +158,7 @@
             'steps': sum(tally.sent for tally in tallies),
             'faults': self.faults,
             'answered': sum(tally.answered for tally in tallies),
+            'cut': sum(tally.cut for tally in tallies),
             'reasons': reasons,
             'operations_run': len(runs),
             'run_twice': sum(count > 1 for count in runs.values()),
@@ -133,19 +169,26 @@
 
 
 def run_faults(
-    *, deployment: str, seed: int, seconds: float, folder: pathlib.Path
+    *,
+    deployment: str,
+    seed: int,
+    seconds: float,
+    rolling: bool,
+    folder: pathlib.Path,
 ) -> dict:
     """Run one deployment through faults and return its report."""
     fleet = fleets.Fleet(shape=shapes.SHAPES[deployment], folder=folder)
     faults = FaultRun(fleet=fleet, seed=seed)
     try:
         faults.demo.bring_up()
-        asyncio.run(faults.run(seconds))
+        asyncio.run(faults.run(seconds, rolling=rolling))
         faults.demo.end()
     finally:
         fleet.close()
     report = faults.report()
-    names = ('run_twice', 'wrong_answers', 'key_leaks', 'overload')
+    names = ['run_twice', 'wrong_answers', 'key_leaks', 'overload']
+    if rolling:
+        names.append('cut')
     report['violations'] = sum(report[name] for name in names)
     return report
 
@@ -154,11 +197,13 @@
 @click.option('--deployment', default='mueso', show_default=True)
 @click.option('--seed', default=1, show_default=True)
 @click.option('--seconds', default=40.0, show_default=True)
+@click.option('--rolling', is_flag=True, help='Restart each host in turn.')
 @click.option('--keep-logs', type=click.Path(path_type=pathlib.Path))
 def main(
     deployment: str,
     seed: int,
     seconds: float,
+    rolling: bool,
     keep_logs: pathlib.Path | None,
 ) -> None:
     """Run a deployment through faults drawn from SEED."""
@@ -166,7 +211,11 @@
         folder = keep_logs or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         report = run_faults(
-            deployment=deployment, seed=seed, seconds=seconds, folder=folder
+            deployment=deployment,
+            seed=seed,
+            seconds=seconds,
+            rolling=rolling,
+            folder=folder,
         )
     print(json.dumps(report))
     sys.exit(int(report['violations'] > 0))
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -223,6 +223,14 @@
             if failure_domain in (None, entry['failure_domain'])
         ]
 
+    def caller_url(self, name: str) -> str:
+        """Return the callers' URL of one host."""
+        return next(
+            f'http://{LOOPBACK}:{entry["callers"]["port"]}'
+            for entry in self.hosts
+            if entry['host'] == name
+        )
+
     def control_urls(self) -> tuple[str, ...]:
         """Return the operators' URLs of the control hosts."""
         return tuple(
--- a/tests/stand_ins/caller.py
+++ b/tests/stand_ins/caller.py
@@ -142,13 +142,16 @@
 
 
 async def call_regularly(
-    caller, session, *, calls_per_s, until_s, choose, clock=time.monotonic
+    caller, session, *, calls_per_s, until, choose, clock=time.monotonic
 ):
-    """Call at a steady rate without waiting for earlier answers."""
+    """Call at a steady rate without waiting for earlier answers.
+
+    ``until()`` is the time at which the last call goes out.
+    """
     running = set()
     interval_s = 1 / calls_per_s
     next_s = clock()
-    while clock() < until_s:
+    while clock() < until():
         task = asyncio.create_task(choose(caller, session))
         running.add(task)
         task.add_done_callback(running.discard)
