Rank hosts by the one rendezvous function, run virtual time by one loop

Cause: rendezvous hashing stood three times and the loop with virtual time twice, left by parts that grew side by side.

--- a/benchmarks/room_policy.py
+++ b/benchmarks/room_policy.py
@@ -18,6 +18,7 @@
 from tests.stand_ins import fake_peers
 from tests.stand_ins import room_hosts
 from tests.stand_ins import room_world
+from tests.stand_ins import virtual_time
 
 __all__ = ['main']
 
@@ -274,10 +275,10 @@
         }
     for fair in (False, True):
         name = f'one_at_5x_{"fair_queue" if fair else "one_queue"}'
-        report[name] = room_world.run(_fairness(fair=fair))
+        report[name] = virtual_time.run(_fairness(fair=fair))
     for capped in (True, False):
         name = f'region_death_{"capped" if capped else "uncapped"}'
-        report[name] = room_world.run(_region_death(capped=capped))
+        report[name] = virtual_time.run(_region_death(capped=capped))
     for name, figures in report.items():
         print(name, figures)
     print(json.dumps(report))
--- a/benchmarks/soaks/room.py
+++ b/benchmarks/soaks/room.py
@@ -19,6 +19,7 @@
 from skylarkpitch.settings import deployment
 from skylarkpitch.steering import shift
 from tests.stand_ins import room_world
+from tests.stand_ins import virtual_time
 
 __all__ = ['run']
 
@@ -333,7 +334,7 @@
     outcomes: collections.Counter = collections.Counter()
     steps = episodes = 0
     while not episodes or time.monotonic() < ends_s:
-        world = room_world.run(_episode(seed=seed * 1000 + episodes))
+        world = virtual_time.run(_episode(seed=seed * 1000 + episodes))
         violations.update(world.violations)
         outcomes.update(world.outcomes)
         steps += world.steps
--- a/src/skylarkpitch/dissemination/tree.py
+++ b/src/skylarkpitch/dissemination/tree.py
@@ -5,33 +5,17 @@
 ``FAN_OUT``, so that no host answers for more than its budget allows however
 large the failure domain is. Every host computes the same tree from the
 directory, and no message is needed to agree on it.
-
-Rendezvous hashing: Thaler and Ravishankar, "Using Name-Based Mappings to
-Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998.
 """
 
-from collections.abc import Iterable
-import hashlib
-
 from skylarkpitch.peers import directory as directories
+from skylarkpitch.peers import rendezvous
 
-__all__ = ['FAN_OUT', 'RELAYS', 'rank', 'relays_of', 'sources_of']
+__all__ = ['FAN_OUT', 'RELAYS', 'relays_of', 'sources_of']
 
 RELAYS = 2
 FAN_OUT = 2
 
 
-def _score(salt: str, name: str) -> bytes:
-    return hashlib.blake2b(f'{salt}|{name}'.encode(), digest_size=8).digest()
-
-
-def rank(salt: str, names: Iterable[str]) -> tuple[str, ...]:
-    """Return names by descending rendezvous score for ``salt``."""
-    return tuple(
-        sorted(names, key=lambda name: (_score(salt, name), name))[::-1]
-    )
-
-
 def relays_of(
     directory: directories.Directory, failure_domain: str
 ) -> tuple[str, ...]:
@@ -49,7 +33,9 @@
     own = directory.get(host)
     if own is None:
         return ()
-    control = rank(host, (h.name for h in directory.with_role('control')))
+    control = rendezvous.rank(
+        host, (h.name for h in directory.with_role('control'))
+    )
     ranked = _ranked(directory, own.failure_domain)
     relays = ranked[:RELAYS]
     wanted: list[str] = []
@@ -58,7 +44,11 @@
     if host in relays or host not in ranked:
         wanted += [*control, *relays]
     else:
-        wanted += [*_parents(ranked, host), *rank(host, relays), *control]
+        wanted += [
+            *_parents(ranked, host),
+            *rendezvous.rank(host, relays),
+            *control,
+        ]
     kept = dict.fromkeys(wanted)
     if 'control' not in own.roles:
         kept.pop(host, None)
@@ -69,7 +59,8 @@
     directory: directories.Directory, failure_domain: str
 ) -> tuple[str, ...]:
     hosts = directory.in_failure_domain(failure_domain)
-    return rank(failure_domain, (host.name for host in hosts))
+    names = (host.name for host in hosts)
+    return tuple(rendezvous.rank(failure_domain, names))
 
 
 def _parents(ranked: tuple[str, ...], host: str) -> list[str]:
--- a/src/skylarkpitch/limits/holders.py
+++ b/src/skylarkpitch/limits/holders.py
@@ -2,8 +2,8 @@
 
 The holders follow from the list of hosts in the settings, never from which
 hosts are alive, so that two hosts can't both take themselves for the holder
-of one part. The holder is found by rendezvous hashing (Thaler and
-Ravishankar, "Using name-based mappings to increase hit rates", 1998).
+of one part. The holder is found by rendezvous hashing, see
+``peers.rendezvous``.
 """
 
 import functools
@@ -11,8 +11,9 @@
 
 from skylarkpitch.limits import shares
 from skylarkpitch.peers import directory as directories
+from skylarkpitch.peers import rendezvous
 
-__all__ = ['Holders', 'rendezvous']
+__all__ = ['Holders']
 
 # One holder a group of organisations and failure domain bounds the messages
 # of a host to this number a renewal.
@@ -24,11 +25,6 @@
     return int.from_bytes(digest.digest(), 'big')
 
 
-def rendezvous(key: str, names: tuple[str, ...]) -> str:
-    """Return the name that wins ``key``; ``ValueError`` without names."""
-    return max(names, key=lambda name: (_hash(key, name), name))
-
-
 class Holders:
     """Name the holders of one directory."""
 
@@ -80,7 +76,7 @@
 
     @functools.cache  # noqa: B019 - lives as long as the process
     def _holder(self, failure_domain: str, group: int) -> str:
-        return rendezvous(str(group), self._members[failure_domain])
+        return rendezvous.rank(str(group), self._members[failure_domain])[0]
 
 
 @functools.lru_cache(maxsize=100_000)
--- a/tests/stand_ins/room_world.py
+++ b/tests/stand_ins/room_world.py
@@ -36,34 +36,6 @@
     ]
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time jumps to the next timer when idle."""
-
-    def __init__(self):
-        self.virtual_s = 0.0
-        super().__init__()
-
-    def time(self):
-        return self.virtual_s
-
-    def _run_once(self):
-        if not self._ready and self._scheduled:
-            self.virtual_s = max(self.virtual_s, self._scheduled[0]._when)
-        super()._run_once()
-
-
-def run(main):
-    """Run a coroutine in virtual time and return its result."""
-    loop = VirtualLoop()
-    try:
-        return loop.run_until_complete(main)
-    finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
-
-
 class Peers:
     """Transport of one process; dead ones reach nobody."""
 
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -8,7 +8,7 @@
 
 from skylarkpitch.config import commands
 from skylarkpitch.config import parts
-from skylarkpitch.dissemination import tree
+from skylarkpitch.peers import rendezvous
 from tests.stand_ins import control_fleet
 from tests.stand_ins import fake_peers
 from tests.stand_ins import virtual_time
@@ -322,7 +322,7 @@
     fleet = await running(hosts=hosts)
     key = await fleet.issue()
     await asyncio.sleep(2)
-    lost = tree.rank('gwangju-a', [f'e{n}' for n in range(30)])[place]
+    lost = rendezvous.rank('gwangju-a', [f'e{n}' for n in range(30)])[place]
     fleet.split([lost])
     for _ in range(60):
         await asyncio.sleep(STEP_S)
--- a/tests/test_steering_room.py
+++ b/tests/test_steering_room.py
@@ -8,6 +8,7 @@
 from tests.stand_ins import fake_peers
 from tests.stand_ins import room_hosts
 from tests.stand_ins import room_world
+from tests.stand_ins import virtual_time
 
 
 def fleet(**sections):
@@ -282,7 +283,7 @@
         assert min(served[1:]) > 0.98
         assert not world.violations
 
-    room_world.run(run())
+    virtual_time.run(run())
 
 
 def test_planned_stop_cuts_no_call_and_moves_the_upstreams():
@@ -300,7 +301,7 @@
         assert names == ['u0', 'u1', 'u2', 'u3']
         assert not world.violations
 
-    room_world.run(run())
+    virtual_time.run(run())
 
 
 def test_dead_owner_is_replaced_without_a_slot_used_twice():
@@ -317,4 +318,4 @@
         await calls
         assert not world.violations
 
-    room_world.run(run())
+    virtual_time.run(run())
