Fail a randomised run that checked nothing

Cause: joining the two loops with virtual time moved the start of time, so an episode of the room soak was over before it began: 0 steps, 0 violations, and the runner took that as a pass. Found by reading the report of make soak. The runner now exits 1 for a run without steps.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,7 +1,7 @@
 """Run every randomised run in turn from one seed.
 
 The last line is one JSON object: run name to its counts. Exits 1 when a run
-saw a violation.
+saw a violation or took no step.
 """
 
 import importlib
@@ -14,6 +14,11 @@
 from benchmarks import soaks
 
 
+def is_failed(counts: dict) -> bool:
+    """Tell whether a run saw a violation, or checked nothing at all."""
+    return counts['violations'] > 0 or counts['steps'] == 0
+
+
 @click.command()
 @click.option('--seed', default=1, show_default=True)
 @click.option('--seconds', default=20.0, show_default=True)
@@ -26,7 +31,7 @@
         report[name] = run(seed=seed, seconds=seconds / len(names))
         print(f'{name}: {report[name]}', flush=True)
     print(json.dumps(report))
-    sys.exit(int(any(item['violations'] for item in report.values())))
+    sys.exit(int(any(map(is_failed, report.values()))))
 
 
 if __name__ == '__main__':
--- a/benchmarks/soaks/room.py
+++ b/benchmarks/soaks/room.py
@@ -113,10 +113,11 @@
     async def run(self) -> room_world.World:
         """Drive callers, faults and checks to the episode's end."""
         loop = asyncio.get_running_loop()
+        began_s = loop.time()
         await asyncio.sleep(2)
         steps = (self._callers, self._faults, self._checks)
         tasks = [self.world.spawn(step()) for step in steps]
-        await asyncio.sleep(EPISODE_S - loop.time())
+        await asyncio.sleep(began_s + EPISODE_S - loop.time())
         for task in tasks:
             if task.done() and task.exception():
                 raise task.exception()
