Cut failure domains off from each other in the run of real daemons

Cause: partitions were brought about between services of one process only. The stand-in network now takes cuts and heals while it runs; bytes of a cut route stay unsent, as in a silent partition.

--- a/benchmarks/faults.py
+++ b/benchmarks/faults.py
@@ -1,4 +1,4 @@
-"""Kill, freeze and restart daemons of a real deployment under load.
+"""Kill, freeze, cut off and restart daemons of a deployment under load.
 
 Callers send bookings and reads; a booking that got no clear answer is sent
 again under the same id, to another host. Faults are drawn from the seed.
@@ -32,10 +32,11 @@
 WRITE_FRACTION = 0.5
 FAULT_EVERY_S = 3.0
 FREEZE_S = 2.5
+CUT_S = 8.0
 POLL_S = 0.2
 POLLS = 150
 HEALTH_PATH = '/skylark/v1/health'
-FAULTS = ('kill', 'freeze', 'planned_stop')
+FAULTS = ('kill', 'freeze', 'planned_stop', 'cut_off')
 
 
 async def _is_healthy(url: str) -> bool:
@@ -140,6 +141,16 @@
         await asyncio.sleep(FREEZE_S)
         process.send_signal(signal.SIGCONT)
 
+    async def _cut_off(self, name: str) -> None:
+        domain = next(
+            entry['failure_domain']
+            for entry in self.fleet.hosts
+            if entry['host'] == name
+        )
+        self.fleet.cut(domain)
+        await asyncio.sleep(CUT_S)
+        self.fleet.heal(domain)
+
     async def _planned_stop(self, name: str) -> None:
         process = self.fleet.processes[name]
         process.send_signal(signal.SIGTERM)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -56,6 +56,10 @@
     return {'ip': LOOPBACK, 'port': port}
 
 
+def _pair(one: str, other: str) -> str:
+    return ' '.join(sorted((one, other)))
+
+
 class Fleet:
     """Own the processes of one deployment."""
 
@@ -129,6 +133,7 @@
         ]
         routes = [
             {
+                'name': _pair(domain, entry['failure_domain']),
                 'port': entry[kind]['port'],
                 'delay_s': shapes.one_way_s(
                     self.shape,
@@ -145,13 +150,29 @@
             stdout=subprocess.PIPE,
             text=True,
         )
-        self._forwarder.stdin.write(json.dumps(routes))
-        self._forwarder.stdin.close()
+        self._tell_network(json.dumps(routes))
         ports = json.loads(self._forwarder.stdout.readline())
         for (domain, entry, kind), port in zip(wanted, ports, strict=True):
             by_domain = entry.setdefault('routes', {}).setdefault(domain, {})
             by_domain[kind] = _address(port)
 
+    def _tell_network(self, line: str) -> None:
+        self._forwarder.stdin.write(f'{line}\n')
+        self._forwarder.stdin.flush()
+
+    def cut(self, failure_domain: str) -> None:
+        """Hold back every byte between a failure domain and the others."""
+        for other in self._others(failure_domain):
+            self._tell_network(f'cut {_pair(failure_domain, other)}')
+
+    def heal(self, failure_domain: str) -> None:
+        """Let bytes pass between a failure domain and the others again."""
+        for other in self._others(failure_domain):
+            self._tell_network(f'heal {_pair(failure_domain, other)}')
+
+    def _others(self, failure_domain: str) -> list[str]:
+        return [d for d in self.shape.entry_hosts if d != failure_domain]
+
     def start_host(self, name: str) -> None:
         """Start the daemon of one host; its log goes to a file."""
         with open(self.folder / f'{name}.log', 'a') as log:
--- a/tests/stand_ins/forwarder.py
+++ b/tests/stand_ins/forwarder.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import json
-import signal
 import sys
 
 CHUNK_BYTES = 65536
@@ -96,18 +95,37 @@
         await asyncio.gather(read(), write())
 
 
-async def _serve(routes):
+async def _lines():
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        yield line.decode().strip()
+
+
+async def _obey(forwarder, line):
+    if line.startswith('['):
+        ports = [
+            await forwarder.route(
+                route['port'], delay_s=route['delay_s'], name=route['name']
+            )
+            for route in json.loads(line)
+        ]
+        print(json.dumps(ports), flush=True)
+        return
+    action, name = line.split(' ', 1)
+    {'cut': forwarder.cut, 'heal': forwarder.heal}[action](name)
+
+
+async def _serve():
+    """Take routes as one line of JSON, then cuts and heals, one a line."""
     forwarder = Forwarder()
-    ports = [
-        await forwarder.route(route['port'], delay_s=route['delay_s'])
-        for route in routes
-    ]
-    print(json.dumps(ports), flush=True)
-    stopping = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
-    await stopping.wait()
+    async for line in _lines():
+        await _obey(forwarder, line)
     await forwarder.close()
 
 
 if __name__ == '__main__':
-    asyncio.run(_serve(json.load(sys.stdin)))
+    asyncio.run(_serve())
