Show operators what is current, and refuse to drain an unknown name

Cause: going through the operators' pages by hand: a control host that does not lead said 'not confirmed by a quorum' although it had a proof a second old; the rate of an organisation was summed over the hosts (1800 for 200); a mistyped upstream name was accepted as a drain of nothing.

--- a/src/skylarkpitch/operators/api.py
+++ b/src/skylarkpitch/operators/api.py
@@ -10,6 +10,7 @@
 import dataclasses
 import functools
 import hmac
+import math
 import time
 from typing import Any
 
@@ -35,6 +36,7 @@
 
 SUBMIT_TIMEOUT_S = 5.0
 CONFIRM_TIMEOUT_S = 1.0
+CURRENT_AGE_S = 3.0
 BEARER = 'Bearer '
 
 STATUS_OF = {
@@ -92,6 +94,7 @@
         source: sources.StateSource,
         peers: network.Peers,
         token_hashes: tuple[str, ...],
+        clock: Callable[[], float] = time.monotonic,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._log = log
@@ -99,6 +102,7 @@
         self._source = source
         self._peers = peers
         self._token_hashes = token_hashes
+        self._clock = clock
         self._wall_clock = wall_clock
 
     def routes(self) -> list[web.RouteDef]:
@@ -200,9 +204,16 @@
             )
         return _json({**msgspec.to_builtins(result), **extra})
 
-    async def _is_current(self) -> bool:
+    async def _proof(self) -> dict[str, Any]:
+        """Return how old the newest proof of the state by a quorum is."""
         confirmed = await self._log.confirm(timeout_s=CONFIRM_TIMEOUT_S)
-        return not sentinels.is_absent(confirmed)
+        age_s = 0.0
+        if sentinels.is_absent(confirmed):
+            age_s = self._source.age_s(self._clock())
+        return {
+            'proof_age_s': age_s if math.isfinite(age_s) else None,
+            'current': age_s <= CURRENT_AGE_S,
+        }
 
     async def _host_reports(self) -> list[reports.HostReport]:
         answers = await questions.ask_entry_hosts(
@@ -217,12 +228,11 @@
         ]
 
     async def _show(self, request: web.Request) -> web.Response:
-        current = await self._is_current()
         return _json(
             {
                 'version': self._state.version,
                 'config_version': self._state.config_version,
-                'current': current,
+                **await self._proof(),
                 'base': self._state.base,
                 'overlays': self._state.overlays,
                 'drains': sorted(self._state.drains),
@@ -277,7 +287,7 @@
             {
                 'version': self._state.version,
                 'config_version': self._state.config_version,
-                'current': await self._is_current(),
+                **await self._proof(),
                 'failure_domains': self._source.in_force(),
             }
         )
@@ -290,7 +300,7 @@
             {'key_id': key_id, 'organisation': key.organisation}
             for key_id, key in sorted(self._state.keys.items())
         ]
-        return _json({'keys': keys, 'current': await self._is_current()})
+        return _json({'keys': keys, **await self._proof()})
 
     async def _apply(
         self,
@@ -350,7 +360,7 @@
             {
                 'version': self._state.version,
                 'config_version': self._state.config_version,
-                'current': await self._is_current(),
+                **await self._proof(),
                 'control': dataclasses.asdict(self._log.status()),
                 'failure_domains': self._source.in_force(),
                 'hosts': await self._host_reports(),
--- a/src/skylarkpitch/operators/config_commands.py
+++ b/src/skylarkpitch/operators/config_commands.py
@@ -87,11 +87,24 @@
     ]
 
 
+def stale_text(answer: dict[str, Any]) -> str:
+    """Return a remark on an answer that no quorum confirmed of late.
+
+    Empty for a current answer.
+    """
+    if answer['current']:
+        return ''
+    age_s = answer['proof_age_s']
+    if age_s is None:
+        return ' (never confirmed by a quorum since this host started)'
+    return f' (last confirmed by a quorum {age_s:.0f} s ago)'
+
+
 def _status_text(answer: dict[str, Any]) -> str:
     head = (
         f'version {answer["version"]}, configuration '
         f'{answer["config_version"]}'
-        f'{"" if answer["current"] else " (not confirmed by a quorum)"}'
+        f'{stale_text(answer)}'
     )
     body = outputs.table(
         ('FAILURE DOMAIN', 'HOSTS', 'APPLIED', 'IN FORCE', 'REPORT AGE S'),
--- a/src/skylarkpitch/operators/fleet_commands.py
+++ b/src/skylarkpitch/operators/fleet_commands.py
@@ -7,6 +7,7 @@
 import click
 
 from skylarkpitch import errors
+from skylarkpitch.operators import client as clients
 from skylarkpitch.operators import context as contexts
 from skylarkpitch.operators import output as outputs
 
@@ -59,9 +60,23 @@
     )
 
 
+def _check_announced(client: clients.Client, upstream: str) -> None:
+    rows = _upstream_rows(client.get('/operators/v1/hosts'))
+    if upstream not in {row['name'] for row in rows}:
+        raise errors.ValidationError(
+            f'no upstream called {upstream!r} has announced itself; see '
+            'skylark upstreams list, or pass --unseen to drain it anyway'
+        )
+
+
 @upstreams.command()
 @click.argument('upstream')
 @click.option('--undo', is_flag=True, help='End the drain.')
+@click.option(
+    '--unseen',
+    is_flag=True,
+    help='Drain a name that no upstream has announced.',
+)
 @contexts.operation_option
 @outputs.option
 @contexts.pass_context
@@ -69,11 +84,15 @@
     context: contexts.Context,
     upstream: str,
     undo: bool,
+    unseen: bool,
     operation_id: str | None,
     output: str,
 ) -> None:
     """Give UPSTREAM no new work; what it runs goes on."""
-    answer = context.client().post(
+    client = context.client()
+    if not (undo or unseen):
+        _check_announced(client, upstream)
+    answer = client.post(
         '/operators/v1/upstreams/drain',
         context.change(operation_id, upstream=upstream, draining=not undo),
     )
--- a/src/skylarkpitch/operators/status_commands.py
+++ b/src/skylarkpitch/operators/status_commands.py
@@ -5,11 +5,14 @@
 
 import click
 
+from skylarkpitch.operators import config_commands
 from skylarkpitch.operators import context as contexts
 from skylarkpitch.operators import output as outputs
 from skylarkpitch.operators import report as reports
 
-__all__ = ['report', 'status']
+__all__ = ['organisation_section', 'report', 'status']
+
+SUMMED = ('demand_per_s', 'spent', 'refused', 'wrongly_refused')
 
 
 def _host_section(answer: dict[str, Any]) -> str:
@@ -34,21 +37,36 @@
     for host in answer['hosts']:
         usage = host['status'].get('organisations', {})
         for name, figures in usage.items():
-            total = sums.setdefault(name, {})
-            for field, value in figures.items():
-                total[field] = total.get(field, 0.0) + value
+            total = sums.setdefault(name, dict.fromkeys(SUMMED, 0.0))
+            for field in SUMMED:
+                total[field] += figures[field]
+            total['rate_per_s'] = figures['rate_per_s']
     return sums
 
 
-def _organisation_section(answer: dict[str, Any]) -> str:
+def organisation_section(answer: dict[str, Any]) -> str:
+    """Return a table of what each organisation did over all hosts."""
     sums = _sum_organisations(answer)
     if not sums:
         return 'no organisation has called yet'
-    fields = sorted(next(iter(sums.values())))
     return outputs.table(
-        ('ORGANISATION', *(field.upper() for field in fields)),
+        (
+            'ORGANISATION',
+            'RATE/S',
+            'DEMAND/S',
+            'ADMITTED',
+            'REFUSED',
+            'WRONGLY REFUSED',
+        ),
         [
-            (name, *(figures.get(field, 0.0) for field in fields))
+            (
+                name,
+                figures['rate_per_s'],
+                figures['demand_per_s'],
+                int(figures['spent']),
+                int(figures['refused']),
+                int(figures['wrongly_refused']),
+            )
             for name, figures in sorted(sums.items())
         ],
     )
@@ -79,11 +97,12 @@
     return '\n\n'.join(
         (
             f'version {answer["version"]}, configuration '
-            f'{answer["config_version"]}, leader '
+            f'{answer["config_version"]}'
+            f'{config_commands.stale_text(answer)}, leader '
             f'{control["leader"] or "unknown"}, voters '
             f'{", ".join(control["voters"])}',
             _host_section(answer),
-            _organisation_section(answer),
+            organisation_section(answer),
             _latency_section(answer),
         )
     )
--- a/tests/test_operators_cli.py
+++ b/tests/test_operators_cli.py
@@ -9,6 +9,8 @@
 from benchmarks import fleet
 from skylarkpitch import errors
 from skylarkpitch.operators import cli
+from skylarkpitch.operators import config_commands
+from skylarkpitch.operators import status_commands
 
 ROOT = pathlib.Path(__file__).parent.parent / 'deployments'
 
@@ -132,3 +134,31 @@
     assert result.exit_code == 0
     commands = result.output.split('Commands:')[1].strip().splitlines()
     assert all(len(line.split()) > 1 for line in commands)
+
+
+@pytest.mark.parametrize(
+    'answer, said',
+    [
+        ({'current': True, 'proof_age_s': 0.0}, ''),
+        ({'current': False, 'proof_age_s': 42.4}, '42 s ago'),
+        ({'current': False, 'proof_age_s': None}, 'never confirmed'),
+    ],
+)
+def test_stale_answers_are_marked(answer, said):
+    text = config_commands.stale_text(answer)
+    assert said in text
+    assert bool(text) is not answer['current']
+
+
+def test_status_sums_hosts_but_not_the_rate():
+    usage = {
+        'rate_per_s': 40.0,
+        'demand_per_s': 1.5,
+        'spent': 10,
+        'refused': 1,
+        'wrongly_refused': 0,
+    }
+    host = {'status': {'organisations': {'org': usage}}}
+    answer = {'hosts': [host, host]}
+    row = status_commands.organisation_section(answer).splitlines()[1]
+    assert row.split() == ['org', '40.0', '3.0', '20', '2', '0']
