--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,63 @@
+"""Tests of how new certificates are taken."""
+
+import os
+import ssl
+
+import pytest
+
+from skylarkpitch.daemon import tls
+from skylarkpitch import errors
+from skylarkpitch.settings import daemon
+
+
+@pytest.fixture
+def settings(tmp_path):
+    for name in ('certificate.pem', 'key.pem'):
+        (tmp_path / name).write_text('first')
+    return daemon.TlsSettings(
+        certificate_file=tmp_path / 'certificate.pem',
+        key_file=tmp_path / 'key.pem',
+    )
+
+
+def reloader(settings, load):
+    return tls.CertificateReloader(settings=settings, context=None, load=load)
+
+
+def touch(path, now_s):
+    os.utime(path, (now_s, now_s))
+
+
+def test_changed_files_are_loaded_once(settings):
+    loads = []
+    made = reloader(settings, lambda context, files: loads.append(files))
+    assert not made.check()
+    touch(settings.key_file, 1000)
+    assert made.check()
+    assert not made.check()
+    assert loads == [settings]
+
+
+def test_pair_that_does_not_load_is_tried_again(settings):
+    results = [ssl.SSLError('no match'), None]
+
+    def load(context, files):
+        result = results.pop(0)
+        if result is not None:
+            raise result
+
+    made = reloader(settings, load)
+    touch(settings.certificate_file, 1000)
+    assert not made.check()
+    assert made.check()
+
+
+def test_missing_file_leaves_the_one_in_use(settings):
+    made = reloader(settings, lambda context, files: None)
+    settings.key_file.unlink()
+    assert not made.check()
+
+
+def test_files_without_a_pair_are_named(settings):
+    with pytest.raises(errors.SettingsError, match='certificate.pem'):
+        tls.context(settings)
