Name things by the field's terms

Cause: the read-through found names that are metaphors (purse, office, teller, book, board) for held and issued tickets, a notifier, accounts, tables and histograms.

--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -206,7 +206,7 @@
             for n in range(count)
         ]
         network = fake_peers.FakeNetwork(hosts=hosts)
-        board = host_boards.HostBoard(
+        board = host_boards.HeartbeatTable(
             peers=network.join('h0'),
             life_cycle=lambda: 'serving',
             room=lambda: 1.0,
--- a/benchmarks/capacity_limits.py
+++ b/benchmarks/capacity_limits.py
@@ -151,28 +151,28 @@
     service._configure(time.monotonic())
     size = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
-    book = service._book
-    spend_us = _spend_us(book)
+    accounts = service._accounts
+    spend_us = _spend_us(accounts)
     return [
         reports.Slope(name='limit_account', value=size / 1e6, unit='KB each'),
         reports.Slope(name='limit_spend', value=spend_us, unit='us a call'),
         reports.Slope(
-            name='limit_wish', value=_wish_us(book), unit='us a renewal'
+            name='limit_wish', value=_wish_us(accounts), unit='us a renewal'
         ),
     ]
 
 
-def _spend_us(book) -> float:
-    organisation = book.organisations()['o1']
+def _spend_us(accounts) -> float:
+    organisation = accounts.organisations()['o1']
     began_s = time.process_time()
     for number in range(20_000):
         organisation.demand.count(now_s=1e9 + number / 1000)
-        book.spend('o1', now_s=1e9 + number / 1000)
+        accounts.spend('o1', now_s=1e9 + number / 1000)
     return (time.process_time() - began_s) * 50
 
 
-def _wish_us(book) -> float:
-    book.advance(now_s=2e9)
+def _wish_us(accounts) -> float:
+    accounts.advance(now_s=2e9)
     wish = messages.LoanWish(
         organisation='o2',
         held_rate=0,
@@ -185,11 +185,11 @@
         request = messages.LoanRequest(
             incarnation=number % HOSTS_A_DOMAIN,
             number=1 + number,
-            view=book.holders.view,
+            view=accounts.holders.view,
             urgent=False,
             wishes=(wish,),
         )
-        book.answer('h', request, now_s=2e9 + number / 1000)
+        accounts.answer('h', request, now_s=2e9 + number / 1000)
     return (time.process_time() - began_s) * 200
 
 
--- a/benchmarks/models/credits.py
+++ b/benchmarks/models/credits.py
@@ -2,7 +2,7 @@
 
 A lender has two slots, its own callers use them too, and a borrower holds
 tickets whose use may arrive late or twice. All counters are times left. The
-lender's side is the program's own ``TicketOffice``.
+lender's side is the program's own ``IssuedTickets``.
 """
 
 from collections.abc import Callable
@@ -33,11 +33,11 @@
     return items[:position] + (item,) + items[position + 1 :]
 
 
-def _office(lent: tuple) -> tickets.TicketOffice:
-    office = tickets.TicketOffice()
+def _issued(lent: tuple) -> tickets.IssuedTickets:
+    issued = tickets.IssuedTickets()
     for number, left in enumerate(lent):
         if left > 0:
-            office.issue(
+            issued.issue(
                 str(number),
                 tickets.Lent(
                     service='s',
@@ -46,59 +46,59 @@
                     expires_s=left,
                 ),
             )
-    return office
+    return issued
 
 
 def _free(state: tuple) -> int:
     lent, _, _, running, local = state
-    return SLOTS - _office(lent).outstanding('s') - sum(running) - local
+    return SLOTS - _issued(lent).outstanding('s') - sum(running) - local
 
 
 def _tick(state: tuple, rules: _Rules) -> tuple:
-    lent, purse, flying, running, local = state
+    lent, in_hand, flying, running, local = state
     lent = tuple(left - 1 if left > 0 else left for left in lent)
-    purse = tuple(max(0, left - 1) for left in purse)
-    return lent, purse, flying, running, local
+    in_hand = tuple(max(0, left - 1) for left in in_hand)
+    return lent, in_hand, flying, running, local
 
 
 def _grant(state: tuple, number: int, rules: _Rules) -> tuple:
-    lent, purse, flying, running, local = state
+    lent, in_hand, flying, running, local = state
     lent = _replace(lent, number, rules.held)
-    purse = _replace(purse, number, rules.lease)
-    return lent, purse, flying, running, local
+    in_hand = _replace(in_hand, number, rules.lease)
+    return lent, in_hand, flying, running, local
 
 
 def _use(state: tuple, number: int) -> tuple:
-    lent, purse, flying, running, local = state
-    purse = _replace(purse, number, 0)
-    return lent, purse, _replace(flying, number, 2), running, local
+    lent, in_hand, flying, running, local = state
+    in_hand = _replace(in_hand, number, 0)
+    return lent, in_hand, _replace(flying, number, 2), running, local
 
 
 def _redeem(state: tuple, number: int, rules: _Rules) -> tuple:
-    lent, purse, flying, running, local = state
+    lent, in_hand, flying, running, local = state
     flying = _replace(flying, number, flying[number] - 1)
-    valid = bool(_office(lent).redeem(str(number), now_s=0))
+    valid = bool(_issued(lent).redeem(str(number), now_s=0))
     late = not rules.expires and lent[number] == 0
     again = not rules.once and lent[number] == DONE
     if valid or late or again:
         lent = _replace(lent, number, DONE)
         running = _replace(running, number, running[number] + 1)
-    return lent, purse, flying, running, local
+    return lent, in_hand, flying, running, local
 
 
 def _ticket_steps(state: tuple, number: int, rules: _Rules) -> list:
-    lent, purse, flying, running, local = state
+    lent, in_hand, flying, running, local = state
     following = []
     if lent[number] == UNUSED and _free(state) > 0:
         following.append((f'grant{number}', _grant(state, number, rules)))
-    if purse[number] > 0:
+    if in_hand[number] > 0:
         following.append((f'use{number}', _use(state, number)))
     if flying[number] > 0:
         arrived = _redeem(state, number, rules)
         following.append((f'redeem{number}', arrived))
     if running[number] > 0:
         fewer = _replace(running, number, running[number] - 1)
-        ended = (lent, purse, flying, fewer, local)
+        ended = (lent, in_hand, flying, fewer, local)
         following.append((f'end{number}', ended))
     return following
 
@@ -122,7 +122,7 @@
     return minicheck.Protocol(
         name='credits',
         candidate=False,
-        fields=('lent', 'purse', 'flying', 'running', 'local'),
+        fields=('lent', 'in_hand', 'flying', 'running', 'local'),
         initial=((UNUSED,) * rules.tickets, none, none, none, 0),
         transitions=_transitions(rules),
         invariants={
--- a/benchmarks/soaks/limits.py
+++ b/benchmarks/soaks/limits.py
@@ -14,7 +14,7 @@
 import time
 
 from skylarkpitch import errors
-from skylarkpitch.limits import book as books
+from skylarkpitch.limits import accounts as account_sets
 from skylarkpitch.limits import holders as holder_tables
 from skylarkpitch.limits import organisation as records
 from skylarkpitch.limits import shares
@@ -45,7 +45,7 @@
 
 
 class _Host:
-    """One run of a host: its book and its clock."""
+    """One run of a host: its accounts and its clock."""
 
     def __init__(
         self,
@@ -60,7 +60,7 @@
         self._rate = rng.choice((1 - BOUNDS.drift, 1, 1 + BOUNDS.drift))
         self._offset_s = rng.uniform(0, 1000)
         directory = directories.Directory(own=name, hosts=hosts)
-        self.book = books.Book(
+        self.accounts = account_sets.Accounts(
             holders=holder_tables.Holders(directory=directory),
             incarnation=rng.getrandbits(62),
             now_s=self.clock(true_s),
@@ -76,11 +76,11 @@
         """Bring a limit into force at this host."""
         self.limit = limit
         now_s = self.clock(true_s)
-        self.book.configure({ORGANISATION: limit}, BOUNDS, now_s=now_s)
+        self.accounts.configure({ORGANISATION: limit}, BOUNDS, now_s=now_s)
 
     def own(self, true_s: float) -> shares.Share:
         """Return the share in use at a moment."""
-        account = self.book.organisations()[ORGANISATION].account
+        account = self.accounts.organisations()[ORGANISATION].account
         account.settle(now_s=self.clock(true_s))
         return account.own.at_least(shares.NOTHING)
 
@@ -152,11 +152,11 @@
     def _spend(self, name: str) -> None:
         host = self._runs[name]
         now_s = host.clock(self.true_s)
-        host.book.advance(now_s=now_s)
-        organisation = host.book.organisations()[ORGANISATION]
+        host.accounts.advance(now_s=now_s)
+        organisation = host.accounts.organisations()[ORGANISATION]
         for _ in range(self.rng.choice((1, 1, 5, 50))):
             organisation.demand.count(now_s=now_s)
-            if host.book.spend(ORGANISATION, now_s=now_s):
+            if host.accounts.spend(ORGANISATION, now_s=now_s):
                 self._count_spent()
             else:
                 self.counts['refused'] += 1
@@ -164,8 +164,8 @@
     def _ask(self, name: str) -> None:
         host = self._runs[name]
         sent_s = host.clock(self.true_s)
-        host.book.advance(now_s=sent_s)
-        requests = host.book.requests(now_s=sent_s)
+        host.accounts.advance(now_s=sent_s)
+        requests = host.accounts.requests(now_s=sent_s)
         for lender, request in requests.items():
             self.counts['messages'] += 1
 
@@ -177,13 +177,13 @@
     def _answer(self, borrower, lender_name, request, sent_s) -> None:
         lender = self._runs[lender_name]
         now_s = lender.clock(self.true_s)
-        lender.book.advance(now_s=now_s)
-        answer = lender.book.answer(borrower.name, request, now_s=now_s)
+        lender.accounts.advance(now_s=now_s)
+        answer = lender.accounts.answer(borrower.name, request, now_s=now_s)
         if answer is None:
             return
 
         def arrive():
-            borrower.book.accept(
+            borrower.accounts.accept(
                 lender_name,
                 answer,
                 sent_s=sent_s,
--- a/benchmarks/soaks/room.py
+++ b/benchmarks/soaks/room.py
@@ -257,7 +257,7 @@
 
     def _check_tickets(self, service: str) -> None:
         for host in self.world.hosts.values():
-            out = host.room.lender.office.outstanding(service)
+            out = host.room.lender.issued.outstanding(service)
             if out != host.membership.pool.reserved(service):
                 self.world.violate('tickets')
             if host.room.counters()['cap_breaches']:
@@ -282,7 +282,7 @@
     def _running(self, domain: str, service: str) -> int:
         return sum(
             host.membership.pool.in_use(service)
-            + host.room.lender.office.outstanding(service)
+            + host.room.lender.issued.outstanding(service)
             for host in self.world.hosts.values()
             if host.place.failure_domain == domain and host.peers.alive
         )
--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -62,7 +62,7 @@
         self._peers = peers
         self._rng = rng
         self._chart = charts.Chart(name='entry_host')
-        self._latencies = histograms.LatencyBoard()
+        self._latencies = histograms.LatencyHistograms()
         self._make_state_parts()
         self._make_room_parts()
         self._make_request_parts()
@@ -90,7 +90,7 @@
             rng=self._rng,
             on_change=self._on_state,
         )
-        self._board = hosts.HostBoard(
+        self._heartbeats = hosts.HeartbeatTable(
             peers=self._peers,
             life_cycle=lambda: self._chart.state,
             room=lambda: self._room.counters().get('room', 0.0),
@@ -137,8 +137,8 @@
         self._lookup = lookup.LookupService(
             directory=directory,
             site_config=self._follower.site_config,
-            is_leaving=self._board.not_serving,
-            room=self._board.room,
+            is_leaving=self._heartbeats.not_serving,
+            room=self._heartbeats.room,
             id_prefix=self._ledger.id_prefix,
             blocks=self._blocks,
             scheme='http' if self._settings.tls is None else 'https',
@@ -188,7 +188,7 @@
             self._limits,
             self._ledger,
             self._lookup,
-            self._board,
+            self._heartbeats,
             self._metrics,
             self._relay_listener(),
             *self._caller_listener(),
@@ -212,7 +212,7 @@
         if self._chart.send('stop') != 'leaving':
             return
         _log.info('host_leaving', running=self._path.running)
-        self._board.beat()
+        self._heartbeats.beat()
         self._room.stop_granting()
         wait_s = self._policy('lookup_lifetime_s', otherwise=0.0)
         wait_s += hosts.HEARTBEAT_S + LOOKUP_MARGIN_S
@@ -244,7 +244,7 @@
         if self._chart.state == 'waiting_for_state' and has_config:
             self._chart.send('state_confirmed')
             _log.info('host_serving', version=self._follower.version)
-            self._board.beat()
+            self._heartbeats.beat()
         if self._follower.leaving and not self.should_stop:
             _log.info('host_told_to_leave')
             self._stop_process()
--- a/src/skylarkpitch/daemon/status.py
+++ b/src/skylarkpitch/daemon/status.py
@@ -23,7 +23,7 @@
     def __init__(
         self,
         *,
-        latencies: histograms.LatencyBoard,
+        latencies: histograms.LatencyHistograms,
         limits: limits.OrganisationLimits,
         membership: membership.UpstreamMembership,
         parts: dict[str, _Counting],
--- a/src/skylarkpitch/dissemination/leases.py
+++ b/src/skylarkpitch/dissemination/leases.py
@@ -12,7 +12,7 @@
 import dataclasses
 from typing import Any
 
-__all__ = ['DEFAULT_KEY_LEASE_S', 'LeaseBook', 'Leases', 'leases_in']
+__all__ = ['DEFAULT_KEY_LEASE_S', 'LeaseHistory', 'Leases', 'leases_in']
 
 DEFAULT_KEY_LEASE_S = 5.0
 MAX_VERSIONS = 20_000
@@ -55,7 +55,7 @@
     leases: Leases
 
 
-class LeaseBook:
+class LeaseHistory:
     """Remember when each version was applied, and under which leases."""
 
     def __init__(self, *, started_at_s: float) -> None:
--- a/src/skylarkpitch/dissemination/reports.py
+++ b/src/skylarkpitch/dissemination/reports.py
@@ -12,7 +12,7 @@
     'DomainInForce',
     'DomainUnconfirmed',
     'HostReport',
-    'ReportBoard',
+    'ReportTable',
     'Reporter',
 ]
 
@@ -72,7 +72,7 @@
     lease_left_s: float
 
 
-class ReportBoard:
+class ReportTable:
     """Hold the newest report of each host."""
 
     def __init__(self, *, directory: directories.Directory) -> None:
--- a/src/skylarkpitch/dissemination/source.py
+++ b/src/skylarkpitch/dissemination/source.py
@@ -54,8 +54,8 @@
         self._proven_at_s = freshness.NEVER_S
         self._is_led = False
         self._unapplied_proof: tuple[int, float] | None = None
-        self._book = leases.LeaseBook(started_at_s=clock())
-        self._board = reports.ReportBoard(directory=peers.directory)
+        self._history = leases.LeaseHistory(started_at_s=clock())
+        self._reports = reports.ReportTable(directory=peers.directory)
         self._outgoing: list[messages.ReportRow] = []
         self._config_version = -1
         self._leases = leases.leases_in({})
@@ -84,7 +84,7 @@
 
     def in_force(self) -> list[reports.DomainInForce]:
         """Return what the hosts of each failure domain have applied."""
-        return self._board.in_force(now_s=self._clock())
+        return self._reports.in_force(now_s=self._clock())
 
     def withdrawal_status(
         self, version: int, *, organisation: str | None = None
@@ -94,9 +94,9 @@
         ``version`` is that of the accepted withdrawal. Naming the key's
         organisation tells its own lease; else the longest lease counts.
         """
-        ends_at_s = self._book.ends_at_s(version, organisation)
+        ends_at_s = self._history.ends_at_s(version, organisation)
         left_s = max(0.0, ends_at_s - self._clock())
-        return self._board.unconfirmed(version, lease_left_s=left_s)
+        return self._reports.unconfirmed(version, lease_left_s=left_s)
 
     def counters(self) -> dict[str, float]:
         """Return counts and levels for metrics."""
@@ -218,7 +218,9 @@
             policy = self._state.base.get('policy', {})
             percent = policy.get('clock_drift_percent', DEFAULT_DRIFT_PERCENT)
             self._drift = percent / 100
-        self._book.note(self._state.version, self._leases, now_s=self._clock())
+        self._history.note(
+            self._state.version, self._leases, now_s=self._clock()
+        )
         if self._unapplied_proof is not None:
             version, proven_at_s = self._unapplied_proof
             if version <= self._state.version:
@@ -259,6 +261,6 @@
     ) -> None:
         now_s = self._clock()
         for row in message.rows:
-            is_new = self._board.take(row, now_s=now_s)
+            is_new = self._reports.take(row, now_s=now_s)
             if is_new and not message.from_control:
                 self._outgoing.append(row)
--- a/src/skylarkpitch/limits/book.py
+++ b/src/skylarkpitch/limits/accounts.py
@@ -16,7 +16,7 @@
 from skylarkpitch.limits import shares
 from skylarkpitch.messages import limits as messages
 
-__all__ = ['Book']
+__all__ = ['Accounts']
 
 
 # A loan that differs from the need by less is not resized before half its
@@ -25,7 +25,7 @@
 MAX_SPARE_TOKENS = 4.0
 
 
-class Book:
+class Accounts:
     """Spend, ask and lend for every organisation of the configuration."""
 
     def __init__(
--- a/src/skylarkpitch/limits/service.py
+++ b/src/skylarkpitch/limits/service.py
@@ -12,7 +12,7 @@
 import structlog
 
 from skylarkpitch import errors
-from skylarkpitch.limits import book as books
+from skylarkpitch.limits import accounts
 from skylarkpitch.limits import holders as holder_tables
 from skylarkpitch.limits import organisation as records
 from skylarkpitch.limits import shares
@@ -78,7 +78,7 @@
         self._clock = clock
         self._rng = rng
         self._max_wait_s = max_wait_s
-        self._book = books.Book(
+        self._accounts = accounts.Accounts(
             holders=holder_tables.Holders(directory=peers.directory),
             incarnation=rng.getrandbits(62),
             now_s=clock(),
@@ -104,7 +104,7 @@
         """
         now_s = self._clock()
         self._configure(now_s)
-        found = self._book.organisations().get(organisation)
+        found = self._accounts.organisations().get(organisation)
         if found is None:
             self._counts['unknown_organisation'] += 1
             return sentinels.Absent('rate_exceeded', '1.000')
@@ -129,12 +129,12 @@
                 rate_per_s=item.limit.rate / shares.TOKEN,
                 demand_per_s=item.demand.rate_per_s(now_s=now_s),
             )
-            for name, item in self._book.organisations().items()
+            for name, item in self._accounts.organisations().items()
         }
 
     def counters(self) -> dict[str, float]:
         """Return numbers for metrics and status."""
-        items = self._book.organisations().values()
+        items = self._accounts.organisations().values()
         return {
             'limits_spent': sum(item.account.spent for item in items),
             'limits_refused': sum(item.refused for item in items),
@@ -167,7 +167,7 @@
         while not self.should_stop:
             now_s = self._clock()
             self._configure(now_s)
-            self._book.advance(now_s=now_s)
+            self._accounts.advance(now_s=now_s)
             self._ask_all(timeout_s=self._lease_s / 2)
             period_s = self._lease_s / RENEWALS_A_LEASE
             await asyncio.sleep(period_s * self._rng.uniform(0.9, 1.0))
@@ -190,8 +190,8 @@
             name: shares.of(rate_per_s=item.rate_per_s, burst=item.burst)
             for name, item in config.organisations.items()
         }
-        self._book.configure(limits, bounds, now_s=now_s)
-        self._book.advance(now_s=now_s)
+        self._accounts.configure(limits, bounds, now_s=now_s)
+        self._accounts.advance(now_s=now_s)
 
     def _queue(self, name: str) -> _Queue:
         if name not in self._queues:
@@ -202,7 +202,7 @@
 
     def _take(self, name: str, now_s: float) -> bool:
         try:
-            return self._book.spend(name, now_s=now_s)
+            return self._accounts.spend(name, now_s=now_s)
         except errors.InvariantError as error:
             self._breach(error, organisation=name)
             return False
@@ -212,7 +212,7 @@
         _log.error('invariant_broken', error=str(error), **context)
 
     async def _wait(self, name: str, queue: _Queue, end_s: float) -> bool:
-        organisation = self._book.organisations()[name]
+        organisation = self._accounts.organisations()[name]
         if len(queue.waiters) >= self._longest_queue(organisation):
             return False
         waiter = asyncio.get_running_loop().create_future()
@@ -239,7 +239,7 @@
     async def _pump(self, name: str, queue: _Queue) -> None:
         while queue.waiters:
             now_s = self._clock()
-            self._book.advance(now_s=now_s)
+            self._accounts.advance(now_s=now_s)
             while queue.waiters and self._take(name, now_s):
                 waiter = queue.waiters.popleft()
                 if not waiter.done():
@@ -247,7 +247,7 @@
             if not queue.waiters:
                 return
             self._ask_urgently(name, queue, now_s)
-            account = self._book.organisations()[name].account
+            account = self._accounts.organisations()[name].account
             pause_s = min(account.token_after_s(), URGENT_INTERVAL_S)
             await self._pause(queue, max(0.001, pause_s))
 
@@ -259,7 +259,7 @@
             return
 
     def _refuse(self, name: str) -> sentinels.Absent:
-        organisation = self._book.organisations()[name]
+        organisation = self._accounts.organisations()[name]
         organisation.refused += 1
         if self._may_be_wrong(name, organisation):
             organisation.wrongly_refused += 1
@@ -271,7 +271,7 @@
     def _may_be_wrong(
         self, name: str, organisation: records.Organisation
     ) -> bool:
-        return organisation.wishes.knows_spare(self._book.lenders(name))
+        return organisation.wishes.knows_spare(self._accounts.lenders(name))
 
     def _ask_urgently(self, name: str, queue: _Queue, now_s: float) -> None:
         if now_s - queue.asked_s < queue.interval_s:
@@ -279,7 +279,7 @@
         queue.asked_s = now_s
         longest_s = self._lease_s / RENEWALS_A_LEASE
         queue.interval_s = min(2 * queue.interval_s, longest_s)
-        requests = self._book.requests(
+        requests = self._accounts.requests(
             now_s=now_s,
             names=(name,),
             urgent=True,
@@ -288,7 +288,7 @@
         self._send(requests, timeout_s=URGENT_TIMEOUT_S)
 
     def _ask_all(self, *, timeout_s: float) -> None:
-        requests = self._book.requests(
+        requests = self._accounts.requests(
             now_s=self._clock(), busy=frozenset(self._busy)
         )
         self._send(requests, timeout_s=timeout_s)
@@ -328,10 +328,10 @@
             self._busy -= pairs
         if not isinstance(answer, messages.LoanAnswer):
             self._counts['lost'] += 1
-            self._book.lose(lender, request)
+            self._accounts.lose(lender, request)
             return
         now_s = self._clock()
-        self._book.accept(lender, answer, sent_s=sent_s, now_s=now_s)
+        self._accounts.accept(lender, answer, sent_s=sent_s, now_s=now_s)
         for grant in answer.grants:
             queue = self._queue(grant.organisation)
             queue.changed.set()
@@ -343,11 +343,13 @@
     ) -> messages.LoanAnswer | None:
         now_s = self._clock()
         self._configure(now_s)
-        self._book.advance(now_s=now_s)
+        self._accounts.advance(now_s=now_s)
         if request.urgent:
             await self._borrow_for(sender, request)
         try:
-            answer = self._book.answer(sender, request, now_s=self._clock())
+            answer = self._accounts.answer(
+                sender, request, now_s=self._clock()
+            )
         except errors.InvariantError as error:
             self._breach(error, borrower=sender)
             return None
@@ -362,14 +364,14 @@
         self, borrower: str, request: messages.LoanRequest
     ) -> None:
         """Borrow elsewhere before a host of this domain is refused."""
-        holders = self._book.holders
+        holders = self._accounts.holders
         if holders.domain_of(borrower) != holders.failure_domain:
             return
         now_s = self._clock()
-        names = self._book.short_of(borrower, request, now_s=now_s)
+        names = self._accounts.short_of(borrower, request, now_s=now_s)
         if not names:
             return
-        requests = self._book.requests(
+        requests = self._accounts.requests(
             now_s=now_s,
             names=names,
             urgent=True,
--- a/src/skylarkpitch/membership/hosts.py
+++ b/src/skylarkpitch/membership/hosts.py
@@ -16,7 +16,7 @@
 from skylarkpitch.peers import network
 from skylarkpitch.peers import rendezvous
 
-__all__ = ['HEARTBEAT_S', 'SILENCE_S', 'HostBoard', 'HostView']
+__all__ = ['HEARTBEAT_S', 'SILENCE_S', 'HeartbeatTable', 'HostView']
 
 HEARTBEAT_S = 0.5
 SILENCE_S = 2.5
@@ -58,7 +58,7 @@
     return view.life_cycle == SERVING and now_s - view.heard_s <= SILENCE_S
 
 
-class HostBoard(mode.Service):
+class HeartbeatTable(mode.Service):
     """Send this host's heartbeats and keep those of the others."""
 
     def __init__(
--- a/src/skylarkpitch/observability/histograms.py
+++ b/src/skylarkpitch/observability/histograms.py
@@ -4,7 +4,7 @@
 
 from hdrh import histogram
 
-__all__ = ['LatencyBoard', 'LatencySummary']
+__all__ = ['LatencyHistograms', 'LatencySummary']
 
 LOWEST_US = 1
 HIGHEST_US = 300_000_000
@@ -29,7 +29,7 @@
     max_ms: float
 
 
-class LatencyBoard:
+class LatencyHistograms:
     """Record latencies by organisation and request class."""
 
     def __init__(self) -> None:
--- a/src/skylarkpitch/requests/ledger_teller.py
+++ b/src/skylarkpitch/requests/ledger_notifier.py
@@ -9,7 +9,7 @@
 from skylarkpitch.requests import ledger_members
 from skylarkpitch import sentinels
 
-__all__ = ['LedgerTeller']
+__all__ = ['LedgerNotifier']
 
 TRIES = 4
 ASK_TIMEOUT_S = 1.0
@@ -18,7 +18,7 @@
 _log = structlog.get_logger(__name__)
 
 
-class LedgerTeller:
+class LedgerNotifier:
     """Send ends of claims to members, this host's own included."""
 
     def __init__(
--- a/src/skylarkpitch/requests/ledger_service.py
+++ b/src/skylarkpitch/requests/ledger_service.py
@@ -23,7 +23,7 @@
 from skylarkpitch.requests import claims
 from skylarkpitch.requests import ledger
 from skylarkpitch.requests import ledger_members
-from skylarkpitch.requests import ledger_teller
+from skylarkpitch.requests import ledger_notifier
 from skylarkpitch.requests import operation_ids
 from skylarkpitch.requests import operation_life
 from skylarkpitch import sentinels
@@ -101,7 +101,7 @@
             clock=clock,
             wall_clock=wall_clock,
         )
-        self._teller = ledger_teller.LedgerTeller(
+        self._notifier = ledger_notifier.LedgerNotifier(
             peers=peers, own=self._members
         )
         super().__init__(**options)
@@ -275,7 +275,7 @@
             if vote is None or vote.outcome == ledger.Outcome.GRANTED
         )
         register = _register(asked, ledger.State.RELEASED.value)
-        await self._teller.tell(asked.region, written, register)
+        await self._notifier.tell(asked.region, written, register)
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
@@ -341,7 +341,7 @@
             claimed.register, state=state.value, **changes
         )
         members = self._list_of(claimed.region)
-        await self._teller.tell(claimed.region, members, register)
+        await self._notifier.tell(claimed.region, members, register)
 
 
 def _register(asked: messages.Claim, state: str) -> messages.Register:
--- a/src/skylarkpitch/steering/borrower.py
+++ b/src/skylarkpitch/steering/borrower.py
@@ -47,7 +47,7 @@
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
-        self.purse = tickets.Purse()
+        self.held = tickets.HeldTickets()
         self.counts = dict.fromkeys(
             ('asked', 'borrowed', 'used', 'returned', 'link_refused'), 0
         )
@@ -100,7 +100,7 @@
         self, service: str, *, body_bytes: int, exclude: frozenset[str]
     ) -> remote_slot.RemoteSlot | None:
         """Use a ticket in hand, the nearest lender's first."""
-        held = set(self.purse.lenders(service))
+        held = set(self.held.lenders(service))
         if not held:
             return None
         for tier in self._tiers:
@@ -161,7 +161,7 @@
             )
             return
         self.counts['borrowed'] += len(offer.tickets)
-        self.purse.put(
+        self.held.put(
             offer.service,
             lender,
             offer.tickets,
@@ -197,7 +197,7 @@
     def needs_more(self, service: str) -> bool:
         """Tell whether tickets run short for the rate of their use."""
         low = self._ahead(service) / 2
-        return low >= 0.5 and self.purse.count(service) < low
+        return low >= 0.5 and self.held.count(service) < low
 
     def running(self, service: str) -> int:
         """Return the calls that use borrowed slots now."""
@@ -239,7 +239,7 @@
 
     def give_back_idle(self) -> None:
         """Return the tickets that nobody has used for a while."""
-        unused = self.purse.idle(now_s=self._clock(), idle_s=IDLE_S)
+        unused = self.held.idle(now_s=self._clock(), idle_s=IDLE_S)
         for lender, left in unused.items():
             if left:
                 self.counts['returned'] += len(left)
@@ -258,7 +258,7 @@
         if budget is not None and not budget.has(body_bytes, now_s=now_s):
             self.counts['link_refused'] += 1
             return None
-        ticket = self.purse.take(service, host.name, now_s=now_s)
+        ticket = self.held.take(service, host.name, now_s=now_s)
         if ticket is None:
             return None
         if budget is not None:
@@ -282,7 +282,7 @@
 
     def _wanted(self, service: str, waiting: int) -> int:
         ahead = math.ceil(self._ahead(service) - 0.5)
-        coming = self.purse.count(service) + self.asked(service)
+        coming = self.held.count(service) + self.asked(service)
         return min(MAX_WANTED, waiting + ahead - coming)
 
     def _ahead(self, service: str) -> float:
@@ -339,7 +339,7 @@
         else:
             self._refused(service, host.name)
         self.counts['borrowed'] += len(answer.tickets)
-        self.purse.put(
+        self.held.put(
             service,
             host.name,
             answer.tickets,
--- a/src/skylarkpitch/steering/lender.py
+++ b/src/skylarkpitch/steering/lender.py
@@ -51,7 +51,7 @@
         fleet: shares.FleetSlots,
         new_ticket: Callable[[], str],
     ) -> None:
-        self.office = tickets.TicketOffice()
+        self.issued = tickets.IssuedTickets()
         self.open = True
         self._place = place
         self._pool = pool
@@ -83,7 +83,7 @@
     def level_cross_region(self, service: str) -> int:
         """Return the calls of other regions that run here or may come."""
         running = self._running_cross.get(service, 0)
-        return running + self.office.outstanding_cross_region(service)
+        return running + self.issued.outstanding_cross_region(service)
 
     def shift_room(
         self, service: str, *, config: deployment.SiteConfig, now_s: float
@@ -140,7 +140,7 @@
         )
         granted = tuple(self._new_ticket() for _ in range(count))
         for ticket in granted:
-            self.office.issue(
+            self.issued.issue(
                 ticket,
                 tickets.Lent(
                     service=service,
@@ -160,7 +160,7 @@
         self, ticket: str, *, now_s: float
     ) -> tickets.Lent | sentinels.Absent:
         """Take a ticket back; its slot is then free to be taken."""
-        lent = self.office.redeem(ticket, now_s=now_s)
+        lent = self.issued.redeem(ticket, now_s=now_s)
         if lent:
             self._pool.unreserve(lent.service, 1)
         return lent
@@ -180,7 +180,7 @@
         """Free the slots of unused tickets; return their services."""
         services = set()
         for ticket in given:
-            lent = self.office.returned(ticket, borrower=borrower)
+            lent = self.issued.returned(ticket, borrower=borrower)
             if lent is not None:
                 self._pool.unreserve(lent.service, 1)
                 services.add(lent.service)
@@ -188,7 +188,7 @@
 
     def expire(self, *, now_s: float) -> set[str]:
         """Free the slots of tickets that ran out; return their services."""
-        late = self.office.expire(now_s=now_s)
+        late = self.issued.expire(now_s=now_s)
         for lent in late:
             self._pool.unreserve(lent.service, 1)
         return {lent.service for lent in late}
@@ -224,7 +224,7 @@
 
     def _level(self, service: str) -> int:
         running = self._pool.in_use(service)
-        return running + self.office.outstanding(service)
+        return running + self.issued.outstanding(service)
 
     def _domain_cap(self, config: deployment.SiteConfig) -> float:
         if config is not self._config:
--- a/src/skylarkpitch/steering/room.py
+++ b/src/skylarkpitch/steering/room.py
@@ -173,7 +173,7 @@
         pool = self._membership.pool
         services = pool.services()
         outstanding = sum(
-            self.lender.office.outstanding(name) for name in services
+            self.lender.issued.outstanding(name) for name in services
         )
         return {
             **self._counts,
--- a/src/skylarkpitch/steering/tickets.py
+++ b/src/skylarkpitch/steering/tickets.py
@@ -10,7 +10,7 @@
 from skylarkpitch import errors
 from skylarkpitch import sentinels
 
-__all__ = ['Lent', 'Purse', 'TicketOffice', 'held_s']
+__all__ = ['Lent', 'HeldTickets', 'IssuedTickets', 'held_s']
 
 GRACE_S = 0.25
 
@@ -34,7 +34,7 @@
     expires_s: float
 
 
-class TicketOffice:
+class IssuedTickets:
     """Remember the tickets that a lender has handed out."""
 
     def __init__(self) -> None:
@@ -101,7 +101,7 @@
     expires_s: float
 
 
-class Purse:
+class HeldTickets:
     """Hold the tickets that a borrower may use, by service and lender."""
 
     def __init__(self) -> None:
--- a/tests/test_dissemination_parts.py
+++ b/tests/test_dissemination_parts.py
@@ -128,7 +128,7 @@
     ],
 )
 def test_lease_book(steps, organisation, end):
-    book = leases.LeaseBook(started_at_s=0.0)
+    book = leases.LeaseHistory(started_at_s=0.0)
     for version, default_s, own, now_s in steps:
         known = leases.Leases(default_s=default_s, by_organisation=own)
         book.note(version, known, now_s=now_s)
@@ -147,7 +147,7 @@
 
 
 def test_board_keeps_the_newest_report_of_known_hosts():
-    board = reports.ReportBoard(directory=entry_hosts(3))
+    board = reports.ReportTable(directory=entry_hosts(3))
     assert board.take(row(sequence=2, version=5), now_s=0.0)
     assert not board.take(row(sequence=1, version=4), now_s=1.0)
     assert not board.take(row(host='nobody'), now_s=1.0)
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -50,7 +50,7 @@
 
 
 def test_latency_board_keeps_series_apart():
-    board = histograms.LatencyBoard()
+    board = histograms.LatencyHistograms()
     for _ in range(100):
         board.record('a', 'reads', 0.010)
         board.record(None, 'open', 0.5)
@@ -62,7 +62,7 @@
 
 def test_latency_board_is_bounded(monkeypatch):
     monkeypatch.setattr(histograms, 'MAX_SERIES', 2)
-    board = histograms.LatencyBoard()
+    board = histograms.LatencyHistograms()
     for number in range(5):
         board.record(f'o{number}', 'reads', 0.1)
     assert len(board.summaries()) == 2
@@ -71,7 +71,7 @@
 def test_report_merges_hosts_and_draws():
     boards = {}
     for host in ('h1', 'h2'):
-        board = histograms.LatencyBoard()
+        board = histograms.LatencyHistograms()
         board.record('<b>', 'reads', 0.02)
         boards[host] = board.encoded()
     assert report.merge(boards)['<b>/reads'].get_total_count() == 2
--- a/tests/test_steering_cores.py
+++ b/tests/test_steering_cores.py
@@ -142,20 +142,20 @@
 
 
 def test_ticket_is_good_once_and_until_its_time():
-    office = tickets.TicketOffice()
+    issued = tickets.IssuedTickets()
     for name in ('a', 'b', 'c'):
-        office.issue(name, lent())
-    assert office.redeem('a', now_s=1.0)
-    assert office.redeem('a', now_s=1.0).reason == 'ticket_unknown'
-    assert office.redeem('b', now_s=2.0).reason == 'ticket_unknown'
-    assert office.returned('c', borrower='h2') is None
-    assert office.returned('c', borrower='h1')
-    assert office.outstanding('desk') == 1
-    assert len(office.expire(now_s=2.0)) == 1
-    assert office.outstanding_cross_region('desk') == 0
+        issued.issue(name, lent())
+    assert issued.redeem('a', now_s=1.0)
+    assert issued.redeem('a', now_s=1.0).reason == 'ticket_unknown'
+    assert issued.redeem('b', now_s=2.0).reason == 'ticket_unknown'
+    assert issued.returned('c', borrower='h2') is None
+    assert issued.returned('c', borrower='h1')
+    assert issued.outstanding('desk') == 1
+    assert len(issued.expire(now_s=2.0)) == 1
+    assert issued.outstanding_cross_region('desk') == 0
     with pytest.raises(errors.InvariantError):
-        office.issue('d', lent())
-        office.issue('d', lent())
+        issued.issue('d', lent())
+        issued.issue('d', lent())
 
 
 @pytest.mark.parametrize('drift', [0.0, 0.01, 0.1])
@@ -166,13 +166,13 @@
 
 
 def test_purse_gives_out_living_tickets_and_returns_idle_ones():
-    purse = tickets.Purse()
-    purse.put('desk', 'h2', ('a', 'b'), now_s=0.0, expires_s=1.0)
-    assert purse.take('desk', 'h2', now_s=0.5) == 'b'
-    assert purse.idle(now_s=0.2, idle_s=0.3) == {}
-    assert purse.idle(now_s=0.4, idle_s=0.3) == {'h2': ['a']}
-    purse.put('desk', 'h2', ('c',), now_s=0.0, expires_s=1.0)
-    assert purse.take('desk', 'h2', now_s=1.0) is None
+    in_hand = tickets.HeldTickets()
+    in_hand.put('desk', 'h2', ('a', 'b'), now_s=0.0, expires_s=1.0)
+    assert in_hand.take('desk', 'h2', now_s=0.5) == 'b'
+    assert in_hand.idle(now_s=0.2, idle_s=0.3) == {}
+    assert in_hand.idle(now_s=0.4, idle_s=0.3) == {'h2': ['a']}
+    in_hand.put('desk', 'h2', ('c',), now_s=0.0, expires_s=1.0)
+    assert in_hand.take('desk', 'h2', now_s=1.0) is None
 
 
 def serve_all(queue, count):
