--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 STAMP := $(VENV)/installed-$(shell cat requirements.txt pyproject.toml \
 	| sha256sum | cut -c1-16)
 
-export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR):$(CURDIR)/platform
 
 .PHONY: setup check format lint imports test demo model soak faults rolling costs bench capacity
 
--- a/src/skylarkpitch/consensus/founding.py
+++ b/src/skylarkpitch/consensus/founding.py
@@ -22,14 +22,16 @@
     voters: Iterable[str],
     control_hosts: Iterable[str],
     answers: Mapping[str, messages.Introduction],
+    may_found: bool = True,
 ) -> tuple[str, ...] | sentinels.Absent:
     """Return the founders, or why there are none yet.
 
     ``voters`` are the host names of the settings, ``control_hosts`` every
     other control host that is known, and ``answers`` the introductions by
     host, each asked for by this identity. ``Absent`` reasons:
-    ``cluster_exists``, ``settings_differ``, ``hosts_missing`` and
-    ``waiting_for_founder``.
+    ``cluster_exists``, ``settings_differ``, ``hosts_missing``,
+    ``waiting_for_founder`` and, for a host that ``may_found`` none,
+    ``not_first_start``.
     """
     voters = tuple(sorted(voters))
     own = members.host_of(identity)
@@ -39,6 +41,8 @@
     joined = sorted(host for host, item in answers.items() if item.cluster)
     if joined:
         return sentinels.Absent('cluster_exists', ', '.join(joined))
+    if not may_found:
+        return sentinels.Absent('not_first_start')
     if own not in voters or own != voters[0]:
         return sentinels.Absent('waiting_for_founder', voters[0])
     missing = (set(voters) | set(control_hosts)) - set(answers) - {own}
--- a/src/skylarkpitch/consensus/introductions.py
+++ b/src/skylarkpitch/consensus/introductions.py
@@ -28,7 +28,11 @@
 
 
 async def look_for_founders(
-    peers: network.Peers, *, identity: str, voters: Iterable[str]
+    peers: network.Peers,
+    *,
+    identity: str,
+    voters: Iterable[str],
+    may_found: bool = True,
 ) -> tuple[str, ...] | sentinels.Absent:
     """Return founders to join or to found with; see :mod:`founding`."""
     own = peers.directory.own.name
@@ -40,6 +44,7 @@
     return founding.decide(
         identity=identity,
         voters=voters,
+        may_found=may_found,
         control_hosts=hosts,
         answers={
             host: answer
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -21,6 +21,7 @@
 from skylarkpitch.consensus import introductions
 from skylarkpitch.consensus import members as member_sets
 from skylarkpitch.consensus import ports
+from skylarkpitch.consensus import replication
 from skylarkpitch.consensus import state as states
 from skylarkpitch import errors
 from skylarkpitch.messages import consensus as messages
@@ -50,7 +51,9 @@
     """One member of the replicated log; a :class:`ports.ControlLog`.
 
     ``voters`` are the hosts that found the cluster at its first start;
-    later the member set is that of the log. After a fault of the data
+    later the member set is that of the log. A host that ``may_found`` none
+    still joins founders that name it. ``is_control`` tells which hosts may
+    be members; without it the directory does. After a fault of the data
     folder the member takes part in nothing until the process restarts.
     """
 
@@ -61,6 +64,8 @@
         state_machine: ports.StateMachine,
         data_folder: pathlib.Path,
         voters: tuple[str, ...],
+        may_found: bool = True,
+        is_control: Callable[[str], bool] | None = None,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
         on_applied: Callable[[], None] = lambda: None,
@@ -71,6 +76,8 @@
     ) -> None:
         self._peers = peers
         self._voters = voters
+        self._may_found = may_found
+        self._is_control = is_control or self._listed_as_control
         self._clock = clock
         self._rng = rng or random.Random()
         self._timing = timing or states.Timing()
@@ -164,6 +171,40 @@
             learners=state.members.learners,
         )
 
+    @property
+    def identity(self) -> str:
+        """Return the identity of this member."""
+        return self._core.state.identity
+
+    @property
+    def cluster(self) -> str:
+        """Return the identifier of the cluster; empty before it is joined."""
+        return self._core.state.cluster
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this member leads."""
+        return self._leads()
+
+    def heard_age_s(self, *, now_s: float) -> float:
+        """Return for how long this member has not heard of a quorum.
+
+        A leader counts from its quorum's last answer, any other member
+        from the last message of the leader, which steps down without one.
+        """
+        state = self._core.state
+        if self._leads():
+            contact_s = replication.quorum_contact_s(state, now_s=now_s)
+            return now_s - contact_s
+        return now_s - state.leader_heard_s
+
+    def contact_ages_s(self, *, now_s: float) -> dict[str, float]:
+        """Return the age of each member's last answer to this leader."""
+        return {
+            identity: now_s - item.contact_s
+            for identity, item in self._core.state.progress.items()
+        }
+
     def counters(self) -> dict[str, float]:
         """Return counts since start, and present indexes."""
         state = self._core.state
@@ -282,7 +323,7 @@
 
     async def _on_message(self, sender: str, message: Any) -> None:
         own_name = member_sets.host_of(message.sender) == sender
-        if not own_name or not self._may_be_member(sender):
+        if not own_name or not self._is_control(sender):
             self._core.state.count('messages_of_wrong_sender')
             return
         if len(self._inbox) >= MAX_INBOX_ITEMS:
@@ -290,7 +331,7 @@
             return
         self._put(lambda now_s: self._core.receive(message, now_s=now_s))
 
-    def _may_be_member(self, name: str) -> bool:
+    def _listed_as_control(self, name: str) -> bool:
         host = self._peers.directory.get(name)
         is_control = host is not None and 'control' in host.roles
         return is_control or name in self._voters
@@ -318,6 +359,7 @@
                 self._peers,
                 identity=self._engine.journal.identity,
                 voters=self._voters,
+                may_found=self._may_found,
             )
             if not sentinels.is_absent(found):
                 self._put(functools.partial(self._join_founders, found))
--- /dev/null
+++ b/src/skylarkpitch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Keep one configuration and one list of hosts for a whole fleet."""
--- /dev/null
+++ b/src/skylarkpitch/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forward requests to upstreams that announce themselves to control."""
--- /dev/null
+++ b/src/skylarkpitch/forwarding/callers.py
@@ -0,0 +1,116 @@
+"""Know callers by their keys, and keep organisations within their rates."""
+
+from collections.abc import Iterable
+
+from skylarkpitch.fleet import model
+
+__all__ = ['KeyTable', 'RateLimits']
+
+DEMAND_MEMORY_S = 1.0
+LEAST_ELAPSED_S = 0.05
+GRANT_EXPIRY_S = 3.0
+LEAST_BURST = 2.0
+
+
+class KeyTable:
+    """Organisations by the keys of their callers."""
+
+    def __init__(self, organisations: Iterable[model.Organisation]) -> None:
+        self._holders = {
+            key: organisation
+            for organisation in organisations
+            for key in organisation.api_keys
+        }
+        self.is_empty = not self._holders
+
+    def holder(self, key: str) -> model.Organisation | None:
+        """Return the organisation that holds a key, or None."""
+        return self._holders.get(key)
+
+
+class _Account:
+    """Tokens and demand of one organisation on this host."""
+
+    def __init__(self, *, now_s: float) -> None:
+        self.tokens = 0.0
+        self.filled_s = now_s
+        self.granted_per_s: float | None = None
+        self.granted_s = float('-inf')
+        self.asked = 0.0
+        self.asked_since_s = now_s
+        self.demand_per_s = 0.0
+
+
+class RateLimits:
+    """This host's part of each organisation's rate and burst.
+
+    The part is what control has granted; without a grant, or when it is
+    ``GRANT_EXPIRY_S`` old, it is at most an equal part among the entry
+    hosts that are known.
+    """
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _Account] = {}
+
+    def spend(
+        self,
+        organisation: model.Organisation,
+        *,
+        entry_hosts: int,
+        now_s: float,
+    ) -> float:
+        """Count a request; return 0, or in how many seconds to come back."""
+        account = self._accounts.get(organisation.name)
+        rate_per_s = organisation.rate_per_s
+        if account is None:
+            account = _Account(now_s=now_s)
+            self._accounts[organisation.name] = account
+            account.tokens = organisation.burst / max(1, entry_hosts)
+        account.asked += 1
+        if rate_per_s <= 0:
+            return 0.0
+        own_per_s = self._own_rate(account, rate_per_s, entry_hosts, now_s)
+        burst = max(LEAST_BURST, organisation.burst * own_per_s / rate_per_s)
+        elapsed_s = max(0.0, now_s - account.filled_s)
+        account.filled_s = now_s
+        account.tokens = min(burst, account.tokens + own_per_s * elapsed_s)
+        if account.tokens >= 1:
+            account.tokens -= 1
+            return 0.0
+        return (1 - account.tokens) / max(own_per_s, 0.1)
+
+    def _own_rate(
+        self,
+        account: _Account,
+        rate_per_s: float,
+        entry_hosts: int,
+        now_s: float,
+    ) -> float:
+        equal_per_s = rate_per_s / max(1, entry_hosts)
+        if account.granted_per_s is None:
+            return equal_per_s
+        if now_s - account.granted_s > GRANT_EXPIRY_S:
+            return min(equal_per_s, account.granted_per_s)
+        return account.granted_per_s
+
+    def grant(self, rates_per_s: dict[str, float], *, now_s: float) -> None:
+        """Take the rates that control grants this host."""
+        for name, rate_per_s in rates_per_s.items():
+            account = self._accounts.get(name)
+            if account is not None:
+                account.granted_per_s = rate_per_s
+                account.granted_s = now_s
+
+    def demand_per_s(self, *, now_s: float) -> dict[str, float]:
+        """Return the present rate of requests by organisation."""
+        demand = {}
+        for name, account in self._accounts.items():
+            elapsed_s = now_s - account.asked_since_s
+            if elapsed_s > LEAST_ELAPSED_S:
+                part = min(1.0, elapsed_s / DEMAND_MEMORY_S)
+                present = account.asked / elapsed_s
+                account.demand_per_s += part * (present - account.demand_per_s)
+                account.asked = 0.0
+                account.asked_since_s = now_s
+            demand[name] = account.demand_per_s
+        return demand
--- /dev/null
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -0,0 +1,82 @@
+"""Listen to callers, within the bounds that are configured for them."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import socket
+
+from aiohttp import web
+
+from skylarkpitch import errors
+from skylarkpitch.fleet import model
+from skylarkpitch.requests import exchange_sessions as sessions
+
+__all__ = ['CallersListener', 'bind']
+
+BACKLOG = 2048
+MS_PER_S = 1000
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def bind(host_port: str) -> socket.socket:
+    """Return a listening socket; raises ``SettingsError`` if it is taken."""
+    host, _colon, port = host_port.rpartition(':')
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Connections take these over from the socket that accepted them.
+    sessions.find_silence(made)
+    try:
+        made.bind((host, int(port)))
+    except OSError as error:
+        made.close()
+        raise errors.SettingsError(
+            f'address {host_port} cannot be bound ({error.strerror}); give '
+            'a free address of this host'
+        ) from error
+    made.listen(BACKLOG)
+    return made
+
+
+class CallersListener:
+    """One address; new limits hold for new connections."""
+
+    def __init__(self, *, address: str, handler: Handler) -> None:
+        self._address = address
+        self._handler = handler
+        self._servers: dict[model.CallerLimits, web.Server] = {}
+        self._current: web.Server | None = None
+        self._listening: asyncio.Server | None = None
+
+    async def open(self, limits: model.CallerLimits) -> None:
+        """Begin to listen."""
+        self.set_limits(limits)
+        self._listening = await asyncio.get_running_loop().create_server(
+            lambda: self._current(), sock=bind(self._address), backlog=BACKLOG
+        )
+
+    def set_limits(self, limits: model.CallerLimits) -> None:
+        """Serve the connections to come within these limits."""
+        if limits not in self._servers:
+            self._servers[limits] = web.Server(
+                self._handler,
+                handler_cancellation=True,
+                keepalive_timeout=limits.idle_timeout_ms / MS_PER_S,
+                max_line_size=limits.max_header_bytes,
+                max_field_size=limits.max_header_bytes,
+                access_log=None,
+            )
+        self._current = self._servers[limits]
+
+    def stop_listening(self) -> None:
+        """Take no new connection."""
+        if self._listening is not None:
+            self._listening.close()
+
+    async def close(self, *, timeout_s: float) -> None:
+        """Close the connections, each after the request that it carries."""
+        self.stop_listening()
+        await asyncio.gather(
+            *(item.shutdown(timeout_s) for item in self._servers.values())
+        )
--- /dev/null
+++ b/src/skylarkpitch/forwarding/refusals.py
@@ -0,0 +1,101 @@
+"""Model what a caller is told when its request gets no upstream's answer.
+
+The statuses 408, 421, 429 and 503 say that the request has not run and
+never will; 502 and 504 say nothing about that.
+"""
+
+import dataclasses
+import enum
+
+import msgspec
+
+__all__ = ['Reason', 'Refusal', 'refuse']
+
+
+class Reason(enum.StrEnum):
+    """Why a request gets no upstream's answer."""
+
+    NO_CONFIGURATION = 'no_configuration'
+    ROUTE_UNKNOWN = 'route_unknown'
+    KEY_UNKNOWN = 'key_unknown'
+    MALFORMED = 'request_malformed'
+    BODY_TOO_LARGE = 'body_too_large'
+    BODY_LATE = 'body_late'
+    OVER_RATE = 'over_rate'
+    NO_UPSTREAM = 'no_upstream'
+    NO_ROOM = 'no_room'
+    QUARANTINED = 'quarantined'
+    NOT_REACHED = 'not_reached'
+    REJECTED = 'rejected'
+    BROKEN = 'upstream_broke_off'
+    MALFORMED_ANSWER = 'answer_malformed'
+    TOO_LATE = 'too_late'
+
+
+_STATUS = {
+    Reason.NO_CONFIGURATION: 503,
+    Reason.ROUTE_UNKNOWN: 404,
+    Reason.KEY_UNKNOWN: 401,
+    Reason.MALFORMED: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BODY_LATE: 408,
+    Reason.OVER_RATE: 429,
+    Reason.NO_UPSTREAM: 503,
+    Reason.NO_ROOM: 503,
+    Reason.QUARANTINED: 503,
+    Reason.NOT_REACHED: 503,
+    Reason.REJECTED: 503,
+    Reason.BROKEN: 502,
+    Reason.MALFORMED_ANSWER: 502,
+    Reason.TOO_LATE: 504,
+}
+
+_REMEDY = {
+    Reason.NO_CONFIGURATION: 'come back; this host has just started',
+    Reason.ROUTE_UNKNOWN: 'check the host name and the path',
+    Reason.KEY_UNKNOWN: 'ask the operators for a new key',
+    Reason.MALFORMED: 'correct the request',
+    Reason.BODY_TOO_LARGE: 'send a smaller body',
+    Reason.BODY_LATE: 'send the whole body sooner',
+    Reason.OVER_RATE: 'come back at the time given',
+    Reason.NO_UPSTREAM: 'come back at the time given',
+    Reason.NO_ROOM: 'come back at the time given',
+    Reason.QUARANTINED: 'do not send this request again',
+    Reason.NOT_REACHED: 'come back at the time given',
+    Reason.REJECTED: 'come back at the time given',
+    Reason.BROKEN: 'find out by other means whether it has run',
+    Reason.MALFORMED_ANSWER: 'find out by other means whether it has run',
+    Reason.TOO_LATE: 'find out by other means whether it has run',
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """One refusal; ``retry_after_s`` is when to come back."""
+
+    status: int
+    reason: Reason
+    detail: str = ''
+    retry_after_s: float | None = None
+
+    def body(self) -> bytes:
+        """Return what the caller reads."""
+        return msgspec.json.encode(
+            {
+                'reason': self.reason.value,
+                'detail': self.detail,
+                'remedy': _REMEDY[self.reason],
+            }
+        )
+
+
+def refuse(
+    reason: Reason, detail: str = '', *, retry_after_s: float | None = None
+) -> Refusal:
+    """Return the refusal for a reason."""
+    return Refusal(
+        status=_STATUS[reason],
+        reason=reason,
+        detail=detail,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/src/skylarkpitch/forwarding/room.py
@@ -0,0 +1,374 @@
+"""Choose the upstream for a request, or tell that none has room.
+
+Answers the pattern of the heaviest days: more is asked for than the near
+upstreams bear, and an upstream that knows an object takes a third of the
+time. Each candidate is judged by when it would have the request done; bytes
+that cross a link count as time too.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+from typing import Any
+
+from skylarkpitch.fleet import model
+from skylarkpitch.forwarding import regions as region_shares
+from skylarkpitch.forwarding import upstream_load
+from skylarkpitch.peers import rendezvous
+from skylarkpitch import sentinels
+
+__all__ = ['Place', 'Room', 'Wanted']
+
+DOMAIN_PENALTY_S = 0.012
+REGION_PENALTY_S = 0.045
+DOMAIN_TRIP_S = 0.003
+REGION_TRIP_S = 0.08
+GREY_PENALTY_S = 1.0
+FIRST_USE_SHARE = 0.2
+# All entry hosts agree on the few upstreams that keep an object, so that
+# each upstream keeps few objects and remembers them.
+KEPT_SHARE = 0.34
+QUEUE_SHARE = 0.25
+FIRST_WARM_SHARE = 0.4
+TIME_MEMORY = 0.08
+SHIFT_STEP_PER_S = 0.04
+MAX_RANKED = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wanted:
+    """What a request asks of an upstream.
+
+    ``homes`` are the regions that may run it; None allows all. A request
+    avoids the upstreams that it was sent to before.
+    """
+
+    service: str
+    route: str
+    affinity: str | None
+    homes: frozenset[str] | None
+    objective_s: float
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Place:
+    """An upstream with room, and how long the request should take there.
+
+    ``known`` tells that it has handled the object for this host before.
+    """
+
+    load: upstream_load.UpstreamLoad
+    expected_s: float
+    known: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Times:
+    """Measured time of a route's requests, with and without the object."""
+
+    known_s: float
+    new_s: float
+
+
+class _Pool:
+    """The upstreams of one service that may be used."""
+
+    def __init__(self, *, now_s: float) -> None:
+        self.loads: dict[str, upstream_load.UpstreamLoad] = {}
+        self.shares = region_shares.RegionShares(
+            step_per_s=SHIFT_STEP_PER_S, now_s=now_s
+        )
+        self.regions: dict[str, dict[str, upstream_load.UpstreamLoad]] = {}
+        self._keepers: dict[str, dict[str, frozenset[str]]] = {}
+
+    def is_kept_by(
+        self, affinity: str, load: upstream_load.UpstreamLoad, region: str
+    ) -> bool:
+        """Tell whether an upstream is one that keeps an object."""
+        keepers = self._keepers.get(affinity)
+        if keepers is None:
+            if len(self._keepers) >= MAX_RANKED:
+                self._keepers.clear()
+            keepers = self._keepers[affinity] = {
+                name: frozenset(_keepers(affinity, loads))
+                for name, loads in self.regions.items()
+            }
+        return load.upstream.upstream_id in keepers[region]
+
+    def set_loads(
+        self, regions: dict[str, dict[str, upstream_load.UpstreamLoad]]
+    ) -> None:
+        """Take the upstreams that may be used, by region."""
+        before = {region: set(loads) for region, loads in self.regions.items()}
+        if {r: set(loads) for r, loads in regions.items()} != before:
+            self._keepers.clear()
+        self.regions = regions
+        self.loads = {
+            name: load
+            for loads in regions.values()
+            for name, load in loads.items()
+        }
+
+
+def _keepers(affinity: str, names: Iterable[str]) -> list[str]:
+    ranked = rendezvous.rank(affinity, names)
+    return ranked[: max(1, round(KEPT_SHARE * len(ranked)))]
+
+
+class Room:
+    """Upstreams by service, as one entry host judges them."""
+
+    def __init__(
+        self,
+        *,
+        region: str,
+        failure_domain: str,
+        region_of: Callable[[str], str | None],
+    ) -> None:
+        self._region = region
+        self._failure_domain = failure_domain
+        self._region_of = region_of
+        self._loads: dict[str, upstream_load.UpstreamLoad] = {}
+        self._pools: dict[str, _Pool] = {}
+        self._times: dict[str, _Times] = {}
+        self._draining: frozenset[str] = frozenset()
+
+    def learn(
+        self,
+        upstreams: Iterable[model.Upstream],
+        *,
+        draining_domains: frozenset[str],
+        cold_s: Callable[[str], float],
+        now_s: float,
+    ) -> None:
+        """Take the present upstreams and the drained failure domains.
+
+        ``cold_s`` tells for how long an upstream of a service is cold. The
+        upstreams of a domain that is taken back may be cold.
+        """
+        taken_back = self._draining - draining_domains
+        self._draining = draining_domains
+        loads = {}
+        for item in upstreams:
+            load = self._loads.get(item.upstream_id)
+            if load is None or load.upstream.born_ms != item.born_ms:
+                load = upstream_load.UpstreamLoad(item, now_s=now_s)
+            elif load.upstream != item:
+                load.learn(item, now_s=now_s)
+            if item.failure_domain in taken_back:
+                load.become_cold(cold_s(item.service), now_s=now_s)
+            loads[item.upstream_id] = load
+        self._loads = loads
+        self._fill_pools(now_s)
+
+    def _fill_pools(self, now_s: float) -> None:
+        usable: dict[str, dict[str, dict[str, Any]]] = {}
+        for name, load in sorted(self._loads.items()):
+            item = load.upstream
+            is_ready = item.state is model.UpstreamState.READY
+            if is_ready and item.failure_domain not in self._draining:
+                regions = usable.setdefault(item.service, {})
+                regions.setdefault(self.region_of(load), {})[name] = load
+        for service in set(self._pools) | set(usable):
+            pool = self._pools.setdefault(service, _Pool(now_s=now_s))
+            pool.set_loads(usable.get(service, {}))
+            slots = {
+                region: sum(load.upstream.slots for load in loads.values())
+                for region, loads in pool.regions.items()
+            }
+            first = region_shares.first_shares(slots, own_region=self._region)
+            pool.shares.set_regions(first)
+
+    def region_of(self, load: upstream_load.UpstreamLoad) -> str:
+        """Return the region of an upstream."""
+        return self._region_of(load.upstream.failure_domain) or ''
+
+    def is_known(self, service: str) -> bool:
+        """Tell whether a service has an upstream that may be used."""
+        pool = self._pools.get(service)
+        return pool is not None and bool(pool.loads)
+
+    def is_current(self, load: upstream_load.UpstreamLoad) -> bool:
+        """Tell whether an upstream may still be sent to."""
+        pool = self._pools.get(load.upstream.service)
+        return pool is not None and (
+            pool.loads.get(load.upstream.upstream_id) is load
+        )
+
+    def find(
+        self,
+        wanted: Wanted,
+        *,
+        cold_rate_per_s: float | None,
+        entry_hosts: int,
+        now_s: float,
+    ) -> Place | sentinels.Absent:
+        """Return a place for a request.
+
+        Returns ``Absent`` with ``no_upstream`` when the service has none
+        that may be used, or ``no_room`` when all of them are full.
+        """
+        pool = self._pools.get(wanted.service)
+        if pool is None or not pool.loads:
+            return sentinels.Absent('no_upstream')
+        by_region = self._judged(pool, wanted, now_s)
+        if not by_region:
+            return sentinels.Absent('no_upstream', 'all are excluded')
+        ordered = self._regions(pool, wanted, by_region, now_s)
+        cold_share = None
+        if cold_rate_per_s is not None:
+            cold_share = cold_rate_per_s / max(1, entry_hosts)
+        for region in ordered:
+            for _cost, _name, place in by_region[region]:
+                if self._has_room(place.load, cold_share, now_s):
+                    return place
+        return sentinels.Absent('no_room')
+
+    def _judged(
+        self, pool: _Pool, wanted: Wanted, now_s: float
+    ) -> dict[str, list[tuple[float, str, Place]]]:
+        times = self._times_of(wanted)
+        by_region: dict[str, list[tuple[float, str, Place]]] = {}
+        for name, load in self._candidates(pool, wanted, now_s):
+            cost_s, place = self._judge(pool, load, wanted, times, now_s)
+            entry = (cost_s, name, place)
+            by_region.setdefault(self.region_of(load), []).append(entry)
+        for entries in by_region.values():
+            entries.sort(key=lambda entry: entry[:2])
+        return by_region
+
+    def _candidates(
+        self, pool: _Pool, wanted: Wanted, now_s: float
+    ) -> list[tuple[str, upstream_load.UpstreamLoad]]:
+        """Return the upstreams that may run a request.
+
+        Those that failed just now are left out while there are others.
+        """
+        allowed = [
+            (name, load)
+            for name, load in pool.loads.items()
+            if name not in wanted.excluded
+            and (wanted.homes is None or self.region_of(load) in wanted.homes)
+        ]
+        sound = [
+            item for item in allowed if not item[1].is_avoided(now_s=now_s)
+        ]
+        return sound or allowed
+
+    def _judge(
+        self,
+        pool: _Pool,
+        load: upstream_load.UpstreamLoad,
+        wanted: Wanted,
+        times: _Times,
+        now_s: float,
+    ) -> tuple[float, Place]:
+        affinity = wanted.affinity
+        kept = self._is_kept(pool, load, affinity)
+        held = affinity is None or load.holds(affinity)
+        expected_s = times.known_s if kept else times.new_s
+        work_s = expected_s * load.slowness
+        slots = max(1, load.upstream.slots)
+        over = load.occupied(now_s=now_s) + 1 - slots
+        wait_s = max(0.0, over) * work_s / slots
+        # A nearly full upstream leaves no room for those that need it.
+        fill_s = 0.1 * work_s * max(0.0, over / slots + 0.5)
+        cost_s = work_s + wait_s + fill_s + self._distance_s(load)
+        if kept and not held:
+            cost_s += FIRST_USE_SHARE * times.known_s
+        cost_s += GREY_PENALTY_S * load.failure_share
+        place = Place(load=load, expected_s=expected_s, known=kept and held)
+        return cost_s, place
+
+    def _is_kept(
+        self,
+        pool: _Pool,
+        load: upstream_load.UpstreamLoad,
+        affinity: str | None,
+    ) -> bool:
+        if affinity is None:
+            return True
+        return pool.is_kept_by(affinity, load, self.region_of(load))
+
+    def _distance_s(self, load: upstream_load.UpstreamLoad) -> float:
+        if load.upstream.failure_domain == self._failure_domain:
+            return 0.0
+        if self.region_of(load) == self._region:
+            return DOMAIN_PENALTY_S + DOMAIN_TRIP_S
+        return REGION_PENALTY_S + REGION_TRIP_S
+
+    def _regions(
+        self,
+        pool: _Pool,
+        wanted: Wanted,
+        by_region: dict[str, list[tuple[float, str, Place]]],
+        now_s: float,
+    ) -> list[str]:
+        """Return the regions to try, in order.
+
+        A request without homes goes to the region that the shares name, or
+        to the own one; further ones only when neither has any upstream.
+        """
+        wish = min(by_region, key=lambda region: by_region[region][0][:2])
+        if wanted.homes is not None or wanted.excluded:
+            return sorted(by_region, key=lambda r: by_region[r][0][:2])
+        chosen = pool.shares.choose(wish, now_s=now_s)
+        ordered = [r for r in (chosen, self._region) if r in by_region]
+        return ordered or [wish]
+
+    def _has_room(
+        self,
+        load: upstream_load.UpstreamLoad,
+        cold_share_per_s: float | None,
+        now_s: float,
+    ) -> bool:
+        if now_s < load.full_until_s:
+            return False
+        slots = load.upstream.slots
+        queue = max(1.0, QUEUE_SHARE * slots)
+        if load.occupied(now_s=now_s) + 1 > slots + queue:
+            return False
+        if cold_share_per_s is None or not load.is_cold(now_s=now_s):
+            return True
+        return load.has_cold_token(cold_share_per_s, now_s=now_s)
+
+    def take(self, place: Place, wanted: Wanted, *, now_s: float) -> None:
+        """Count a request that is sent to a place."""
+        place.load.running += 1
+        if place.load.is_cold(now_s=now_s):
+            place.load.take_cold_token()
+        if wanted.affinity is not None:
+            place.load.handled(wanted.affinity)
+
+    def give_back(self, place: Place) -> None:
+        """Count a request that has ended."""
+        place.load.running -= 1
+
+    def answered(self, place: Place, wanted: Wanted, *, took_s: float) -> None:
+        """Learn from how long a good answer took."""
+        trip_s = 0.0
+        if place.load.upstream.failure_domain != self._failure_domain:
+            near = self.region_of(place.load) == self._region
+            trip_s = DOMAIN_TRIP_S if near else REGION_TRIP_S
+        worked_s = max(0.001, took_s - trip_s)
+        times = self._times_of(wanted)
+        if not place.known:
+            times.new_s += TIME_MEMORY * (worked_s - times.new_s)
+            return
+        times.known_s += TIME_MEMORY * (worked_s - times.known_s)
+        place.load.answered(took_s=worked_s, expected_s=place.expected_s)
+
+    def expected_s(self, wanted: Wanted) -> float:
+        """Return how long a request should take where its object is known."""
+        return self._times_of(wanted).known_s
+
+    def _times_of(self, wanted: Wanted) -> _Times:
+        times = self._times.get(wanted.route)
+        if times is None:
+            times = _Times(
+                known_s=FIRST_WARM_SHARE * wanted.objective_s,
+                new_s=wanted.objective_s,
+            )
+            self._times[wanted.route] = times
+        return times
--- /dev/null
+++ b/src/skylarkpitch/forwarding/routing.py
@@ -0,0 +1,64 @@
+"""Find the route of a request, and the service that takes it."""
+
+from collections.abc import Iterable
+
+from skylarkpitch.fleet import model
+
+__all__ = ['RoutingTable', 'Splitter']
+
+
+class RoutingTable:
+    """Routes by host name and path prefix; the longest prefix wins."""
+
+    def __init__(self, routes: Iterable[model.Route]) -> None:
+        self._hosts: dict[str, dict[str, model.Route]] = {}
+        for route in routes:
+            by_prefix = self._hosts.setdefault(route.host.lower(), {})
+            by_prefix[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> model.Route | None:
+        """Return the route of a request, or None.
+
+        A prefix begins and ends with a slash, so only what ends with a
+        slash in the path can be one.
+        """
+        by_prefix = self._hosts.get(host.lower())
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind('/', 0, end)) >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+class Splitter:
+    """Deal the requests of each route out to its services by weight.
+
+    Smooth weighted round robin: after any number of requests each service
+    is within one of its part, so no part depends on chance.
+    """
+
+    def __init__(self) -> None:
+        self._owed: dict[str, dict[str, float]] = {}
+
+    def service(self, route: model.Route) -> str:
+        """Return the service that takes the next request of a route."""
+        parts = route.services
+        if len(parts) == 1:
+            return parts[0].service
+        owed = self._owed.setdefault(route.name, {})
+        total = sum(part.weight for part in parts)
+        for part in parts:
+            owed[part.service] = owed.get(part.service, 0.0) + part.weight
+        taken = max(
+            (part for part in parts if part.weight > 0),
+            key=lambda part: owed[part.service],
+        )
+        owed[taken.service] -= total
+        return taken.service
+
+    def forget(self) -> None:
+        """Begin anew, as after the routes have changed."""
+        self._owed.clear()
--- /dev/null
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -0,0 +1,208 @@
+"""Send one request to one upstream and read its answer.
+
+An answer counts only when it echoes the request's id, since what arrives on
+a kept connection may belong to an earlier request.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import time
+
+import aiohttp
+import yarl
+
+from skylarkpitch.forwarding import names as header_names
+from skylarkpitch.forwarding import refusals
+from skylarkpitch.requests import exchange_sessions as sessions
+from skylarkpitch.requests import headers as header_rules
+
+__all__ = ['Answer', 'Failure', 'Outgoing', 'Sender']
+
+KEPT_S = 4.0
+CONNECT_S = 0.45
+HELD_BYTES = 1024 * 1024
+_OMITTED = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outgoing:
+    """Request as it goes out; the target is sent byte for byte."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Failure:
+    """Exchange without a usable answer.
+
+    ``sent`` is False only when no byte of the request can have left.
+    """
+
+    sent: bool
+    reason: refusals.Reason
+    detail: str
+
+
+class Answer:
+    """Answer of an upstream: whole in ``body``, or with a ``rest``."""
+
+    def __init__(
+        self,
+        *,
+        response: aiohttp.ClientResponse,
+        headers: header_rules.Pairs,
+        body: bytes,
+        rest: AsyncIterator[bytes] | None,
+    ) -> None:
+        self.status = response.status
+        self.headers = headers
+        self.body = body
+        self.rest = rest
+        self._response = response
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header."""
+        return self._response.headers.get(name)
+
+    def close(self) -> None:
+        """Close the connection unless the answer was read to its end."""
+        self._response.close()
+
+
+class Sender:
+    """Own the connections towards upstreams."""
+
+    def __init__(self, *, names: header_names.HeaderNames) -> None:
+        self._names = names
+        self._session: aiohttp.ClientSession | None = None
+
+    def open(self) -> None:
+        """Make the session; call it on the running loop."""
+        self._session = sessions.new_session(
+            repeatable=True, keepalive_s=KEPT_S, connect_s=CONNECT_S
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def send(
+        self, outgoing: Outgoing, *, address: str, deadline_s: float
+    ) -> Answer | Failure:
+        """Send a request and return its answer.
+
+        The connection is closed on a time-out, on cancellation and after
+        an answer that breaks off or belongs to another request.
+        """
+        progress = sessions.Progress()
+        sessions.progress.set(progress)
+        left_s = deadline_s - time.monotonic()
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._exchange(outgoing, address)
+        except (TimeoutError, aiohttp.ServerTimeoutError) as error:
+            if not progress.connected:
+                return _unsent(f'no connection in time ({error})')
+            return Failure(
+                sent=True,
+                reason=refusals.Reason.TOO_LATE,
+                detail='no answer before the deadline',
+            )
+        except sessions.UnsentError as error:
+            return _unsent(str(error))
+        except (sessions.BrokenError, aiohttp.ClientPayloadError) as error:
+            return _broken(str(error), sent=progress.connected)
+        except (aiohttp.ClientError, ValueError) as error:
+            if not progress.connected:
+                return _unsent(str(error))
+            return Failure(
+                sent=True,
+                reason=refusals.Reason.MALFORMED_ANSWER,
+                detail=str(error),
+            )
+
+    async def _exchange(
+        self, outgoing: Outgoing, address: str
+    ) -> Answer | Failure:
+        url = yarl.URL(f'http://{address}{outgoing.target}', encoded=True)
+        response = await self._session.request(
+            outgoing.method,
+            url,
+            headers=outgoing.headers,
+            data=outgoing.body or None,
+            allow_redirects=False,
+            skip_auto_headers=_OMITTED,
+        )
+        try:
+            return await self._read(response, outgoing)
+        except BaseException:
+            response.close()
+            raise
+
+    async def _read(
+        self, response: aiohttp.ClientResponse, outgoing: Outgoing
+    ) -> Answer | Failure:
+        problem = self._problem(response, outgoing)
+        if problem:
+            response.close()
+            return Failure(
+                sent=True,
+                reason=refusals.Reason.MALFORMED_ANSWER,
+                detail=problem,
+            )
+        held = []
+        size = 0
+        while size < HELD_BYTES:
+            chunk = await response.content.readany()
+            if not chunk:
+                break
+            held.append(chunk)
+            size += len(chunk)
+        ended = response.content.at_eof()
+        if ended:
+            response.release()
+        return Answer(
+            response=response,
+            headers=header_rules.end_to_end(response.headers),
+            body=b''.join(held),
+            rest=None if ended else _rest(response),
+        )
+
+    def _problem(
+        self, response: aiohttp.ClientResponse, outgoing: Outgoing
+    ) -> str:
+        if response.status < 200:
+            return f'the upstream answered {response.status}'
+        problem = header_rules.check_framing(response.headers)
+        if problem is not None:
+            return problem.detail
+        echoed = response.headers.get(self._names.request_id)
+        if outgoing.request_id is not None and echoed != outgoing.request_id:
+            return 'the answer belongs to another request'
+        if response.status < 300 and self._names.seal not in response.headers:
+            return 'the answer bears no seal'
+        return ''
+
+
+async def _rest(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    while chunk := await response.content.readany():
+        yield chunk
+    response.release()
+
+
+def _unsent(detail: str) -> Failure:
+    return Failure(
+        sent=False, reason=refusals.Reason.NOT_REACHED, detail=detail
+    )
+
+
+def _broken(detail: str, *, sent: bool) -> Failure:
+    if not sent:
+        return _unsent(detail)
+    return Failure(sent=True, reason=refusals.Reason.BROKEN, detail=detail)
--- /dev/null
+++ b/src/skylarkpitch/messages/fleet.py
@@ -0,0 +1,78 @@
+"""Messages between entry hosts, control hosts and their leader.
+
+``source`` and the like are names of hosts. An index is one of the
+replicated log; times are in seconds.
+"""
+
+from skylarkpitch.messages import codec
+
+__all__ = [
+    'JoinAnswer',
+    'JoinAsk',
+    'OrderAnswer',
+    'OrderAsk',
+    'WatchAnswer',
+    'WatchAsk',
+]
+
+Row = tuple[tuple[str, ...], int, bytes | None]
+
+
+@codec.message('fleet.order_ask')
+class OrderAsk:
+    """Hand an order on to the leader; ``hops`` bounds how often."""
+
+    order: bytes
+    hops: int = 0
+
+
+@codec.message('fleet.order_answer')
+class OrderAnswer:
+    """End of an order: ``accepted``, ``refused`` or ``unavailable``."""
+
+    outcome: str
+    reason: str = ''
+    detail: str = ''
+    content: bytes = b''
+
+
+@codec.message('fleet.watch_ask')
+class WatchAsk:
+    """Ask for what changed since an index; wait for it up to a time."""
+
+    cluster: str
+    index: int
+    wait_s: float
+
+
+@codec.message('fleet.watch_answer')
+class WatchAnswer:
+    """Tell what changed, or with ``whole`` everything.
+
+    ``heard_age_s`` is for how long the answering host has not heard of a
+    quorum.
+    """
+
+    cluster: str
+    index: int
+    whole: bool
+    heard_age_s: float
+    rows: tuple[Row, ...] = ()
+    control_hosts: tuple[str, ...] = ()
+    leader: str = ''
+
+
+@codec.message('fleet.join_ask')
+class JoinAsk:
+    """Ask to be added to the control group."""
+
+    identity: str
+    hops: int = 0
+
+
+@codec.message('fleet.join_answer')
+class JoinAnswer:
+    """Tell whether the identity is a member, or the leader to ask."""
+
+    is_member: bool
+    leader: str = ''
--- a/src/skylarkpitch/observability/logs.py
+++ b/src/skylarkpitch/observability/logs.py
@@ -40,13 +40,13 @@
 )
 
 
-def configure(*, host: str, level: str) -> None:
-    """Send all logs of the process to standard error.
+def configure(*, host: str, level: str, to_stdout: bool = False) -> None:
+    """Send all logs of the process to standard error, or output.
 
     ``level`` is ``debug``, ``info``, ``warning`` or ``error``; ``host``
     stands on every line.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(sys.stdout if to_stdout else sys.stderr)
     handler.addFilter(_is_worth_a_line)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
--- a/src/skylarkpitch/peers/directory.py
+++ b/src/skylarkpitch/peers/directory.py
@@ -1,5 +1,6 @@
 """Describe the hosts of the system and how they are reached."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -23,10 +24,22 @@
 
 
 class Directory:
-    """Hold the hosts that a process knows, itself included."""
+    """Hold the hosts that a process knows, itself included.
 
-    def __init__(self, *, own: str, hosts: Iterable[Host]) -> None:
+    ``describe`` returns a host that no settings name, from its name alone,
+    or None. With it the hosts of the fleet share one key pair, and a sender
+    is known by the routing id that it gives.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: str,
+        hosts: Iterable[Host],
+        describe: Callable[[str], Host | None] | None = None,
+    ) -> None:
         self._own = own
+        self._describe = describe
         self._hosts = {host.name: host for host in hosts}
         self._by_key = {h.public_key: h.name for h in self._hosts.values()}
 
@@ -37,12 +50,27 @@
 
     def get(self, name: str) -> Host | None:
         """Return the host called ``name``, if it is known."""
-        return self._hosts.get(name)
+        host = self._hosts.get(name)
+        if host is None and self._describe is not None:
+            return self._describe(name)
+        return host
+
+    @property
+    def shares_key(self) -> bool:
+        """Tell whether all hosts of the fleet hold the same key pair."""
+        return self._describe is not None
 
     def name_of_key(self, public_key: str) -> str | None:
         """Return the name of the host that holds a public key."""
         return self._by_key.get(public_key)
 
+    def name_of_sender(self, *, public_key: str, routing_id: bytes) -> str:
+        """Return the host that sent a message; empty when it is unknown."""
+        if not self.shares_key:
+            return self.name_of_key(public_key) or ''
+        name = routing_id.decode('ascii', 'replace')
+        return name if self.get(name) is not None else ''
+
     def all(self) -> tuple[Host, ...]:
         """Return every host, sorted by name."""
         return tuple(self._hosts[name] for name in sorted(self._hosts))
--- a/src/skylarkpitch/peers/network.py
+++ b/src/skylarkpitch/peers/network.py
@@ -26,8 +26,10 @@
 
 __all__ = ['Handler', 'PeerNetwork', 'Peers']
 
-HEARTBEAT_INTERVAL_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 3000
+HEARTBEAT_INTERVAL_MS = 500
+HEARTBEAT_TIMEOUT_MS = 1500
+CONNECT_TIMEOUT_MS = 1000
+HANDSHAKE_TIMEOUT_MS = 2000
 SEND_QUEUE_MESSAGES = 2000
 MAX_CONCURRENT_HANDLERS = 2000
 ZAP_DOMAIN = 'peers'
@@ -173,6 +175,8 @@
         self._router = self._socket(zmq.ROUTER)
         self._router.curve_server = True
         self._router.zap_domain = ZAP_DOMAIN.encode()
+        # A host that restarts takes over from its earlier connection.
+        self._router.router_handover = self.directory.shares_key
         address = self.directory.own.peers_address
         try:
             self._router.bind(f'tcp://{address}')
@@ -196,7 +200,7 @@
 
     def callback(self, domain: str, key: bytes) -> bool:
         """Tell the authenticator whether a known peer holds a key in Z85."""
-        return self._sender_of(key.decode()) is not None
+        return self.directory.name_of_key(key.decode()) is not None
 
     @mode.Service.task
     async def _serve(self) -> None:
@@ -212,8 +216,10 @@
         if len(frames) != 4:
             self._malformed('a message has four frames')
             return
-        sender = self._sender_of(frames[3].get('User-Id'))
         identity, number, kind, body = (frame.bytes for frame in frames)
+        sender = self.directory.name_of_sender(
+            public_key=frames[3].get('User-Id'), routing_id=identity
+        )
         try:
             message = codec.decode(kind, body)
             handler = self._handlers[type(message)]
@@ -257,9 +263,6 @@
         self._on_malformed()
         _log.warning('message_malformed', error=why)
 
-    def _sender_of(self, public_key: str) -> str | None:
-        return self.directory.name_of_key(public_key)
-
     def _socket(self, kind: int) -> zmq.asyncio.Socket:
         socket = self._context.socket(kind)
         socket.curve_secretkey = self._secret_key.encode()
@@ -270,8 +273,12 @@
         socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        # A peer that went dark is found out by these, not by the kernel.
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+        socket.setsockopt(zmq.TCP_MAXRT, HEARTBEAT_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, 100)
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 500)
         return socket
 
     def _connection(self, name: str) -> _Connection | None:
@@ -281,6 +288,8 @@
         if host is None:
             return None
         socket = self._socket(zmq.DEALER)
+        if self.directory.shares_key:
+            socket.routing_id = self.directory.own.name.encode()
         socket.curve_serverkey = host.public_key.encode()
         socket.connect(f'tcp://{host.peers_address}')
         self._connections[name] = _Connection(socket=socket)
--- /dev/null
+++ b/tests/test_fleet_state.py
@@ -0,0 +1,226 @@
+"""The state of the fleet: versions, incarnations, addresses, drains."""
+
+import dataclasses
+
+import pytest
+
+from skylarkpitch import errors
+from skylarkpitch.fleet import checks
+from skylarkpitch.fleet import commands
+from skylarkpitch.fleet import model
+from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import view as views
+from skylarkpitch.messages import fleet as messages
+
+
+def upstream(name='u1', *, born_ms=100, sequence=1, **fields):
+    described = {
+        'upstream_id': name,
+        'born_ms': born_ms,
+        'sequence': sequence,
+        'service': 'desk',
+        'address': '10.0.0.1:80',
+        'failure_domain': 'east-a',
+        'slots': 4,
+        **fields,
+    }
+    return model.Upstream(**described)
+
+
+def route(**fields):
+    described = {
+        'name': 'r1',
+        'host': 'pans.example',
+        'path_prefix': '/pans/',
+        'repeatable': True,
+        'timeout_ms': 800.0,
+        'objective_ms': 300.0,
+        'max_upstreams': 2,
+        'rank': 1,
+        'services': (model.WeightedService(service='desk', weight=1),),
+        **fields,
+    }
+    return model.Route(**described)
+
+
+def configuration(version, **fields):
+    described = {
+        'routes': (route(),),
+        'services': (model.Service(name='desk', health_path='/'),),
+        **fields,
+    }
+    return model.Configuration(version=version, **described)
+
+
+def put(version, document=b'{}', **fields):
+    return commands.PutConfiguration(
+        configuration=configuration(version, **fields), document=document
+    )
+
+
+def record(*args, **fields):
+    return commands.RecordUpstream(upstream=upstream(*args, **fields))
+
+
+def leave(name='u1', *, born_ms=100, left=True):
+    return commands.RemoveUpstream(
+        upstream_id=name, born_ms=born_ms, left=left
+    )
+
+
+def applied(*items):
+    state = fleet_state.FleetState()
+    for index, item in enumerate(items, start=1):
+        state.apply(index, commands.encode(item))
+    return state
+
+
+@pytest.mark.parametrize(
+    ('puts', 'held', 'document'),
+    [
+        ([(7, b'a')], 7, b'a'),
+        ([(7, b'a'), (9, b'b')], 9, b'b'),
+        ([(9, b'a'), (7, b'b')], 9, b'a'),
+        ([(7, b'a'), (7, b'other')], 7, b'a'),
+    ],
+    ids=['first', 'higher', 'lower', 'same-version-other-content'],
+)
+def test_highest_version_is_held(puts, held, document):
+    state = applied(*(put(version, text) for version, text in puts))
+    assert state.configuration_version == held
+    assert state.document == document
+
+
+@pytest.mark.parametrize(
+    ('items', 'expected'),
+    [
+        ([record(), record(sequence=3, slots=9)], {'u1': 9}),
+        ([record(sequence=3, slots=9), record(sequence=2)], {'u1': 9}),
+        ([record(), leave()], {}),
+        ([record(), leave(), record(sequence=9)], {}),
+        ([leave(), record()], {}),
+        ([record(), leave(), record(born_ms=200)], {'u1': 4}),
+        ([record(), leave(left=False), record(sequence=9)], {'u1': 4}),
+        ([record(born_ms=200), leave(born_ms=100)], {'u1': 4}),
+        ([record(), record('u2', born_ms=200)], {'u2': 4}),
+        ([record('u2', born_ms=200), record('u1')], {'u2': 4}),
+    ],
+    ids=[
+        'later-sequence',
+        'late-heartbeat',
+        'left',
+        'late-heartbeat-after-leave',
+        'leave-before-first-heartbeat',
+        'same-id-started-again',
+        'fallen-silent-and-back',
+        'late-leave-of-earlier-incarnation',
+        'address-used-again',
+        'late-heartbeat-at-reused-address',
+    ],
+)
+def test_upstreams_follow_their_latest_word(items, expected):
+    state = applied(*items)
+    assert {n: u.slots for n, u in state.upstreams.items()} == expected
+
+
+def test_snapshot_restores_everything():
+    state = applied(
+        put(3, b'doc'),
+        record(),
+        record('u2', address='10.0.0.2:80'),
+        leave('u2'),
+        commands.SetDomainDrain(failure_domain='east-a', draining=True),
+        commands.RecordEntryHost(
+            entry_host=model.EntryHost(
+                name='e1',
+                callers_address='10.0.1.1:80',
+                region='east',
+                failure_domain='east-a',
+            )
+        ),
+    )
+    restored = fleet_state.FleetState()
+    restored.restore(state.snapshot())
+    assert restored.snapshot() == state.snapshot()
+    assert restored.upstreams == state.upstreams
+    assert restored.departed == state.departed
+    assert restored.entry_hosts == state.entry_hosts
+    assert restored.is_draining('east-a')
+    assert (restored.configuration_version, restored.document) == (3, b'doc')
+
+
+def watch(state, index):
+    whole = index == 0
+    rows = state.parts.rows() if whole else state.parts.rows_since(index, {})
+    return messages.WatchAnswer(
+        cluster='c',
+        index=state.index,
+        whole=whole,
+        heard_age_s=0.0,
+        rows=fleet_state.shared_rows(
+            tuple(row for row in rows if row[2] is not None or not whole)
+        ),
+    )
+
+
+def test_view_follows_differences_and_never_goes_back():
+    state = applied(put(1), record())
+    view = views.FleetView()
+    older = watch(state, 0)
+    view.apply(older)
+    state.apply(3, commands.encode(put(2, routes=())))
+    state.apply(4, commands.encode(leave()))
+    changed = view.apply(watch(state, view.index))
+    assert changed == {'version', 'route', 'upstream'}
+    assert (view.version, list(view.routes), list(view.upstreams)) == (
+        2,
+        [],
+        [],
+    )
+    assert view.apply(older) == frozenset()
+    assert view.version == 2
+    other = dataclasses.replace(watch(state, 0), cluster='d', index=99)
+    assert view.apply(other) == frozenset()
+
+
+def test_view_lacks_what_only_control_needs():
+    view = views.FleetView()
+    answer = watch(applied(put(1, b'secret document')), 0)
+    view.apply(answer)
+    assert b'secret document' not in [row[2] for row in answer.rows]
+
+
+SPLIT = tuple(
+    model.WeightedService(service=name, weight=weight)
+    for name, weight in (('desk', 1), ('other', -1))
+)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'told'),
+    [
+        ({'services': ()}, 'which is no service'),
+        ({'routes': (route(host=''),)}, 'names no host'),
+        ({'routes': (route(path_prefix='pans/'),)}, 'begins with no slash'),
+        ({'routes': (route(path_prefix='/pans'),)}, 'ends with no slash'),
+        ({'routes': (route(timeout_ms=0),)}, 'timeout of 0'),
+        ({'routes': (route(services=SPLIT),)}, 'weight below 0'),
+        ({'routes': (route(services=()),)}, 'add up to 0'),
+        (
+            {'routes': (route(), route(name='r2'))},
+            'same host and path prefix',
+        ),
+        (
+            {
+                'organisations': (
+                    model.Organisation(name='a', api_keys=('k',)),
+                    model.Organisation(name='b', api_keys=('k',)),
+                )
+            },
+            'share a key',
+        ),
+    ],
+)
+def test_invalid_configuration_is_refused(fields, told):
+    with pytest.raises(errors.ValidationError, match=told):
+        checks.check(configuration(1, **fields))
