Send an object only to the upstreams of a region that keep it

Change: all entry hosts agree by rendezvous hashing on the part of a region's upstreams that keep an object; a request waits for one of them and takes another only at its last look, where that is hardly busy.

--- a/src/skylarkpitch/forwarding/path.py
+++ b/src/skylarkpitch/forwarding/path.py
@@ -362,7 +362,7 @@
         return await self._wait(call, wanted, line, place)
 
     def _look(
-        self, call: _Call, wanted: rooms.Wanted
+        self, call: _Call, wanted: rooms.Wanted, *, is_last: bool = False
     ) -> rooms.Place | sentinels.Absent:
         known = self._view.service(call.service)
         now_s = self._clock()
@@ -371,6 +371,7 @@
             cold_rate_per_s=None if known is None else known.cold_rate_per_s,
             entry_hosts=self._entry_hosts,
             now_s=now_s,
+            is_last_look=is_last,
         )
         if not sentinels.is_absent(place):
             self._room.take(place, wanted, now_s=now_s)
@@ -391,13 +392,15 @@
             left_s=call.deadline_s - now_s,
         )
         if line.wait_s(call.rank, now_s=now_s) > hold_s:
-            return self._no_place(call, line, absent)
+            place = self._look(call, wanted, is_last=True)
+            return place or self._no_place(call, line, absent)
         waiter = line.join(call.rank, until_s=now_s + hold_s)
         try:
             place = await self._wait_for_place(call, wanted, line, waiter)
         finally:
             line.leave(waiter)
             call.held_s += self._clock() - now_s
+        place = place or self._look(call, wanted, is_last=True)
         return place or self._no_place(call, line, absent)
 
     async def _wait_for_place(
--- a/src/skylarkpitch/forwarding/room.py
+++ b/src/skylarkpitch/forwarding/room.py
@@ -24,12 +24,14 @@
 DOMAIN_TRIP_S = 0.003
 REGION_TRIP_S = 0.08
 GREY_PENALTY_S = 1.0
-FIRST_USE_SHARE = 0.2
 # All entry hosts agree on the few upstreams that keep an object, so that
 # each upstream keeps few objects and remembers them.
-KEPT_SHARE = 0.34
+KEPT_SHARE = 0.4
+FIRST_KEPT_SHARE = 0.45
+FIRST_OTHER_SHARE = 1.4
+# Of its slots, what an upstream may have taken to run what it does not keep.
+OTHER_FILL = 0.5
 QUEUE_SHARE = 0.25
-FIRST_WARM_SHARE = 0.4
 TIME_MEMORY = 0.08
 SHIFT_STEP_PER_S = 0.04
 MAX_RANKED = 4096
@@ -53,22 +55,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Place:
-    """An upstream with room, and how long the request should take there.
+    """An upstream, and how long the request should take there.
 
-    ``known`` tells that it has handled the object for this host before.
+    ``keeps`` tells that it is one of those that keep the request's object.
     """
 
     load: upstream_load.UpstreamLoad
     expected_s: float
-    known: bool
+    keeps: bool
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class _Times:
-    """Measured time of a route's requests, with and without the object."""
+    """Measured time of a route's requests, where the object is kept or not."""
 
-    known_s: float
-    new_s: float
+    kept_s: float
+    other_s: float
 
 
 class _Pool:
@@ -203,9 +205,14 @@
         cold_rate_per_s: float | None,
         entry_hosts: int,
         now_s: float,
+        is_last_look: bool = False,
     ) -> Place | sentinels.Absent:
         """Return a place for a request.
 
+        On an upstream that does not keep the request's object it takes a
+        multiple of the time, so that it waits for one that does, and until
+        its last look uses only those that are hardly busy.
+
         Returns ``Absent`` with ``no_upstream`` when the service has none
         that may be used, or ``no_room`` when all of them are full.
         """
@@ -221,7 +228,9 @@
             cold_share = cold_rate_per_s / max(1, entry_hosts)
         for region in ordered:
             for _cost, _name, place in by_region[region]:
-                if self._has_room(place.load, cold_share, now_s):
+                if not place.keeps and not is_last_look:
+                    break
+                if self._has_room(place, cold_share, now_s):
                     return place
         return sentinels.Absent('no_room')
 
@@ -264,10 +273,8 @@
         times: _Times,
         now_s: float,
     ) -> tuple[float, Place]:
-        affinity = wanted.affinity
-        kept = self._is_kept(pool, load, affinity)
-        held = affinity is None or load.holds(affinity)
-        expected_s = times.known_s if kept else times.new_s
+        keeps = self._keeps(pool, load, wanted.affinity)
+        expected_s = times.kept_s if keeps else times.other_s
         work_s = expected_s * load.slowness
         slots = max(1, load.upstream.slots)
         over = load.occupied(now_s=now_s) + 1 - slots
@@ -275,13 +282,13 @@
         # A nearly full upstream leaves no room for those that need it.
         fill_s = 0.1 * work_s * max(0.0, over / slots + 0.5)
         cost_s = work_s + wait_s + fill_s + self._distance_s(load)
-        if kept and not held:
-            cost_s += FIRST_USE_SHARE * times.known_s
         cost_s += GREY_PENALTY_S * load.failure_share
-        place = Place(load=load, expected_s=expected_s, known=kept and held)
-        return cost_s, place
+        if not keeps:
+            # It drives out an object that another request will miss.
+            cost_s += max(0.0, times.other_s - times.kept_s)
+        return cost_s, Place(load=load, expected_s=expected_s, keeps=keeps)
 
-    def _is_kept(
+    def _keeps(
         self,
         pool: _Pool,
         load: upstream_load.UpstreamLoad,
@@ -319,15 +326,18 @@
 
     def _has_room(
         self,
-        load: upstream_load.UpstreamLoad,
+        place: Place,
         cold_share_per_s: float | None,
         now_s: float,
     ) -> bool:
+        load = place.load
         if now_s < load.full_until_s:
             return False
         slots = load.upstream.slots
-        queue = max(1.0, QUEUE_SHARE * slots)
-        if load.occupied(now_s=now_s) + 1 > slots + queue:
+        most = slots + max(1.0, QUEUE_SHARE * slots)
+        if not place.keeps:
+            most = max(1.0, OTHER_FILL * slots)
+        if load.occupied(now_s=now_s) + 1 > most:
             return False
         if cold_share_per_s is None or not load.is_cold(now_s=now_s):
             return True
@@ -353,22 +363,22 @@
             trip_s = DOMAIN_TRIP_S if near else REGION_TRIP_S
         worked_s = max(0.001, took_s - trip_s)
         times = self._times_of(wanted)
-        if not place.known:
-            times.new_s += TIME_MEMORY * (worked_s - times.new_s)
-            return
-        times.known_s += TIME_MEMORY * (worked_s - times.known_s)
-        place.load.answered(took_s=worked_s, expected_s=place.expected_s)
+        if place.keeps:
+            times.kept_s += TIME_MEMORY * (worked_s - times.kept_s)
+            place.load.answered(took_s=worked_s, expected_s=place.expected_s)
+        else:
+            times.other_s += TIME_MEMORY * (worked_s - times.other_s)
 
     def expected_s(self, wanted: Wanted) -> float:
         """Return how long a request should take where its object is known."""
-        return self._times_of(wanted).known_s
+        return self._times_of(wanted).kept_s
 
     def _times_of(self, wanted: Wanted) -> _Times:
         times = self._times.get(wanted.route)
         if times is None:
             times = _Times(
-                known_s=FIRST_WARM_SHARE * wanted.objective_s,
-                new_s=wanted.objective_s,
+                kept_s=FIRST_KEPT_SHARE * wanted.objective_s,
+                other_s=FIRST_OTHER_SHARE * wanted.objective_s,
             )
             self._times[wanted.route] = times
         return times
--- a/src/skylarkpitch/forwarding/upstream_load.py
+++ b/src/skylarkpitch/forwarding/upstream_load.py
@@ -1,7 +1,8 @@
 """Judge one upstream: how full it is, how fast, and whether it answers.
 
 What other entry hosts run there is known from the load that the upstream
-reports in its answers; a report ages quickly.
+reports in its answers. A report ages quickly, down to the mean of those
+before it, since one entry host alone hears from an upstream seldom.
 """
 
 import collections
@@ -12,6 +13,8 @@
 __all__ = ['UpstreamLoad']
 
 REPORT_MEMORY_S = 0.4
+MEAN_MEMORY_S = 2.0
+UNHEARD_MEMORY_S = 6.0
 FULL_BACKOFF_S = 0.08
 FIRST_BACKOFF_S = 0.4
 LONGEST_BACKOFF_S = 3.0
@@ -30,6 +33,7 @@
         self.upstream = upstream
         self.running = 0
         self._others = 0.0
+        self._mean_others = 0.0
         self._reported_s = now_s
         self.slowness = 1.0
         self.failure_share = 0.0
@@ -80,11 +84,20 @@
     def occupied(self, *, now_s: float) -> float:
         """Return how many slots are taken, by this host and by others."""
         age_s = now_s - self._reported_s
-        return self.running + self._others * math.exp(-age_s / REPORT_MEMORY_S)
+        excess = self._others - self._mean_others
+        others = excess * math.exp(-age_s / REPORT_MEMORY_S)
+        others += self._mean_others * math.exp(-age_s / UNHEARD_MEMORY_S)
+        return self.running + max(0.0, others)
 
     def report(self, *, running: int, waiting: int, now_s: float) -> None:
-        """Take the load that the upstream reports."""
+        """Take the load that the upstream reports.
+
+        The request that is answered counts in it no longer.
+        """
+        age_s = now_s - self._reported_s
         self._others = max(0.0, running + waiting - self.running)
+        part = 1 - math.exp(-max(age_s, 0.05) / MEAN_MEMORY_S)
+        self._mean_others += part * (self._others - self._mean_others)
         self._reported_s = now_s
 
     def is_avoided(self, *, now_s: float) -> bool:
