Send the requests for one object one way, to one upstream first

Cause: a trace showed 20 to 58 objects at an upstream that remembers 14 to 26, since spilled requests were picked by counting and every region's copies were spread over several upstreams.

Change: whether an object is served in the own region or away is decided by a hash against the share that may move 4% a second; among the upstreams that keep it the first in rank goes first, the next ones cost as a part of a miss.

--- a/src/skylarkpitch/forwarding/room.py
+++ b/src/skylarkpitch/forwarding/room.py
@@ -27,6 +27,7 @@
 # All entry hosts agree on the few upstreams that keep an object, so that
 # each upstream keeps few objects and remembers them.
 KEPT_SHARE = 0.4
+RANK_SHARE = 0.3
 FIRST_KEPT_SHARE = 0.45
 FIRST_OTHER_SHARE = 1.4
 # Of its slots, what an upstream may have taken to run what it does not keep.
@@ -81,43 +82,52 @@
         self.shares = region_shares.RegionShares(
             step_per_s=SHIFT_STEP_PER_S, now_s=now_s
         )
-        self.regions: dict[str, dict[str, upstream_load.UpstreamLoad]] = {}
-        self._keepers: dict[str, dict[str, frozenset[str]]] = {}
+        self.groups: dict[str, dict[str, upstream_load.UpstreamLoad]] = {}
+        self._ranks: dict[str, dict[str, int]] = {}
+        self._keys: dict[str, float] = {}
 
-    def is_kept_by(
-        self, affinity: str, load: upstream_load.UpstreamLoad, region: str
-    ) -> bool:
-        """Tell whether an upstream is one that keeps an object."""
-        keepers = self._keepers.get(affinity)
-        if keepers is None:
-            if len(self._keepers) >= MAX_RANKED:
-                self._keepers.clear()
-            keepers = self._keepers[affinity] = {
-                name: frozenset(_keepers(affinity, loads))
-                for name, loads in self.regions.items()
+    def rank(self, affinity: str, upstream_id: str) -> int:
+        """Return the place of an upstream for an object, 0 the best.
+
+        Upstreams of the own region are ranked among themselves, and those
+        of the others among themselves.
+        """
+        ranks = self._ranks.get(affinity)
+        if ranks is None:
+            if len(self._ranks) >= MAX_RANKED:
+                self._ranks.clear()
+            ranks = self._ranks[affinity] = {
+                name: place
+                for loads in self.groups.values()
+                for place, name in enumerate(rendezvous.rank(affinity, loads))
             }
-        return load.upstream.upstream_id in keepers[region]
+        return ranks[upstream_id]
+
+    def key(self, affinity: str | None) -> float | None:
+        """Return a number from 0 to 1 that stands for an object."""
+        if affinity is None:
+            return None
+        if affinity not in self._keys:
+            if len(self._keys) >= MAX_RANKED:
+                self._keys.clear()
+            self._keys[affinity] = rendezvous.fraction(affinity)
+        return self._keys[affinity]
 
     def set_loads(
-        self, regions: dict[str, dict[str, upstream_load.UpstreamLoad]]
+        self, groups: dict[str, dict[str, upstream_load.UpstreamLoad]]
     ) -> None:
-        """Take the upstreams that may be used, by region."""
-        before = {region: set(loads) for region, loads in self.regions.items()}
-        if {r: set(loads) for r, loads in regions.items()} != before:
-            self._keepers.clear()
-        self.regions = regions
+        """Take the upstreams that may be used, in the own region and away."""
+        before = {place: set(loads) for place, loads in self.groups.items()}
+        if {p: set(loads) for p, loads in groups.items()} != before:
+            self._ranks.clear()
+        self.groups = groups
         self.loads = {
             name: load
-            for loads in regions.values()
+            for loads in groups.values()
             for name, load in loads.items()
         }
 
 
-def _keepers(affinity: str, names: Iterable[str]) -> list[str]:
-    ranked = rendezvous.rank(affinity, names)
-    return ranked[: max(1, round(KEPT_SHARE * len(ranked)))]
-
-
 class Room:
     """Upstreams by service, as one entry host judges them."""
 
@@ -165,22 +175,31 @@
         self._fill_pools(now_s)
 
     def _fill_pools(self, now_s: float) -> None:
-        usable: dict[str, dict[str, dict[str, Any]]] = {}
+        groups: dict[str, dict[str, dict[str, Any]]] = {}
+        slots: dict[str, dict[str, int]] = {}
         for name, load in sorted(self._loads.items()):
             item = load.upstream
             is_ready = item.state is model.UpstreamState.READY
-            if is_ready and item.failure_domain not in self._draining:
-                regions = usable.setdefault(item.service, {})
-                regions.setdefault(self.region_of(load), {})[name] = load
-        for service in set(self._pools) | set(usable):
+            if not is_ready or item.failure_domain in self._draining:
+                continue
+            places = groups.setdefault(item.service, {})
+            places.setdefault(self._group_of(load), {})[name] = load
+            region = self.region_of(load)
+            counted = slots.setdefault(item.service, {})
+            counted[region] = counted.get(region, 0) + item.slots
+        for service in set(self._pools) | set(groups):
             pool = self._pools.setdefault(service, _Pool(now_s=now_s))
-            pool.set_loads(usable.get(service, {}))
-            slots = {
-                region: sum(load.upstream.slots for load in loads.values())
-                for region, loads in pool.regions.items()
-            }
-            first = region_shares.first_shares(slots, own_region=self._region)
-            pool.shares.set_regions(first)
+            pool.set_loads(groups.get(service, {}))
+            pool.shares.set_places(
+                frozenset(pool.groups),
+                first_own_share=region_shares.first_own_share(
+                    slots.get(service, {}), own_region=self._region
+                ),
+            )
+
+    def _group_of(self, load: upstream_load.UpstreamLoad) -> str:
+        is_own = self.region_of(load) == self._region
+        return region_shares.OWN if is_own else region_shares.AWAY
 
     def region_of(self, load: upstream_load.UpstreamLoad) -> str:
         """Return the region of an upstream."""
@@ -219,15 +238,15 @@
         pool = self._pools.get(wanted.service)
         if pool is None or not pool.loads:
             return sentinels.Absent('no_upstream')
-        by_region = self._judged(pool, wanted, now_s)
-        if not by_region:
+        judged = self._judged(pool, wanted, now_s)
+        if not judged:
             return sentinels.Absent('no_upstream', 'all are excluded')
-        ordered = self._regions(pool, wanted, by_region, now_s)
+        groups = self._groups(pool, wanted, judged, now_s)
         cold_share = None
         if cold_rate_per_s is not None:
             cold_share = cold_rate_per_s / max(1, entry_hosts)
-        for region in ordered:
-            for _cost, _name, place in by_region[region]:
+        for group in groups:
+            for _cost, _name, place in judged[group]:
                 if not place.keeps and not is_last_look:
                     break
                 if self._has_room(place, cold_share, now_s):
@@ -238,14 +257,14 @@
         self, pool: _Pool, wanted: Wanted, now_s: float
     ) -> dict[str, list[tuple[float, str, Place]]]:
         times = self._times_of(wanted)
-        by_region: dict[str, list[tuple[float, str, Place]]] = {}
+        judged: dict[str, list[tuple[float, str, Place]]] = {}
         for name, load in self._candidates(pool, wanted, now_s):
             cost_s, place = self._judge(pool, load, wanted, times, now_s)
             entry = (cost_s, name, place)
-            by_region.setdefault(self.region_of(load), []).append(entry)
-        for entries in by_region.values():
+            judged.setdefault(self._group_of(load), []).append(entry)
+        for entries in judged.values():
             entries.sort(key=lambda entry: entry[:2])
-        return by_region
+        return judged
 
     def _candidates(
         self, pool: _Pool, wanted: Wanted, now_s: float
@@ -273,7 +292,7 @@
         times: _Times,
         now_s: float,
     ) -> tuple[float, Place]:
-        keeps = self._keeps(pool, load, wanted.affinity)
+        rank, keeps = self._rank(pool, load, wanted.affinity)
         expected_s = times.kept_s if keeps else times.other_s
         work_s = expected_s * load.slowness
         slots = max(1, load.upstream.slots)
@@ -283,20 +302,24 @@
         fill_s = 0.1 * work_s * max(0.0, over / slots + 0.5)
         cost_s = work_s + wait_s + fill_s + self._distance_s(load)
         cost_s += GREY_PENALTY_S * load.failure_share
-        if not keeps:
-            # It drives out an object that another request will miss.
-            cost_s += max(0.0, times.other_s - times.kept_s)
+        # What an upstream does not hold yet drives out an object that
+        # another request will miss.
+        missed_s = max(0.0, times.other_s - times.kept_s)
+        cost_s += missed_s * (RANK_SHARE * rank if keeps else 1.0)
         return cost_s, Place(load=load, expected_s=expected_s, keeps=keeps)
 
-    def _keeps(
+    def _rank(
         self,
         pool: _Pool,
         load: upstream_load.UpstreamLoad,
         affinity: str | None,
-    ) -> bool:
+    ) -> tuple[int, bool]:
+        """Return an upstream's place for an object; tell if it keeps it."""
         if affinity is None:
-            return True
-        return pool.is_kept_by(affinity, load, self.region_of(load))
+            return 0, True
+        rank = pool.rank(affinity, load.upstream.upstream_id)
+        group = pool.groups[self._group_of(load)]
+        return rank, rank < max(1, round(KEPT_SHARE * len(group)))
 
     def _distance_s(self, load: upstream_load.UpstreamLoad) -> float:
         if load.upstream.failure_domain == self._failure_domain:
@@ -305,24 +328,25 @@
             return DOMAIN_PENALTY_S + DOMAIN_TRIP_S
         return REGION_PENALTY_S + REGION_TRIP_S
 
-    def _regions(
+    def _groups(
         self,
         pool: _Pool,
         wanted: Wanted,
-        by_region: dict[str, list[tuple[float, str, Place]]],
+        judged: dict[str, list[tuple[float, str, Place]]],
         now_s: float,
     ) -> list[str]:
-        """Return the regions to try, in order.
+        """Return the groups to try: the own region, away, or either.
 
-        A request without homes goes to the region that the shares name, or
-        to the own one; further ones only when neither has any upstream.
+        Where the shares name one it is tried alone, but for the own region,
+        which may take what does not fit away.
         """
-        wish = min(by_region, key=lambda region: by_region[region][0][:2])
+        by_cost = sorted(judged, key=lambda group: judged[group][0][:2])
         if wanted.homes is not None or wanted.excluded:
-            return sorted(by_region, key=lambda r: by_region[r][0][:2])
-        chosen = pool.shares.choose(wish, now_s=now_s)
-        ordered = [r for r in (chosen, self._region) if r in by_region]
-        return ordered or [wish]
+            return by_cost
+        key = pool.key(wanted.affinity)
+        chosen = pool.shares.choose(by_cost[0], key=key, now_s=now_s)
+        wished = [chosen, region_shares.OWN]
+        return [g for g in dict.fromkeys(wished) if g in judged] or by_cost
 
     def _has_room(
         self,
--- a/src/skylarkpitch/peers/rendezvous.py
+++ b/src/skylarkpitch/peers/rendezvous.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 import hashlib
 
-__all__ = ['first', 'rank']
+__all__ = ['first', 'fraction', 'rank']
 
 
 def _weight(key: str, name: str) -> bytes:
@@ -28,3 +28,9 @@
     return min(
         names, key=lambda name: (_weight(key, name), name), default=None
     )
+
+
+def fraction(key: str) -> float:
+    """Return a number from 0 to 1, without 1, that all processes agree on."""
+    weight = int.from_bytes(_weight(key, ''), 'big')
+    return weight / 2**64
