Wait for the upstream that holds an object, and excuse a late process

Cause: in the first ten seconds a request went to the second upstream of its object as soon as the first had a short queue, missed there, and drove out other objects (a trace: 611 slow requests where about 340 are due). In the control group a member whose own process had stood still stepped down or called an election before it had read what the others sent meanwhile; that is the cause of the failure of test_host_with_a_lost_disk_is_added_again too.

Change: an upstream that is not the first for an object costs nearly a whole miss unless it handled the object within 4 s. A late member blames nobody once. Organisations get half of the tolerance of their rate. A planned stop ends within the grace. Seeds outside the group are told where it is; a process whose log has failed ends and starts anew.

--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -231,6 +231,10 @@
             replication.broadcast(state, now_s=now_s)
         self._advance(now_s)
 
+    def excuse_lateness(self, *, now_s: float) -> None:
+        """Take note that this process stood still until now."""
+        election.excuse_lateness(self._state, now_s=now_s)
+
     def next_due_s(self) -> float:
         """Return when :meth:`tick` is to be called next."""
         if self.is_leader:
--- a/src/skylarkpitch/consensus/election.py
+++ b/src/skylarkpitch/consensus/election.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     'answer_vote',
+    'excuse_lateness',
     'follow',
     'hold_election',
     'on_persisted',
@@ -53,6 +54,23 @@
         state.restart_election_timer(now_s)
 
 
+def excuse_lateness(state: states.State, *, now_s: float) -> None:
+    """Blame no other member for time in which this process stood still.
+
+    What the others sent meanwhile may not be read yet. A leader gives them
+    one more heartbeat to answer, and any other member waits anew before it
+    calls an election. Neither makes a commit or a read count that no quorum
+    has answered.
+    """
+    state.count('late_steps')
+    if state.role is not states.Role.LEADER:
+        state.restart_election_timer(now_s)
+        return
+    least_s = now_s - state.timing.election_min_s + state.timing.heartbeat_s
+    for item in state.progress.values():
+        item.contact_s = max(item.contact_s, least_s)
+
+
 def _check_quorum(state: states.State, now_s: float) -> None:
     contact_s = replication.quorum_contact_s(state, now_s=now_s)
     if now_s - contact_s < state.timing.election_min_s:
--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -101,6 +101,7 @@
         self, *, host: str, rng: random.Random, timing: states.Timing
     ) -> None:
         """Read the data folder. Raises ``JournalError``."""
+        self._most_late_s = timing.heartbeat_s
         self._folder.open()
         self.journal, recovered, data = journals.open_journal(
             folder=self._folder, host=host, incarnation=self._incarnation
@@ -135,6 +136,8 @@
         further step after either.
         """
         now_s = self._clock()
+        if now_s - self.core.next_due_s() > self._most_late_s:
+            self.core.excuse_lateness(now_s=now_s)
         for item in inbox:
             item(now_s)
         if now_s >= self.core.next_due_s():
--- a/src/skylarkpitch/consensus/state.py
+++ b/src/skylarkpitch/consensus/state.py
@@ -155,6 +155,7 @@
     election_due_s: float = NEVER_S
     heartbeat_due_s: float = NEVER_S
     leader_heard_s: float = NEVER_S
+    excused_s: float = NEVER_S
     granted: set[str] = dataclasses.field(default_factory=set)
     transferring: bool = False
     progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -6,6 +6,7 @@
 import dataclasses
 import hashlib
 import ipaddress
+import os
 import pathlib
 import random
 import signal
@@ -36,9 +37,10 @@
 RESIGN_S = 1.0
 CALLS_TIMEOUT_S = 1.5
 TIMING = consensus_state.Timing(
-    heartbeat_s=0.15, election_min_s=0.7, election_max_s=1.4
+    heartbeat_s=0.12, election_min_s=0.5, election_max_s=0.9
 )
 RELOAD_INTERVAL_S = 1.0
+FAILED_S = 1.5
 
 Calls = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -189,6 +191,16 @@
             for address in self._control.addresses
         ]
 
+    @mode.Service.task
+    async def _end_with_the_log(self) -> None:
+        """End the process when its disk failed; a start reads it anew."""
+        while not self.should_stop:
+            await self.sleep(FAILED_S)
+            if self._replicated.status().role == 'failed':
+                _log.error('ending', why='the log has failed')
+                os.kill(os.getpid(), signal.SIGTERM)
+                return
+
     async def on_stop(self) -> None:
         """Hand the lead over and end the calls that run."""
         _log.info('stopping')
--- a/src/skylarkpitch/fleet/keeper.py
+++ b/src/skylarkpitch/fleet/keeper.py
@@ -73,6 +73,7 @@
         self._shares = rate_shares.RateShares()
         self._changed = asyncio.Event()
         self._led = False
+        self._noticed: frozenset[str] = frozenset()
         self.counts: dict[str, int] = {}
         self._handlers = {
             commands.PutConfiguration: self._put_configuration,
@@ -89,6 +90,7 @@
         self._peers.handle(messages.OrderAsk, self._on_order)
         self._peers.handle(messages.WatchAsk, self._on_watch)
         self._peers.handle(messages.JoinAsk, self._on_join)
+        self._peers.handle(messages.GroupNotice, self._on_notice)
 
     def note_applied(self) -> None:
         """Wake those that wait for a change of the state."""
@@ -296,16 +298,13 @@
         rows = store.rows() if whole else store.rows_since(ask.index, {})
         if whole:
             rows = tuple(row for row in rows if row[2] is not None)
-        everyone = status.voters + status.learners
         return messages.WatchAnswer(
             cluster=self._replicated.cluster,
             index=self._state.index,
             whole=whole,
             heard_age_s=self.heard_age_s(),
             rows=fleet_state.shared_rows(rows),
-            control_hosts=tuple(
-                sorted({member_sets.host_of(item) for item in everyone})
-            ),
+            control_hosts=self._control_hosts(),
             leader=status.leader or '',
         )
 
@@ -331,6 +330,27 @@
         _log.info('member_added', identity=ask.identity)
         return messages.JoinAnswer(is_member=True)
 
+    async def _on_notice(
+        self, sender: str, notice: messages.GroupNotice
+    ) -> None:
+        self._noticed = frozenset(notice.control_hosts)
+
+    def _notice_seeds(self) -> None:
+        """Tell seeds outside the group where it is.
+
+        Hosts that start with seeds of which none is a member yet, as after
+        all seeds were exchanged, find the group by this alone.
+        """
+        members = self._control_hosts()
+        notice = messages.GroupNotice(control_hosts=members)
+        for seed in set(self._seeds()) - set(members):
+            self._peers.send(seed, notice)
+
+    def _control_hosts(self) -> tuple[str, ...]:
+        status = self._replicated.status()
+        everyone = status.voters + status.learners
+        return tuple(sorted({member_sets.host_of(item) for item in everyone}))
+
     @mode.Service.task
     async def _join(self) -> None:
         """Ask to be a member until this host is one."""
@@ -340,11 +360,11 @@
             identity = self._replicated.identity
             if identity in status.voters + status.learners:
                 continue
-            await self._ask_to_join(identity, status)
+            await self._ask_to_join(identity)
 
-    async def _ask_to_join(self, identity: str, status: Any) -> None:
+    async def _ask_to_join(self, identity: str) -> None:
         own = self._peers.directory.own.name
-        known = {member_sets.host_of(item) for item in status.voters}
+        known = set(self._control_hosts()) | self._noticed
         ask = messages.JoinAsk(identity=identity)
         for host in sorted((known | set(self._seeds())) - {own}):
             answer = await self._peers.ask(host, ask, timeout_s=JOIN_TIMEOUT_S)
@@ -372,6 +392,7 @@
                 _log.info('leading_no_longer', leader=self.leader())
             self._led = leads
             if leads:
+                self._notice_seeds()
                 await self._let_go()
 
     async def _let_go(self) -> None:
--- a/src/skylarkpitch/forwarding/callers.py
+++ b/src/skylarkpitch/forwarding/callers.py
@@ -1,15 +1,16 @@
 """Know callers by their keys, and keep organisations within their rates."""
 
 from collections.abc import Iterable
+import dataclasses
 
 from skylarkpitch.fleet import model
 
-__all__ = ['KeyTable', 'RateLimits']
+__all__ = ['KeyTable', 'RateLimits', 'RateTolerance']
 
 DEMAND_MEMORY_S = 1.0
 LEAST_ELAPSED_S = 0.05
 GRANT_EXPIRY_S = 3.0
-LEAST_BURST = 2.0
+GIVEN_SHARE = 0.5
 
 
 class KeyTable:
@@ -28,6 +29,29 @@
         return self._holders.get(key)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RateTolerance:
+    """How far an organisation may go over its rate, over the fleet.
+
+    Within any ``window_s`` it may send ``slack`` requests more, and the
+    part ``over`` more. Half of that is given to callers; the rest covers
+    what hosts cannot know of each other.
+    """
+
+    over: float = 0.0
+    slack: float = 0.0
+    window_s: float = 5.0
+
+    def rate_per_s(self, rate_per_s: float) -> float:
+        """Return the rate to keep to."""
+        more_per_s = GIVEN_SHARE * self.slack / 2 / self.window_s
+        return rate_per_s * (1 + GIVEN_SHARE * self.over) + more_per_s
+
+    def burst(self, burst: float) -> float:
+        """Return the burst to keep to."""
+        return burst + GIVEN_SHARE * self.slack / 2
+
+
 class _Account:
     """Tokens and demand of one organisation on this host."""
 
@@ -49,7 +73,8 @@
     hosts that are known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, tolerance: RateTolerance) -> None:
+        self._tolerance = tolerance
         self._accounts: dict[str, _Account] = {}
 
     def spend(
@@ -62,15 +87,17 @@
         """Count a request; return 0, or in how many seconds to come back."""
         account = self._accounts.get(organisation.name)
         rate_per_s = organisation.rate_per_s
+        burst = self._tolerance.burst(organisation.burst)
         if account is None:
             account = _Account(now_s=now_s)
             self._accounts[organisation.name] = account
-            account.tokens = organisation.burst / max(1, entry_hosts)
+            account.tokens = burst / max(1, entry_hosts)
         account.asked += 1
         if rate_per_s <= 0:
             return 0.0
         own_per_s = self._own_rate(account, rate_per_s, entry_hosts, now_s)
-        burst = max(LEAST_BURST, organisation.burst * own_per_s / rate_per_s)
+        burst = max(1.0, burst * own_per_s / rate_per_s)
+        own_per_s *= self._tolerance.rate_per_s(rate_per_s) / rate_per_s
         elapsed_s = max(0.0, now_s - account.filled_s)
         account.filled_s = now_s
         account.tokens = min(burst, account.tokens + own_per_s * elapsed_s)
--- a/src/skylarkpitch/forwarding/callers_listener.py
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -6,6 +6,7 @@
 import socket
 
 from aiohttp import web
+import structlog
 
 from skylarkpitch import errors
 from skylarkpitch.fleet import model
@@ -16,6 +17,8 @@
 BACKLOG = 2048
 MS_PER_S = 1000
 
+_log = structlog.get_logger(__name__)
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -75,8 +78,15 @@
             self._listening.close()
 
     async def close(self, *, timeout_s: float) -> None:
-        """Close the connections, each after the request that it carries."""
+        """Close the connections, each after the request that it carries.
+
+        What has not ended within ``timeout_s`` is broken off.
+        """
         self.stop_listening()
-        await asyncio.gather(
+        closing = asyncio.gather(
             *(item.shutdown(timeout_s) for item in self._servers.values())
         )
+        try:
+            await asyncio.wait_for(closing, timeout_s)
+        except TimeoutError:
+            _log.warning('requests_broken_off', timeout_s=round(timeout_s, 2))
--- a/src/skylarkpitch/forwarding/path.py
+++ b/src/skylarkpitch/forwarding/path.py
@@ -101,6 +101,7 @@
         room: rooms.Room,
         names: header_names.HeaderNames,
         retry_limits: RetryLimits,
+        rate_tolerance: callers.RateTolerance,
         is_ready: Callable[[], bool],
         is_stopping: Callable[[], bool],
         on_done: Callable[[Done], None],
@@ -119,7 +120,7 @@
         self._routes = routing.RoutingTable(())
         self._splitter = routing.Splitter()
         self._keys = callers.KeyTable(())
-        self.rates = callers.RateLimits()
+        self.rates = callers.RateLimits(tolerance=rate_tolerance)
         self._lines: dict[str, waiting.Line] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._suspicions = crash_suspicion.Suspicions()
--- a/src/skylarkpitch/forwarding/room.py
+++ b/src/skylarkpitch/forwarding/room.py
@@ -27,7 +27,10 @@
 # All entry hosts agree on the few upstreams that keep an object, so that
 # each upstream keeps few objects and remembers them.
 KEPT_SHARE = 0.4
-RANK_SHARE = 0.3
+# What it costs to use an upstream that is not the first for an object, in
+# parts of the time that a miss takes longer.
+HELD_SHARE = 0.15
+UNHELD_SHARE = 0.8
 FIRST_KEPT_SHARE = 0.45
 FIRST_OTHER_SHARE = 1.4
 # Of its slots, what an upstream may have taken to run what it does not keep.
@@ -305,7 +308,11 @@
         # What an upstream does not hold yet drives out an object that
         # another request will miss.
         missed_s = max(0.0, times.other_s - times.kept_s)
-        cost_s += missed_s * (RANK_SHARE * rank if keeps else 1.0)
+        if not keeps:
+            cost_s += missed_s
+        elif rank > 0:
+            held = load.holds(wanted.affinity, now_s=now_s)
+            cost_s += missed_s * (HELD_SHARE if held else UNHELD_SHARE)
         return cost_s, Place(load=load, expected_s=expected_s, keeps=keeps)
 
     def _rank(
@@ -373,7 +380,7 @@
         if place.load.is_cold(now_s=now_s):
             place.load.take_cold_token()
         if wanted.affinity is not None:
-            place.load.handled(wanted.affinity)
+            place.load.handled(wanted.affinity, now_s=now_s)
 
     def give_back(self, place: Place) -> None:
         """Count a request that has ended."""
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -15,6 +15,7 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.fleet import watcher as watchers
+from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import names as header_names
 from skylarkpitch.forwarding import path as paths
@@ -26,6 +27,8 @@
 
 TOLD_PER_S = 20.0
 TOLD_BURST = 40.0
+# What the end of the process takes after the last answer.
+EXIT_S = 0.8
 
 _log = structlog.get_logger(__name__)
 
@@ -44,6 +47,7 @@
     ready_path: str
     names: header_names.HeaderNames
     retry_limits: paths.RetryLimits
+    rate_tolerance: callers.RateTolerance
     region_of: Callable[[str], str | None]
     lead_s: float = 2.6
     grace_s: float = 6.0
@@ -80,6 +84,7 @@
             ),
             names=settings.names,
             retry_limits=settings.retry_limits,
+            rate_tolerance=settings.rate_tolerance,
             is_ready=lambda: self._watcher.is_ready,
             is_stopping=lambda: self._watcher.is_leaving,
             on_done=self._done,
@@ -127,7 +132,7 @@
         left_s = self._settings.lead_s - (self._clock() - stopped_s)
         await asyncio.sleep(max(0.0, left_s))
         left_s = self._settings.grace_s - (self._clock() - stopped_s)
-        await self._listener.close(timeout_s=max(0.1, left_s - 0.4))
+        await self._listener.close(timeout_s=max(0.1, left_s - EXIT_S))
         await self._path.close()
         self._ready_server.close()
         await self._ready.shutdown(0.1)
--- a/src/skylarkpitch/forwarding/upstream_load.py
+++ b/src/skylarkpitch/forwarding/upstream_load.py
@@ -22,6 +22,7 @@
 LEAST_SLOWNESS = 0.5
 MOST_SLOWNESS = 20.0
 REMEMBERED_OBJECTS = 128
+OBJECT_MEMORY_S = 4.0
 GREY_MEMORY = 0.15
 JOINED_S = 1.0
 
@@ -43,7 +44,7 @@
         self.cold_until_s = float('-inf')
         self._cold_tokens = 0.0
         self._cold_filled_s = now_s
-        self._objects: collections.OrderedDict[str, None] = (
+        self._objects: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
         self.learn(upstream, now_s=now_s)
@@ -104,13 +105,14 @@
         """Tell whether it failed so lately that others come first."""
         return now_s < self.avoided_until_s
 
-    def holds(self, affinity: str) -> bool:
-        """Tell whether it has handled an object recently."""
-        return affinity in self._objects
+    def holds(self, affinity: str, *, now_s: float) -> bool:
+        """Tell whether it has handled an object for this host lately."""
+        handled_s = self._objects.get(affinity)
+        return handled_s is not None and now_s - handled_s < OBJECT_MEMORY_S
 
-    def handled(self, affinity: str) -> None:
-        """Note that it has handled an object."""
-        self._objects[affinity] = None
+    def handled(self, affinity: str, *, now_s: float) -> None:
+        """Note that it handles an object."""
+        self._objects[affinity] = now_s
         self._objects.move_to_end(affinity)
         if len(self._objects) > REMEMBERED_OBJECTS:
             self._objects.popitem(last=False)
--- a/src/skylarkpitch/messages/fleet.py
+++ b/src/skylarkpitch/messages/fleet.py
@@ -7,6 +7,7 @@
 from skylarkpitch.messages import codec
 
 __all__ = [
+    'GroupNotice',
     'JoinAnswer',
     'JoinAsk',
     'OrderAnswer',
@@ -62,6 +63,13 @@
     leader: str = ''
 
 
+@codec.message('fleet.group_notice')
+class GroupNotice:
+    """Tell a host that serves control who is in the group."""
+
+    control_hosts: tuple[str, ...]
+
+
 @codec.message('fleet.join_ask')
 class JoinAsk:
     """Ask to be added to the control group."""
--- a/tests/test_consensus_service.py
+++ b/tests/test_consensus_service.py
@@ -128,6 +128,23 @@
     asyncio.run(run())
 
 
+def test_leader_is_kept_when_the_process_stood_still(tmp_path):
+    async def run():
+        cluster = log_cluster.LogCluster(folder=tmp_path, voters='abc')
+        await cluster.start()
+        await cluster.submit('one')
+        leader = await cluster.elected()
+        term = cluster.logs[leader].status().term
+        for _number in range(3):
+            await asyncio.sleep(0.4)
+            time.sleep(0.3)
+            assert await cluster.elected() == leader
+        assert cluster.logs[leader].status().term == term
+        await cluster.stop()
+
+    asyncio.run(run())
+
+
 def test_errors_of_the_state_machine_reach_the_caller(tmp_path):
     async def run():
         cluster = log_cluster.LogCluster(folder=tmp_path, voters='a')
