--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -25,8 +25,8 @@
 
 __all__ = ['ForwardingRole', 'ForwardingSettings']
 
-TOLD_PER_S = 20.0
-TOLD_BURST = 40.0
+MS_PER_S = 1000
+NEVER_S = 1e6
 # What the end of the process takes after the last answer.
 EXIT_S = 0.8
 
@@ -71,9 +71,6 @@
         self._view = views.FleetView()
         self.histograms = histograms.LatencyHistograms()
         self.counts: dict[str, float] = {}
-        self._told = TOLD_BURST
-        self._told_s = clock()
-        self._untold = 0
         host = settings.entry_host
         self._path = paths.ForwardingPath(
             view=self._view,
@@ -143,7 +140,7 @@
         return {
             **self.counts,
             'running': self._path.running,
-            'view_age_s': min(self._watcher.age_s(), 1e9),
+            'view_age_s': min(self._watcher.age_s(), NEVER_S),
             'view_index': self._view.index,
             'configuration_version': self._view.version,
             'ready': float(self._watcher.is_ready),
@@ -163,22 +160,9 @@
         name = f'requests_{done.reason}'
         self.counts[name] = self.counts.get(name, 0) + 1
         self.histograms.record(done.organisation, done.route, done.took_s)
-        if done.reason != 'answered':
-            self._tell(done)
-
-    def _tell(self, done: paths.Done) -> None:
-        """Log the end of a request, at a bounded rate."""
-        now_s = self._clock()
-        self._told = min(
-            TOLD_BURST, self._told + TOLD_PER_S * (now_s - self._told_s)
-        )
-        self._told_s = now_s
-        if self._told < 1:
-            self._untold += 1
-            return
-        self._told -= 1
+        is_answered = done.reason == 'answered'
         _log.info(
-            'request_ended',
+            'request_answered' if is_answered else 'request_not_answered',
             request_id=done.request_id,
             route=done.route,
             organisation=done.organisation,
@@ -186,11 +170,9 @@
             reason=done.reason,
             detail=done.detail[:160],
             upstreams=','.join(done.upstreams),
-            held_ms=round(done.held_s * 1000),
-            took_ms=round(done.took_s * 1000),
-            left_ms=round(done.left_s * 1000),
+            held_ms=round(done.held_s * MS_PER_S),
+            took_ms=round(done.took_s * MS_PER_S),
+            left_ms=round(done.left_s * MS_PER_S),
             version=self._view.version,
-            view_age_s=round(min(self._watcher.age_s(), 1e6), 2),
-            untold=self._untold,
+            view_age_s=round(min(self._watcher.age_s(), NEVER_S), 2),
         )
-        self._untold = 0
