--- a/src/skylarkpitch/fleet/keeper.py
+++ b/src/skylarkpitch/fleet/keeper.py
@@ -229,7 +229,14 @@
         return orders.accepted()
 
     async def _leave(self, order: orders.Leave) -> orders.Outcome:
-        await self._remove(order.upstream_id, order.born_ms, left=True)
+        born_ms = order.born_ms
+        if born_ms is None:
+            held = self._state.upstreams.get(order.upstream_id)
+            if held is None:
+                await self._confirmed()
+                return orders.accepted()
+            born_ms = held.born_ms
+        await self._remove(order.upstream_id, born_ms, left=True)
         return orders.accepted()
 
     async def _remove(self, name: str, born_ms: int, *, left: bool) -> None:
--- a/src/skylarkpitch/fleet/orders.py
+++ b/src/skylarkpitch/fleet/orders.py
@@ -41,10 +41,13 @@
 
 
 class Leave(_Tagged, frozen=True, kw_only=True):
-    """An upstream says that it ends."""
+    """An upstream says that it ends.
+
+    Without ``born_ms`` it is the incarnation that is recorded.
+    """
 
     upstream_id: str
-    born_ms: int
+    born_ms: int | None = None
 
 
 class ReadConfiguration(_Tagged, frozen=True, kw_only=True):
