Let a missed object not look like a slow upstream, and begin with less at home

A region with a seventh of the room began with all of its work at home and may move only 4% of it a second.

Change: one quick answer halves the estimate, slow ones raise it by a tenth; the own region begins with 1.5 instead of 2 times what its slots bear.

--- a/src/skylarkpitch/forwarding/regions.py
+++ b/src/skylarkpitch/forwarding/regions.py
@@ -14,7 +14,7 @@
 AWAY = 'away'
 WISH_MEMORY_S = 0.6
 LEAST_ELAPSED_S = 0.001
-OWN_ROOM_FACTOR = 2.0
+OWN_ROOM_FACTOR = 1.5
 
 
 def first_own_share(slots: Mapping[str, int], *, own_region: str) -> float:
--- a/src/skylarkpitch/forwarding/upstream_load.py
+++ b/src/skylarkpitch/forwarding/upstream_load.py
@@ -18,7 +18,8 @@
 FULL_BACKOFF_S = 0.08
 FIRST_BACKOFF_S = 0.4
 LONGEST_BACKOFF_S = 3.0
-SLOW_MEMORY = 0.2
+SLOW_MEMORY = 0.1
+QUICK_MEMORY = 0.5
 LEAST_SLOWNESS = 0.5
 MOST_SLOWNESS = 20.0
 REMEMBERED_OBJECTS = 128
@@ -123,7 +124,10 @@
         self.failure_share *= 1 - GREY_MEMORY
         ratio = took_s / max(expected_s, 0.001)
         ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, ratio))
-        self.slowness += SLOW_MEMORY * (ratio - self.slowness)
+        # One quick answer shows that the upstream is sound; a long one may
+        # only have missed its object or waited its turn.
+        memory = QUICK_MEMORY if ratio < self.slowness else SLOW_MEMORY
+        self.slowness += memory * (ratio - self.slowness)
 
     def answered_badly(self) -> None:
         """Note an answer that says that the upstream failed."""
