Split the path of a request, the keeper and the daemons' runner

Change: admission, placing, replies and the budget of repeats stand by themselves; membership of the group is a service beside the keeper; one runner starts both kinds of process.

--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -14,15 +14,15 @@
 
 from aiohttp import web
 import mode
-from mode import loop
 import structlog
 from zmq.utils import z85
 
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch.consensus import state as consensus_state
 from skylarkpitch.daemon import keys
-from skylarkpitch import errors
+from skylarkpitch.daemon import runner
 from skylarkpitch.fleet import keeper as keepers
+from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import service as forwarding_parts
@@ -163,20 +163,25 @@
             on_applied=lambda: self.keeper.note_applied(),
             timing=TIMING,
         )
-        self.keeper = keepers.Keeper(
+        self._membership = memberships.Membership(
             peers=peers,
             log=self._replicated,
-            state=self.fleet,
             seeds=settings.seeds,
             tolerated_disks=control.tolerated_disks,
-            heartbeat_s=control.heartbeat_s,
             is_voter=control.is_voter,
         )
+        self.keeper = keepers.Keeper(
+            peers=peers,
+            log=self._replicated,
+            membership=self._membership,
+            state=self.fleet,
+            heartbeat_s=control.heartbeat_s,
+        )
         super().__init__(**options)
 
     def on_init_dependencies(self) -> list[mode.Service]:
         """Return the log, then what works on it."""
-        return [self._replicated, self.keeper]
+        return [self._replicated, self._membership, self.keeper]
 
     async def on_started(self) -> None:
         """Take calls."""
@@ -220,7 +225,7 @@
         }
 
 
-class FleetDaemon(mode.Service):
+class FleetDaemon(runner.Process):
     """The transport and the parts of one process."""
 
     def __init__(
@@ -233,7 +238,6 @@
     ) -> None:
         self._settings = settings
         self._on_reload = on_reload
-        self.failure: errors.SkylarkError | None = None
         self._peers = network.PeerNetwork(
             directory=_directory(settings),
             secret_key=_secret_key(settings.secret),
@@ -258,14 +262,6 @@
         """Return the transport, then the parts."""
         return [self._peers, *self._parts]
 
-    async def start(self) -> None:
-        """Start every part, and keep the error of one that cannot start."""
-        try:
-            await super().start()
-        except errors.SkylarkError as error:
-            self.failure = error
-            raise
-
     async def on_started(self) -> None:
         """Log that every part runs, and show the metrics."""
         asyncio.get_running_loop().add_signal_handler(
@@ -320,22 +316,10 @@
     Raises the ``SkylarkError`` of a part that could not start.
     """
     logs.configure(host=settings.name, level='info', to_stdout=True)
-    loop.use('uvloop')
-    asyncio.set_event_loop(asyncio.new_event_loop())
-    daemon = FleetDaemon(
-        settings=settings, rng=random.SystemRandom(), on_reload=on_reload
-    )
-    worker = mode.Worker(
-        daemon,
-        quiet=True,
-        override_logging=False,
-        redirect_stdouts=False,
-        loop=asyncio.get_event_loop(),
+    runner.run(
+        lambda: FleetDaemon(
+            settings=settings,
+            rng=random.SystemRandom(),
+            on_reload=on_reload,
+        )
     )
-    try:
-        worker.execute_from_commandline()
-    except SystemExit:
-        if daemon.failure is None:
-            raise
-    if daemon.failure is not None:
-        raise daemon.failure
--- a/src/skylarkpitch/daemon/main.py
+++ b/src/skylarkpitch/daemon/main.py
@@ -1,6 +1,5 @@
 """Run ``skylarkd``: one daemon with the roles that its settings name."""
 
-import asyncio
 import os
 import pathlib
 import random
@@ -10,12 +9,12 @@
 
 import click
 import mode
-from mode import loop
 import structlog
 
 from skylarkpitch.daemon import control
 from skylarkpitch.daemon import entry
 from skylarkpitch.daemon import keys
+from skylarkpitch.daemon import runner
 from skylarkpitch import errors
 from skylarkpitch.observability import logs
 from skylarkpitch.peers import directory
@@ -30,7 +29,7 @@
 _log = structlog.get_logger(__name__)
 
 
-class Daemon(mode.Service):
+class Daemon(runner.Process):
     """Hold the transport and the roles of one process."""
 
     def __init__(
@@ -43,7 +42,6 @@
     ) -> None:
         self._settings = settings
         self.malformed = 0
-        self.failure: errors.SkylarkError | None = None
         self._peers = network.PeerNetwork(
             directory=directory.from_settings(
                 settings, public_key=keys.public_key_of(secret_key)
@@ -73,14 +71,6 @@
         """Return the transport, then the roles."""
         return [self._peers, *self._roles]
 
-    async def start(self) -> None:
-        """Start every part, and keep the error of one that cannot start."""
-        try:
-            await super().start()
-        except errors.SkylarkError as error:
-            self.failure = error
-            raise
-
     async def on_started(self) -> None:
         """Log that every part runs."""
         _log.info(
@@ -109,25 +99,13 @@
     Raises the ``SkylarkError`` of a part that could not start.
     """
     logs.configure(host=settings.host, level=settings.log_level)
-    loop.use('uvloop')
-    asyncio.set_event_loop(asyncio.new_event_loop())
-    daemon = Daemon(
-        settings=settings, secret_key=secret_key, rng=random.SystemRandom()
-    )
-    worker = mode.Worker(
-        daemon,
-        quiet=True,
-        override_logging=False,
-        redirect_stdouts=False,
-        loop=asyncio.get_event_loop(),
+    runner.run(
+        lambda: Daemon(
+            settings=settings,
+            secret_key=secret_key,
+            rng=random.SystemRandom(),
+        )
     )
-    try:
-        worker.execute_from_commandline()
-    except SystemExit:
-        if daemon.failure is None:
-            raise
-    if daemon.failure is not None:
-        raise daemon.failure
 
 
 @click.command()
--- a/src/skylarkpitch/fleet/keeper.py
+++ b/src/skylarkpitch/fleet/keeper.py
@@ -12,13 +12,12 @@
 import mode
 import structlog
 
-from skylarkpitch.consensus import members as member_sets
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch import errors
 from skylarkpitch.fleet import checks
 from skylarkpitch.fleet import commands
-from skylarkpitch.fleet import group
 from skylarkpitch.fleet import liveness
+from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import orders
 from skylarkpitch.fleet import rate_shares
@@ -32,13 +31,10 @@
 COMMIT_TIMEOUT_S = 2.0
 FORWARD_TIMEOUT_S = 2.5
 CONFIRM_TIMEOUT_S = 1.5
-JOIN_INTERVAL_S = 0.3
-JOIN_TIMEOUT_S = 1.0
 UPKEEP_INTERVAL_S = 0.25
 MAX_HOPS = 2
 ENTRY_SILENT_S = 2.5
 SILENT_HEARTBEATS = 3.4
-COLD_AGAIN_MS = 500.0
 
 _log = structlog.get_logger(__name__)
 
@@ -51,20 +47,16 @@
         *,
         peers: network.Peers,
         log: consensus.ReplicatedLog,
+        membership: memberships.Membership,
         state: fleet_state.FleetState,
-        seeds: Callable[[], tuple[str, ...]],
-        tolerated_disks: int,
         heartbeat_s: float,
-        is_voter: bool = True,
         clock: Callable[[], float] = time.monotonic,
         **options: Any,
     ) -> None:
         self._peers = peers
         self._replicated = log
+        self._membership = membership
         self._state = state
-        self._seeds = seeds
-        self._tolerated = tolerated_disks
-        self._is_voter = is_voter
         self._clock = clock
         self._upstreams = liveness.Liveness(
             silent_s=SILENT_HEARTBEATS * heartbeat_s
@@ -73,7 +65,6 @@
         self._shares = rate_shares.RateShares()
         self._changed = asyncio.Event()
         self._led = False
-        self._noticed: frozenset[str] = frozenset()
         self.counts: dict[str, int] = {}
         self._handlers = {
             commands.PutConfiguration: self._put_configuration,
@@ -89,8 +80,6 @@
         """Take part in the messages between hosts."""
         self._peers.handle(messages.OrderAsk, self._on_order)
         self._peers.handle(messages.WatchAsk, self._on_watch)
-        self._peers.handle(messages.JoinAsk, self._on_join)
-        self._peers.handle(messages.GroupNotice, self._on_notice)
 
     def note_applied(self) -> None:
         """Wake those that wait for a change of the state."""
@@ -146,21 +135,12 @@
         data = commands.encode(command)
         return await self._replicated.submit(data, timeout_s=COMMIT_TIMEOUT_S)
 
-    def _check_group(self) -> None:
-        voters = self._replicated.status().voters
-        if not group.is_large_enough(voters, tolerated=self._tolerated):
-            raise errors.NotLeaderError(
-                f'the control group has {len(voters)} voters and must bear '
-                f'the loss of {self._tolerated}; wait until more have joined',
-                leader=None,
-            )
-
     async def _put_configuration(
         self, order: commands.PutConfiguration
     ) -> orders.Outcome:
         version = order.configuration.version
         checks.check(order.configuration)
-        self._check_group()
+        self._membership.check_large_enough()
         if version <= self._state.configuration_version:
             await self._confirmed()
             return orders.accepted()
@@ -176,7 +156,7 @@
     async def _set_drain(
         self, order: commands.SetDomainDrain
     ) -> orders.Outcome:
-        self._check_group()
+        self._membership.check_large_enough()
         await self._submit(order)
         _log.info(
             'domain_drain_set',
@@ -214,7 +194,7 @@
                 )
             return orders.accepted()
         self._upstreams.heard(name, order=said.order, now_s=self._clock())
-        if held is None or _differs(held, said):
+        if held is None or model.differs(held, said):
             await self._submit(commands.RecordUpstream(upstream=said))
             _log.info(
                 'upstream_recorded',
@@ -311,79 +291,10 @@
             whole=whole,
             heard_age_s=self.heard_age_s(),
             rows=fleet_state.shared_rows(rows),
-            control_hosts=self._control_hosts(),
+            control_hosts=self._membership.control_hosts(),
             leader=status.leader or '',
         )
 
-    async def _on_join(
-        self, sender: str, ask: messages.JoinAsk
-    ) -> messages.JoinAnswer | None:
-        status = self._replicated.status()
-        if ask.identity in status.voters + status.learners:
-            return messages.JoinAnswer(is_member=True)
-        if not self._replicated.leads:
-            return messages.JoinAnswer(
-                is_member=False, leader=status.leader or ''
-            )
-        try:
-            await self._replicated.add_member(
-                member_sets.host_of(ask.identity), timeout_s=JOIN_TIMEOUT_S
-            )
-        except errors.SkylarkError as error:
-            _log.info(
-                'member_not_added', identity=ask.identity, reason=error.reason
-            )
-            return messages.JoinAnswer(is_member=False)
-        _log.info('member_added', identity=ask.identity)
-        return messages.JoinAnswer(is_member=True)
-
-    async def _on_notice(
-        self, sender: str, notice: messages.GroupNotice
-    ) -> None:
-        self._noticed = frozenset(notice.control_hosts)
-
-    def _notice_seeds(self) -> None:
-        """Tell seeds outside the group where it is.
-
-        Hosts that start with seeds of which none is a member yet, as after
-        all seeds were exchanged, find the group by this alone.
-        """
-        members = self._control_hosts()
-        notice = messages.GroupNotice(control_hosts=members)
-        for seed in set(self._seeds()) - set(members):
-            self._peers.send(seed, notice)
-
-    def _control_hosts(self) -> tuple[str, ...]:
-        status = self._replicated.status()
-        everyone = status.voters + status.learners
-        return tuple(sorted({member_sets.host_of(item) for item in everyone}))
-
-    @mode.Service.task
-    async def _join(self) -> None:
-        """Ask to be a member until this host is one."""
-        while self._is_voter and not self.should_stop:
-            await self.sleep(JOIN_INTERVAL_S)
-            status = self._replicated.status()
-            identity = self._replicated.identity
-            if identity in status.voters + status.learners:
-                continue
-            await self._ask_to_join(identity)
-
-    async def _ask_to_join(self, identity: str) -> None:
-        own = self._peers.directory.own.name
-        known = set(self._control_hosts()) | self._noticed
-        ask = messages.JoinAsk(identity=identity)
-        for host in sorted((known | set(self._seeds())) - {own}):
-            answer = await self._peers.ask(host, ask, timeout_s=JOIN_TIMEOUT_S)
-            if sentinels.is_absent(answer):
-                continue
-            if answer.leader and answer.leader != own:
-                answer = await self._peers.ask(
-                    answer.leader, ask, timeout_s=JOIN_TIMEOUT_S
-                )
-            if not sentinels.is_absent(answer) and answer.is_member:
-                return
-
     @mode.Service.task
     async def _upkeep(self) -> None:
         """As leader, let go what is gone."""
@@ -399,7 +310,6 @@
                 _log.info('leading_no_longer', leader=self.leader())
             self._led = leads
             if leads:
-                self._notice_seeds()
                 await self._let_go()
 
     async def _let_go(self) -> None:
@@ -412,29 +322,5 @@
             hosts = self._state.entry_hosts
             for name in self._entry_hosts.silent(hosts, now_s=now_s):
                 await self._remove_entry_host(name, why='silent')
-            await self._let_go_voter(now_s)
         except errors.SkylarkError as error:
             _log.info('upkeep_failed', reason=error.reason, error=str(error))
-
-    async def _let_go_voter(self, now_s: float) -> None:
-        gone = group.to_remove(
-            self._replicated.status().voters,
-            contact_ages_s=self._replicated.contact_ages_s(now_s=now_s),
-            tolerated=self._tolerated,
-        )
-        if gone is not None:
-            await self._replicated.remove_member(gone)
-            _log.info('member_removed', identity=gone)
-
-
-def _differs(held: model.Upstream, said: model.Upstream) -> bool:
-    """Tell whether a report changes more than the time it was made."""
-    if held.born_ms != said.born_ms:
-        return True
-    told = ('service', 'address', 'failure_domain', 'slots', 'state')
-    if any(getattr(held, name) != getattr(said, name) for name in told):
-        return True
-    was_cold, is_cold = held.cold_left_ms > 0, said.cold_left_ms > 0
-    return was_cold != is_cold or (
-        said.cold_left_ms > held.cold_left_ms + COLD_AGAIN_MS
-    )
--- a/src/skylarkpitch/fleet/model.py
+++ b/src/skylarkpitch/fleet/model.py
@@ -20,9 +20,12 @@
     'UpstreamState',
     'WeightedService',
     'decode',
+    'differs',
     'encode',
 ]
 
+COLD_AGAIN_MS = 500.0
+
 
 class UpstreamState(enum.StrEnum):
     """What an upstream says of itself."""
@@ -146,6 +149,19 @@
     failure_domain: str
 
 
+def differs(held: Upstream, said: Upstream) -> bool:
+    """Tell whether a report changes more than the time it was made."""
+    if held.born_ms != said.born_ms:
+        return True
+    told = ('service', 'address', 'failure_domain', 'slots', 'state')
+    if any(getattr(held, name) != getattr(said, name) for name in told):
+        return True
+    was_cold, is_cold = held.cold_left_ms > 0, said.cold_left_ms > 0
+    return was_cold != is_cold or (
+        said.cold_left_ms > held.cold_left_ms + COLD_AGAIN_MS
+    )
+
+
 _decoders: dict[type, msgspec.msgpack.Decoder] = {}
 
 
--- a/src/skylarkpitch/fleet/view.py
+++ b/src/skylarkpitch/fleet/view.py
@@ -55,6 +55,14 @@
         """Return the entry hosts that callers may use, in no order."""
         return self._tables[fleet_state.ENTRY_HOST].values()
 
+    @property
+    def entry_host_count(self) -> int:
+        """Return how many entry hosts share what holds for the fleet.
+
+        It is 1 at least: this host counts before control names it.
+        """
+        return max(1, len(self._tables[fleet_state.ENTRY_HOST]))
+
     def service(self, name: str) -> model.Service | None:
         """Return what is known of a service."""
         return self._tables[fleet_state.SERVICE].get((name,))
--- /dev/null
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -0,0 +1,174 @@
+"""Decide whether a request is let in: its route, key, rate and body."""
+
+import asyncio
+from collections.abc import Callable
+import hashlib
+import math
+
+from aiohttp import web
+
+from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import view as views
+from skylarkpitch.forwarding import callers
+from skylarkpitch.forwarding import calls
+from skylarkpitch.forwarding import names as header_names
+from skylarkpitch.forwarding import refusals
+from skylarkpitch.forwarding import routing
+from skylarkpitch.requests import headers as header_rules
+
+__all__ = ['Admission', 'asked_s']
+
+DEFAULT_DEADLINE_S = 30.0
+COME_BACK_S = 0.3
+FINGERPRINT_BYTES = 16
+MS_PER_S = 1000
+
+
+def asked_s(given: str) -> float:
+    """Return for how long a caller waits, from its header in milliseconds.
+
+    What is no number of a sensible size counts as ``DEFAULT_DEADLINE_S``.
+    """
+    try:
+        told_s = float(given) / MS_PER_S
+    except ValueError:
+        return DEFAULT_DEADLINE_S
+    if not math.isfinite(told_s):
+        return DEFAULT_DEADLINE_S
+    return min(max(told_s, 0.0), DEFAULT_DEADLINE_S)
+
+
+class Admission:
+    """Let requests in by the configuration that is in force."""
+
+    def __init__(
+        self,
+        *,
+        view: views.FleetView,
+        names: header_names.HeaderNames,
+        rate_tolerance: callers.RateTolerance,
+        is_open: Callable[[], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._names = names
+        self._is_open = is_open
+        self._clock = clock
+        self._routes = routing.RoutingTable(())
+        self._splitter = routing.Splitter()
+        self._keys = callers.KeyTable(())
+        self.rates = callers.RateLimits(tolerance=rate_tolerance)
+
+    def learn(self, changed: frozenset[str]) -> None:
+        """Take over what has changed in the view."""
+        if fleet_state.ROUTE in changed:
+            self._routes = routing.RoutingTable(self._view.routes)
+            self._splitter.forget()
+        if fleet_state.ORGANISATION in changed:
+            self._keys = callers.KeyTable(self._view.organisations)
+
+    async def admit(self, call: calls.Call) -> refusals.Refusal | None:
+        """Fill in what a call is, or return why it is refused."""
+        refused = self._place(call) or await self._read_body(call)
+        if refused is None:
+            call.service = self._splitter.service(call.route)
+            call.fingerprint = _fingerprint(call)
+        return refused
+
+    def _place(self, call: calls.Call) -> refusals.Refusal | None:
+        if not self._view.version or not self._is_open():
+            return refusals.refuse(
+                refusals.Reason.NO_CONFIGURATION, retry_after_s=COME_BACK_S
+            )
+        host = call.request.headers.get('Host', '')
+        path = call.target.partition('?')[0]
+        call.route = self._routes.find(host.partition(':')[0], path)
+        if call.route is None:
+            return refusals.refuse(refusals.Reason.ROUTE_UNKNOWN)
+        now_s = self._clock()
+        call.deadline_s = min(
+            call.deadline_s,
+            call.started_s + call.route.timeout_ms / MS_PER_S,
+        )
+        call.rank = call.route.rank
+        return self._admit_caller(call, now_s)
+
+    def _admit_caller(
+        self, call: calls.Call, now_s: float
+    ) -> refusals.Refusal | None:
+        key = call.request.headers.get(self._names.api_key)
+        if key is not None:
+            call.organisation = self._keys.holder(key)
+        if call.route.is_public:
+            return None
+        if call.organisation is None:
+            if self._keys.is_empty:
+                return None
+            return refusals.refuse(refusals.Reason.KEY_UNKNOWN)
+        if call.organisation.rank is not None:
+            call.rank = call.organisation.rank
+        wait_s = self.rates.spend(
+            call.organisation,
+            entry_hosts=self._view.entry_host_count,
+            now_s=now_s,
+        )
+        if wait_s > 0:
+            return refusals.refuse(
+                refusals.Reason.OVER_RATE,
+                f'{call.organisation.name} is over its rate',
+                retry_after_s=wait_s,
+            )
+        return None
+
+    async def _read_body(self, call: calls.Call) -> refusals.Refusal | None:
+        request = call.request
+        limits = self._view.limits
+        problem = header_rules.check_framing(request.headers)
+        if problem is not None:
+            return refusals.refuse(refusals.Reason.MALFORMED, problem.detail)
+        length = request.content_length or 0
+        if length > limits.max_body_bytes:
+            return refusals.refuse(refusals.Reason.BODY_TOO_LARGE)
+        if request.body_exists:
+            if request.headers.get('Expect', '').lower() == '100-continue':
+                request.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            refused = await self._fill_body(call, limits.max_body_bytes)
+            if refused is not None:
+                return refused
+        return None
+
+    async def _fill_body(
+        self, call: calls.Call, most_bytes: int
+    ) -> refusals.Refusal | None:
+        left_s = max(0.0, call.deadline_s - self._clock())
+        try:
+            async with asyncio.timeout(left_s):
+                call.body = await _whole_body(call.request, most_bytes)
+        except TimeoutError:
+            return refusals.refuse(refusals.Reason.BODY_LATE)
+        except web.RequestPayloadError as error:
+            return refusals.refuse(refusals.Reason.MALFORMED, str(error))
+        if len(call.body) > most_bytes:
+            return refusals.refuse(refusals.Reason.BODY_TOO_LARGE)
+        return None
+
+
+async def _whole_body(request: web.BaseRequest, most_bytes: int) -> bytes:
+    """Read a body, or a little more of it than is allowed."""
+    chunks = []
+    size = 0
+    while size <= most_bytes and (chunk := await request.content.readany()):
+        chunks.append(chunk)
+        size += len(chunk)
+    return b''.join(chunks)
+
+
+def _fingerprint(call: calls.Call) -> bytes:
+    """Return what tells a request from others when it comes again."""
+    organisation = call.organisation.name if call.organisation else ''
+    line = '\0'.join((organisation, call.request.method, call.target))
+    hashed = hashlib.blake2b(
+        line.encode('utf-8', 'surrogateescape'), digest_size=FINGERPRINT_BYTES
+    )
+    hashed.update(b'\0' + call.body)
+    return hashed.digest()
--- /dev/null
+++ b/src/skylarkpitch/forwarding/calls.py
@@ -0,0 +1,35 @@
+"""Describe one request of a caller while it is handled."""
+
+import dataclasses
+
+from aiohttp import web
+
+from skylarkpitch.fleet import model
+
+__all__ = ['Call']
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Call:
+    """One request of a caller on its way, and what became of it so far."""
+
+    request: web.BaseRequest
+    started_s: float
+    deadline_s: float
+    request_id: str | None
+    route: model.Route | None = None
+    organisation: model.Organisation | None = None
+    service: str = ''
+    body: bytes = b''
+    fingerprint: bytes = b''
+    rank: int = 0
+    tried: list[str] = dataclasses.field(default_factory=list)
+    unreached: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    held_s: float = 0.0
+
+    @property
+    def target(self) -> str:
+        """Return path and query as the caller sent them."""
+        return self.request.raw_path
--- /dev/null
+++ b/src/skylarkpitch/forwarding/replies.py
@@ -0,0 +1,94 @@
+"""Write requests to upstreams and answers to callers."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+import multidict
+
+from skylarkpitch.fleet import model
+from skylarkpitch.forwarding import calls
+from skylarkpitch.forwarding import names as header_names
+from skylarkpitch.forwarding import refusals
+from skylarkpitch.forwarding import sender as senders
+from skylarkpitch.requests import headers as header_rules
+
+__all__ = ['answer', 'outgoing', 'refusal']
+
+MS_PER_S = 1000
+
+Finish = Callable[[web.StreamResponse], web.StreamResponse]
+
+
+def outgoing(
+    call: calls.Call,
+    upstream: model.Upstream,
+    *,
+    names: header_names.HeaderNames,
+    now_s: float,
+) -> senders.Outgoing:
+    """Return a call's request as it goes to an upstream."""
+    replaced = {
+        names.deadline_ms.lower(),
+        names.api_key.lower(),
+        names.organisation.lower(),
+        names.expected_upstream.lower(),
+        header_rules.CONTENT_LENGTH.lower(),
+    }
+    pairs = [
+        pair
+        for pair in header_rules.end_to_end(call.request.headers)
+        if pair[0].lower() not in replaced
+    ]
+    pairs.append(('Host', call.request.headers.get('Host', '')))
+    left_ms = max(1, int((call.deadline_s - now_s) * MS_PER_S))
+    pairs.append((names.deadline_ms, str(left_ms)))
+    pairs.append((names.expected_upstream, upstream.upstream_id))
+    if call.organisation is not None:
+        pairs.append((names.organisation, call.organisation.name))
+    return senders.Outgoing(
+        method=call.request.method,
+        target=call.target,
+        headers=tuple(pairs),
+        body=call.body,
+        request_id=call.request_id,
+    )
+
+
+def refusal(
+    item: refusals.Refusal, *, names: header_names.HeaderNames
+) -> web.Response:
+    """Return the response that states a refusal."""
+    headers = {'Content-Type': 'application/json'}
+    if item.retry_after_s is not None:
+        headers[names.retry_after] = f'{item.retry_after_s:.3f}'
+    return web.Response(status=item.status, headers=headers, body=item.body())
+
+
+async def answer(
+    request: web.BaseRequest, item: senders.Answer, *, finish: Finish
+) -> web.StreamResponse:
+    """Return the response that passes an upstream's answer on.
+
+    ``finish`` is called with the response before its head is written. What
+    is not held whole is passed on as it comes.
+    """
+    headers = multidict.CIMultiDict(item.headers)
+    if item.rest is None:
+        headers.popall(header_rules.CONTENT_LENGTH, None)
+        return finish(
+            web.Response(status=item.status, headers=headers, body=item.body)
+        )
+    response = finish(web.StreamResponse(status=item.status, headers=headers))
+    try:
+        await response.prepare(request)
+        await response.write(item.body)
+        async for chunk in item.rest:
+            await response.write(chunk)
+        await response.write_eof()
+    except BaseException:
+        # A part must not look whole.
+        item.close()
+        if request.transport is not None:
+            request.transport.abort()
+        raise
+    return response
--- a/src/skylarkpitch/forwarding/retry_budget.py
+++ b/src/skylarkpitch/forwarding/retry_budget.py
@@ -5,12 +5,22 @@
 """
 
 import collections
+import dataclasses
 
-__all__ = ['RetryBudget']
+__all__ = ['Repeats', 'RetryBudget', 'RetryLimits']
 
 SAFETY = 0.7
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RetryLimits:
+    """How many requests may be sent again, over the fleet."""
+
+    ratio: float = 0.1
+    extra: float = 10.0
+    window_s: float = 10.0
+
+
 class RetryBudget:
     """Requests and repeats of one service within a sliding window."""
 
@@ -41,3 +51,28 @@
         for times in (self._requests, self._repeats):
             while times and times[0] < since_s:
                 times.popleft()
+
+
+class Repeats:
+    """A budget for each service."""
+
+    def __init__(self, *, limits: RetryLimits) -> None:
+        self._limits = limits
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def add_request(self, service: str, *, now_s: float) -> None:
+        """Count a request for a service, sent for the first time."""
+        self._of(service).add_request(now_s=now_s)
+
+    def take(self, service: str, *, entry_hosts: int, now_s: float) -> bool:
+        """Count a repeat, or tell that none is left."""
+        return self._of(service).take(entry_hosts=entry_hosts, now_s=now_s)
+
+    def _of(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
+                ratio=self._limits.ratio,
+                extra=self._limits.extra,
+                window_s=self._limits.window_s,
+            )
+        return self._budgets[service]
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -19,6 +19,7 @@
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import names as header_names
 from skylarkpitch.forwarding import path as paths
+from skylarkpitch.forwarding import retry_budget
 from skylarkpitch.forwarding import room as rooms
 from skylarkpitch.observability import histograms
 from skylarkpitch.peers import network
@@ -46,7 +47,7 @@
     ready_address: str
     ready_path: str
     names: header_names.HeaderNames
-    retry_limits: paths.RetryLimits
+    retry_limits: retry_budget.RetryLimits
     rate_tolerance: callers.RateTolerance
     region_of: Callable[[str], str | None]
     lead_s: float = 2.6
--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -6,6 +6,7 @@
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch.consensus import state as consensus_state
 from skylarkpitch.fleet import keeper as keepers
+from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import state as fleet_state
 from tests.stand_ins import fake_peers
 
@@ -27,6 +28,7 @@
         self.logs = {}
         self.states = {}
         self.keepers = {}
+        self.memberships = {}
         self._rng = random.Random(1)
 
     async def start(self, names, *, is_first_start=True, seeds=None):
@@ -45,15 +47,21 @@
                 on_applied=lambda name=name: self._applied(name),
                 timing=TIMING,
             )
-            self.keepers[name] = keepers.Keeper(
+            member = self.memberships[name] = memberships.Membership(
                 peers=peers,
                 log=log,
-                state=state,
                 seeds=lambda told=told: told,
                 tolerated_disks=2,
+            )
+            self.keepers[name] = keepers.Keeper(
+                peers=peers,
+                log=log,
+                membership=member,
+                state=state,
                 heartbeat_s=1.5,
             )
             await log.start()
+            await member.start()
             await self.keepers[name].start()
 
     def _applied(self, name):
@@ -63,6 +71,7 @@
     async def stop(self, names=None):
         for name in names or tuple(self.logs):
             await self.keepers.pop(name).stop()
+            await self.memberships.pop(name).stop()
             await self.logs.pop(name).stop()
 
     def wipe(self, name):
