Prove each way in which an upstream may answer, over real connections

Cause: the default header names began with the prefix that stays between our hosts, so a deployment without names of its own would have lost the request's id on its way (seen by the new test; the platform's names were not affected).

Change: other defaults; a table of twelve behaviours of an upstream, for requests that may repeat and that may not.

--- a/src/skylarkpitch/forwarding/names.py
+++ b/src/skylarkpitch/forwarding/names.py
@@ -11,17 +11,18 @@
 
     ``seal`` marks an answer that an upstream itself made. ``not_run`` is
     an upstream's word that it did not run the request. ``load`` holds the
-    numbers of running requests, waiting requests and slots.
+    numbers of running requests, waiting requests and slots. None of them
+    may begin with ``Skylark-``: such headers stay between our hosts.
     """
 
-    request_id: str = 'Skylark-Request-Id'
-    deadline_ms: str = 'Skylark-Deadline-Ms'
-    affinity: str = 'Skylark-Affinity'
-    api_key: str = 'Skylark-Key'
-    organisation: str = 'Skylark-Organisation'
-    expected_upstream: str = 'Skylark-Expect-Upstream'
-    seal: str = 'Skylark-Seal'
-    not_run: str = 'Skylark-Not-Run'
-    load: str = 'Skylark-Load'
-    cold_ms: str = 'Skylark-Cold-Ms'
+    request_id: str = 'Request-Id'
+    deadline_ms: str = 'Request-Deadline-Ms'
+    affinity: str = 'Request-Object'
+    api_key: str = 'Request-Key'
+    organisation: str = 'Request-Organisation'
+    expected_upstream: str = 'Expect-Upstream'
+    seal: str = 'Answer-Seal'
+    not_run: str = 'Answer-Not-Run'
+    load: str = 'Upstream-Load'
+    cold_ms: str = 'Upstream-Cold-Ms'
     retry_after: str = 'Retry-After'
--- /dev/null
+++ b/tests/test_forwarding_exchange.py
@@ -0,0 +1,274 @@
+"""Requests on their way to upstreams that answer in every way."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from skylarkpitch.fleet import model
+from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import view as views
+from skylarkpitch.forwarding import callers
+from skylarkpitch.forwarding import names
+from skylarkpitch.forwarding import path as paths
+from skylarkpitch.forwarding import retry_budget
+from skylarkpitch.forwarding import room as rooms
+from tests.stand_ins import raw_upstream as upstreams
+from tests import test_fleet_state as described
+
+HOST = 'pans.example'
+
+
+def view_of(behaviours, addresses, *, repeatable, timeout_ms=800.0):
+    organisation = model.Organisation(name='o', api_keys=('key',))
+    view = views.FleetView()
+    items = [
+        described.put(
+            1,
+            routes=(
+                described.route(repeatable=repeatable, timeout_ms=timeout_ms),
+            ),
+            organisations=(organisation,),
+        )
+    ]
+    items += [
+        described.record(f'u{number}', address=address)
+        for number, address in enumerate(addresses)
+    ]
+    view.apply(described.watch(described.applied(*items), 0))
+    return view
+
+
+@contextlib.asynccontextmanager
+async def forwarding(*behaviours, repeatable, **options):
+    """Run one entry host before one upstream for each list given."""
+    running = [upstreams.RawUpstream(*items) for items in behaviours]
+    for item in running:
+        await item.start()
+    view = view_of(
+        behaviours,
+        [item.address for item in running],
+        repeatable=repeatable,
+        **options,
+    )
+    done = []
+    path = paths.ForwardingPath(
+        view=view,
+        room=rooms.Room(
+            region='east',
+            failure_domain='east-a',
+            region_of=lambda domain: domain[:4],
+        ),
+        names=names.HeaderNames(),
+        retry_limits=retry_budget.RetryLimits(ratio=1.0, extra=50.0),
+        rate_tolerance=callers.RateTolerance(),
+        is_ready=lambda: True,
+        is_stopping=lambda: False,
+        on_done=done.append,
+    )
+    path.open()
+    path.learn(frozenset(fleet_state.KINDS))
+    server = web.Server(path.handle, handler_cancellation=True)
+    listening = await asyncio.get_running_loop().create_server(
+        server, '127.0.0.1', 0
+    )
+    port = listening.sockets[0].getsockname()[1]
+    async with aiohttp.ClientSession() as session:
+        yield Entry(session, port, running, done)
+    listening.close()
+    await server.shutdown(0.1)
+    await path.close()
+    for item in running:
+        await item.stop()
+
+
+class Entry:
+    """One entry host as a caller of the test sees it."""
+
+    def __init__(self, session, port, running, done):
+        self.session = session
+        self.port = port
+        self.upstreams = running
+        self.done = done
+
+    @property
+    def runs(self):
+        return sum(len(item.seen) for item in self.upstreams)
+
+    def post(self, request_id='r1', *, body=b'pan', **headers):
+        return self.session.post(
+            f'http://127.0.0.1:{self.port}/pans/a%2Fb?x=%20',
+            data=body,
+            headers={
+                'Host': HOST,
+                'Request-Id': request_id,
+                'Request-Key': 'key',
+                'Request-Deadline-Ms': '2000',
+                **headers,
+            },
+        )
+
+
+def run(check):
+    asyncio.run(check())
+
+
+DONE = upstreams.answer()
+
+
+@pytest.mark.parametrize(
+    ('behaviour', 'safe', 'unsafe'),
+    [
+        (DONE, (200, 1), (200, 1)),
+        (upstreams.rejected(503), (200, 2), (200, 2)),
+        (upstreams.rejected(421), (200, 2), (200, 2)),
+        (upstreams.dies, (200, 2), (502, 1)),
+        (upstreams.cut_short, (200, 2), (502, 1)),
+        (upstreams.of_another, (200, 2), (502, 1)),
+        (upstreams.answer(rows=()), (200, 2), (502, 1)),
+        (upstreams.answer(status=500), (200, 2), (500, 1)),
+        (upstreams.answer(status=404), (404, 1), (404, 1)),
+        (upstreams.without_length(is_reset=False), (200, 1), (200, 1)),
+        (upstreams.without_length(is_reset=True), (200, 2), (502, 1)),
+        (upstreams.answer(tail=b'HTTP/1.1 200 OK\r\n'), (200, 1), (200, 1)),
+    ],
+    ids=[
+        'answers',
+        'rejects',
+        'is-another-instance',
+        'dies',
+        'cuts-short',
+        'answers-another',
+        'no-seal',
+        'fails',
+        'not-found',
+        'no-length',
+        'no-length-and-reset',
+        'extra-bytes',
+    ],
+)
+@pytest.mark.parametrize('repeatable', [True, False])
+def test_what_an_upstream_does_and_what_the_caller_gets(
+    behaviour, safe, unsafe, repeatable
+):
+    async def check():
+        script = iter([behaviour])
+
+        async def first_then_done(request_id, reader, writer):
+            await next(script, DONE)(request_id, reader, writer)
+
+        lists = ([first_then_done], [first_then_done])
+        async with forwarding(*lists, repeatable=repeatable) as entry:
+            async with entry.post() as response:
+                body = await response.read()
+            expected = safe if repeatable else unsafe
+            assert (response.status, entry.runs) == expected
+            if response.status == 200:
+                assert body in (b'done', b'all')
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    'behaviour',
+    [
+        upstreams.rejected(503),
+        upstreams.dies,
+        upstreams.cut_short,
+        upstreams.of_another,
+        upstreams.answer(status=500),
+    ],
+)
+def test_what_may_repeat_is_answered_by_the_second_upstream(behaviour):
+    async def check():
+        async with forwarding([behaviour], [DONE], repeatable=True) as entry:
+            for number in range(4):
+                async with entry.post(f'r{number}') as response:
+                    assert response.status == 200
+                    assert await response.read() == b'done'
+
+    run(check)
+
+
+def test_request_reaches_the_upstream_as_it_was_sent():
+    async def check():
+        async with forwarding([DONE], repeatable=False) as entry:
+            async with entry.post(body=b'a pan') as response:
+                assert response.headers['Answer-Seal'] == 's'
+            ((method, target, headers, body),) = entry.upstreams[0].seen
+        assert (method, target, body) == (
+            'POST',
+            '/pans/a%2Fb?x=%20',
+            b'a pan',
+        )
+        assert headers['Host'] == HOST
+        assert headers['Request-Id'] == 'r1'
+        assert headers['Request-Organisation'] == 'o'
+        assert headers['Expect-Upstream'] == 'u0'
+        assert 'Request-Key' not in headers
+        # The route's time-out is 800 ms, less than the caller's 2,000.
+        assert 0 < int(headers['Request-Deadline-Ms']) <= 800
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    ('headers', 'status'),
+    [
+        ({'Request-Key': 'wrong'}, 401),
+        ({'Host': 'else.example'}, 404),
+        ({'Request-Deadline-Ms': 'nan'}, 200),
+        ({'Request-Organisation': 'forged'}, 200),
+    ],
+)
+def test_who_is_let_in(headers, status):
+    async def check():
+        async with forwarding([DONE], repeatable=False) as entry:
+            async with entry.post(**headers) as response:
+                assert response.status == status
+            if status == 200:
+                seen = entry.upstreams[0].seen[0][2]
+                assert seen['Request-Organisation'] == 'o'
+            else:
+                assert entry.runs == 0
+
+    run(check)
+
+
+def test_time_out_of_the_route_ends_a_silent_request():
+    async def check():
+        async with forwarding(
+            [upstreams.silent], repeatable=False, timeout_ms=150.0
+        ) as entry:
+            async with entry.post() as response:
+                assert response.status == 504
+            assert entry.done[0].reason == 'too_late'
+            await asyncio.wait_for(entry.upstreams[0].closed.wait(), 5)
+
+    run(check)
+
+
+def test_upstream_is_let_go_when_the_caller_leaves():
+    async def check():
+        async with forwarding(
+            [upstreams.silent], repeatable=True, timeout_ms=60_000.0
+        ) as entry:
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(entry.post(), 0.2)
+            await asyncio.wait_for(entry.upstreams[0].closed.wait(), 5)
+            assert entry.runs == 1
+
+    run(check)
+
+
+def test_request_without_upstreams_is_told_when_to_come_back():
+    async def check():
+        async with forwarding(repeatable=False) as entry:
+            async with entry.post() as response:
+                assert response.status == 503
+                assert 0 < float(response.headers['Retry-After']) <= 1.0
+            assert entry.done[0].reason == 'no_upstream'
+
+    run(check)
