Close callers' idle connections at once in a planned stop

Cause: aiohttp's shutdown of a kept connection that carries nothing waits for its whole time-out, so that each stop lasted its grace of 6 s. Ruled out: the time that running requests take; the connection that broke the rule was idle before.

Change: connections without a request are closed first, and what outlasts its time is now really cancelled; before, the cancelled wait left it running.

--- a/src/skylarkpitch/forwarding/callers_listener.py
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -15,6 +15,7 @@
 __all__ = ['CallersListener', 'bind']
 
 BACKLOG = 2048
+BREAK_OFF_S = 0.05
 MS_PER_S = 1000
 
 _log = structlog.get_logger(__name__)
@@ -80,13 +81,23 @@
     async def close(self, *, timeout_s: float) -> None:
         """Close the connections, each after the request that it carries.
 
-        What has not ended within ``timeout_s`` is broken off.
+        Those that carry none are closed at once. What has not ended within
+        ``timeout_s`` is broken off.
         """
         self.stop_listening()
+        for server in self._servers.values():
+            server.pre_shutdown()
+        if not await self._ended(timeout_s):
+            _log.warning('requests_broken_off', timeout_s=round(timeout_s, 2))
+            await self._ended(BREAK_OFF_S)
+
+    async def _ended(self, timeout_s: float) -> bool:
+        """Wait for the connections to end, and tell whether they did."""
         closing = asyncio.gather(
             *(item.shutdown(timeout_s) for item in self._servers.values())
         )
         try:
-            await asyncio.wait_for(closing, timeout_s)
+            await asyncio.wait_for(closing, 2 * BREAK_OFF_S + timeout_s)
         except TimeoutError:
-            _log.warning('requests_broken_off', timeout_s=round(timeout_s, 2))
+            return False
+        return True
