Divide regions' work by room, alike for every entry host of a region

Requests that must run in another region had no first upstream there, as the others were ranked in one row. Misses counted as the usual time and as slowness. Ruled out: capacity (26% of the slots at the warm times), memory of the upstreams (objects stay until 24 others came).

Change: the leader grants each region's share by service, from the work that its callers ask for (rate times measured work, Little's law) and the slots, moving 5% a second; before anything is asked for it follows the slots at once. Objects are ranked region by region. Times are measured apart where the object is held and where not, and only the first teach how quick an upstream is. Up to half of the slots may wait at the upstream that holds the object, as that is shorter than a miss.

--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -60,6 +60,7 @@
     is_voter: bool
     tolerated_disks: int
     heartbeat_s: float
+    region_of: Callable[[str], str | None]
     addresses: tuple[str, ...]
     calls: Callable[[keepers.Keeper, fleet_state.FleetState], Calls]
 
@@ -176,6 +177,7 @@
             membership=self._membership,
             state=self.fleet,
             heartbeat_s=control.heartbeat_s,
+            region_of=control.region_of,
         )
         super().__init__(**options)
 
--- a/src/skylarkpitch/fleet/keeper.py
+++ b/src/skylarkpitch/fleet/keeper.py
@@ -21,6 +21,7 @@
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import orders
 from skylarkpitch.fleet import rate_shares
+from skylarkpitch.fleet import region_plan
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.messages import fleet as messages
 from skylarkpitch.peers import network
@@ -50,6 +51,7 @@
         membership: memberships.Membership,
         state: fleet_state.FleetState,
         heartbeat_s: float,
+        region_of: Callable[[str], str | None],
         clock: Callable[[], float] = time.monotonic,
         **options: Any,
     ) -> None:
@@ -62,7 +64,9 @@
             silent_s=SILENT_HEARTBEATS * heartbeat_s
         )
         self._entry_hosts = liveness.Liveness(silent_s=ENTRY_SILENT_S)
-        self._shares = rate_shares.RateShares()
+        self._rate_shares = rate_shares.RateShares()
+        self._region_of = region_of
+        self._region_plan = region_plan.RegionPlan()
         self._changed = asyncio.Event()
         self._led = False
         self.counts: dict[str, int] = {}
@@ -239,16 +243,46 @@
         if held != host:
             await self._submit(commands.RecordEntryHost(entry_host=host))
             _log.info('entry_host_recorded', entry_host=host.name)
-        self._shares.report(host.name, order.demand_per_s)
-        granted = self._shares.grant(
+        self._rate_shares.report(host.name, order.demand_per_s)
+        granted = self._rate_shares.grant(
             host.name,
             rates_per_s=self._rates_of(order.demand_per_s),
             hosts=set(self._state.entry_hosts),
             now_s=now_s,
         )
-        grant = orders.RateGrant(rate_per_s=granted)
+        grant = orders.EntryGrant(
+            rate_per_s=granted, own_shares=self._own_shares(order, now_s)
+        )
         return orders.accepted(model.encode(grant))
 
+    def _own_shares(
+        self, order: orders.EntryReport, now_s: float
+    ) -> dict[str, float]:
+        host = order.entry_host
+        self._region_plan.report(
+            host.name,
+            region=host.region,
+            offered_slots=order.offered_slots,
+            own_shares=order.own_shares,
+            now_s=now_s,
+        )
+        return self._region_plan.own_shares(
+            host.region, slots=self._usable_slots(), now_s=now_s
+        )
+
+    def _usable_slots(self) -> dict[str, dict[str, float]]:
+        """Return the slots that may be used, by service and region."""
+        slots: dict[str, dict[str, float]] = {}
+        for item in self._state.upstreams.values():
+            if item.state is not model.UpstreamState.READY:
+                continue
+            if self._state.is_draining(item.failure_domain):
+                continue
+            region = self._region_of(item.failure_domain) or ''
+            counted = slots.setdefault(item.service, {})
+            counted[region] = counted.get(region, 0.0) + item.slots
+        return slots
+
     def _rates_of(self, demand_per_s: dict[str, float]) -> dict[str, float]:
         rates = {}
         for name in demand_per_s:
@@ -304,7 +338,8 @@
             if leads and not self._led:
                 self._upstreams.forget_all()
                 self._entry_hosts.forget_all()
-                self._shares.forget_all()
+                self._rate_shares.forget_all()
+                self._region_plan.forget_all()
                 _log.info('leading', index=self._state.index)
             elif self._led and not leads:
                 _log.info('leading_no_longer', leader=self.leader())
--- a/src/skylarkpitch/fleet/orders.py
+++ b/src/skylarkpitch/fleet/orders.py
@@ -13,13 +13,13 @@
 from skylarkpitch.messages import fleet as messages
 
 __all__ = [
+    'EntryGrant',
     'EntryReport',
     'Heartbeat',
     'Leave',
     'Order',
     'Outcome',
     'ReadConfiguration',
-    'RateGrant',
     'accepted',
     'decode',
     'encode',
@@ -57,18 +57,27 @@
 class EntryReport(_Tagged, frozen=True, kw_only=True):
     """An entry host says that it is there, and what it is asked for.
 
-    ``demand_per_s`` is the rate of requests by organisation.
+    ``demand_per_s`` is the rate of requests by organisation,
+    ``offered_slots`` the work that is asked for by service, and
+    ``own_shares`` what part of it runs in the host's region.
     """
 
     entry_host: model.EntryHost
     leaving: bool = False
     demand_per_s: dict[str, float] = {}
+    offered_slots: dict[str, float] = {}
+    own_shares: dict[str, float] = {}
 
 
-class RateGrant(msgspec.Struct, frozen=True, kw_only=True):
-    """Rates that an entry host may use, by organisation."""
+class EntryGrant(msgspec.Struct, frozen=True, kw_only=True):
+    """What an entry host is to keep to.
+
+    ``rate_per_s`` are the rates that it may use, by organisation, and
+    ``own_shares`` what part is to run in its region, by service.
+    """
 
     rate_per_s: dict[str, float]
+    own_shares: dict[str, float] = {}
 
 
 Order = (
--- a/src/skylarkpitch/fleet/watcher.py
+++ b/src/skylarkpitch/fleet/watcher.py
@@ -45,19 +45,17 @@
         peers: network.Peers,
         view: views.FleetView,
         seeds: Callable[[], tuple[str, ...]],
-        entry_host: model.EntryHost,
         on_changed: Callable[[frozenset[str]], None],
-        demand_per_s: Callable[[], dict[str, float]],
-        on_grant: Callable[[dict[str, float]], None],
+        report: Callable[[], orders.EntryReport],
+        on_grant: Callable[[orders.EntryGrant], None],
         clock: Callable[[], float] = time.monotonic,
         **options: Any,
     ) -> None:
         self._peers = peers
         self._view = view
         self._seeds = seeds
-        self._entry_host = entry_host
         self._on_changed = on_changed
-        self._demand_per_s = demand_per_s
+        self._make_report = report
         self._on_grant = on_grant
         self._clock = clock
         self._sources = source_sets.Sources()
@@ -191,12 +189,7 @@
                 await self._report()
 
     async def _report(self) -> None:
-        order = orders.EntryReport(
-            entry_host=self._entry_host,
-            leaving=self.is_leaving,
-            demand_per_s=self._demand_per_s(),
-        )
-        ask = messages.OrderAsk(order=orders.encode(order))
+        ask = messages.OrderAsk(order=orders.encode(self._make_report()))
         for _attempt in range(WATCHES):
             source = self._sources.best(now_s=self._clock())
             if source is None:
@@ -214,10 +207,10 @@
         if answer.outcome != 'accepted' or not answer.content:
             return
         try:
-            grant = model.decode(orders.RateGrant, answer.content)
+            grant = model.decode(orders.EntryGrant, answer.content)
         except ValueError as error:
             raise errors.MessageError(
-                f'a grant of rates is malformed ({error}); run the same '
+                f'a grant is malformed ({error}); run the same '
                 'release on every host'
             ) from error
-        self._on_grant(grant.rate_per_s)
+        self._on_grant(grant)
--- a/src/skylarkpitch/forwarding/callers.py
+++ b/src/skylarkpitch/forwarding/callers.py
@@ -4,11 +4,10 @@
 import dataclasses
 
 from skylarkpitch.fleet import model
+from skylarkpitch.forwarding import arrivals
 
 __all__ = ['KeyTable', 'RateLimits', 'RateTolerance']
 
-DEMAND_MEMORY_S = 1.0
-LEAST_ELAPSED_S = 0.05
 GRANT_EXPIRY_S = 3.0
 GIVEN_SHARE = 0.5
 
@@ -60,9 +59,7 @@
         self.filled_s = now_s
         self.granted_per_s: float | None = None
         self.granted_s = float('-inf')
-        self.asked = 0.0
-        self.asked_since_s = now_s
-        self.demand_per_s = 0.0
+        self.demand = arrivals.ArrivalRate(now_s=now_s)
 
 
 class RateLimits:
@@ -92,7 +89,7 @@
             account = _Account(now_s=now_s)
             self._accounts[organisation.name] = account
             account.tokens = burst / max(1, entry_hosts)
-        account.asked += 1
+        account.demand.add()
         if rate_per_s <= 0:
             return 0.0
         own_per_s = self._own_rate(account, rate_per_s, entry_hosts, now_s)
@@ -130,14 +127,7 @@
 
     def demand_per_s(self, *, now_s: float) -> dict[str, float]:
         """Return the present rate of requests by organisation."""
-        demand = {}
-        for name, account in self._accounts.items():
-            elapsed_s = now_s - account.asked_since_s
-            if elapsed_s > LEAST_ELAPSED_S:
-                part = min(1.0, elapsed_s / DEMAND_MEMORY_S)
-                present = account.asked / elapsed_s
-                account.demand_per_s += part * (present - account.demand_per_s)
-                account.asked = 0.0
-                account.asked_since_s = now_s
-            demand[name] = account.demand_per_s
-        return demand
+        return {
+            name: account.demand.per_s(now_s=now_s)
+            for name, account in self._accounts.items()
+        }
--- a/src/skylarkpitch/forwarding/path.py
+++ b/src/skylarkpitch/forwarding/path.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 import structlog
 
+from skylarkpitch.fleet import orders
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import admission
 from skylarkpitch.forwarding import callers
@@ -82,6 +83,7 @@
             is_open=lambda: is_ready() or is_stopping(),
             clock=clock,
         )
+        self.room = room
         self._placing = placing.Placing(
             view=view,
             room=room,
@@ -112,6 +114,12 @@
         """Return this host's parts of the organisations' rates."""
         return self._admission.rates
 
+    def grant(self, grant: orders.EntryGrant) -> None:
+        """Keep to what control grants this host."""
+        now_s = self._clock()
+        self.rates.grant(grant.rate_per_s, now_s=now_s)
+        self.room.grant(grant.own_shares, now_s=now_s)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request of a caller."""
         started_s = self._clock()
@@ -176,7 +184,9 @@
                 'upstreams that ran this request broke off',
                 retry_after_s=left_s,
             )
-        self._repeats.add_request(call.service, now_s=self._clock())
+        now_s = self._clock()
+        self._repeats.add_request(call.service, now_s=now_s)
+        self.room.asked(call.service, now_s=now_s)
         return await self._send_until_answered(call)
 
     async def _send_until_answered(
--- a/src/skylarkpitch/forwarding/regions.py
+++ b/src/skylarkpitch/forwarding/regions.py
@@ -1,33 +1,15 @@
-"""Move work between regions no faster than the cap on shift allows.
+"""Deal the requests of one region out to it and to the other regions.
 
-Requests run in the own region or away from it. The share of each follows
-where they would best go, but moves by at most ``step_per_s``. Requests for
-one object go the same way, so that only few upstreams have to remember it;
-requests without one are dealt out by counting, not by chance.
+The share that runs in the own region is granted by control and moves by at
+most ``step_per_s``. Requests for one object go the same way, so that only
+few upstreams have to remember it; requests without one are dealt out by
+counting, not by chance.
 """
 
-from collections.abc import Mapping
-
-__all__ = ['AWAY', 'OWN', 'RegionShares', 'first_own_share']
+__all__ = ['AWAY', 'OWN', 'RegionShares']
 
 OWN = 'own'
 AWAY = 'away'
-WISH_MEMORY_S = 0.6
-LEAST_ELAPSED_S = 0.001
-OWN_ROOM_FACTOR = 1.5
-
-
-def first_own_share(slots: Mapping[str, int], *, own_region: str) -> float:
-    """Return the own region's share to begin with, from all slots.
-
-    Every region is taken to be asked for as much as the others; the own
-    one keeps ``OWN_ROOM_FACTOR`` times what its slots then bear.
-    """
-    total = sum(slots.values())
-    own = slots.get(own_region, 0)
-    if total == own:
-        return 1.0
-    return min(1.0, OWN_ROOM_FACTOR * own * len(slots) / total)
 
 
 class RegionShares:
@@ -36,30 +18,34 @@
     def __init__(self, *, step_per_s: float, now_s: float) -> None:
         self._step_per_s = step_per_s
         self._places: frozenset[str] = frozenset()
-        self._wish = 1.0
+        self._granted: float | None = None
+        self._has_dealt = False
         self._owed = 0.0
         self._at_s = now_s
         self.own_share = 1.0
 
-    def set_places(
-        self, places: frozenset[str], *, first_own_share: float
-    ) -> None:
+    def set_places(self, places: frozenset[str]) -> None:
         """Know whether there are upstreams in the own region and away.
 
         When there are none any more in one, all goes to the other at once.
         """
-        if not self._places and places:
-            self.own_share = self._wish = first_own_share
         self._places = places
 
-    def choose(self, wish: str, *, key: float | None, now_s: float) -> str:
-        """Return where a request goes that would best go to ``wish``.
+    def grant(self, own_share: float, *, now_s: float) -> None:
+        """Move towards the share that control grants.
 
-        ``key`` is that of its object, from 0 to 1.
+        A host that has dealt out nothing yet takes it at once, as the
+        others of its region keep to it already.
         """
-        elapsed_s = max(0.0, now_s - self._at_s)
-        self._at_s = now_s
-        self._follow(1.0 if wish == OWN else 0.0, elapsed_s)
+        if not self._has_dealt:
+            self.own_share = own_share
+        self._granted = own_share
+        self._follow(now_s)
+
+    def choose(self, *, key: float | None, now_s: float) -> str:
+        """Return where a request goes; ``key`` is its object's, 0 to 1."""
+        self._follow(now_s)
+        self._has_dealt = True
         if len(self._places) < 2:
             return next(iter(self._places), OWN)
         if key is not None:
@@ -70,9 +56,9 @@
             return OWN
         return AWAY
 
-    def _follow(self, target: float, elapsed_s: float) -> None:
-        part = min(1.0, max(elapsed_s, LEAST_ELAPSED_S) / WISH_MEMORY_S)
-        self._wish += part * (target - self._wish)
-        step = self._step_per_s * elapsed_s
-        gap = self._wish - self.own_share
-        self.own_share += max(-step, min(step, gap))
+    def _follow(self, now_s: float) -> None:
+        step = self._step_per_s * max(0.0, now_s - self._at_s)
+        self._at_s = now_s
+        if self._granted is not None:
+            gap = self._granted - self.own_share
+            self.own_share += max(-step, min(step, gap))
--- a/src/skylarkpitch/forwarding/room.py
+++ b/src/skylarkpitch/forwarding/room.py
@@ -8,13 +8,15 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
-from typing import Any
 
 from skylarkpitch.fleet import model
-from skylarkpitch.forwarding import regions as region_shares
+from skylarkpitch.forwarding import arrivals
+from skylarkpitch.forwarding import regions
+from skylarkpitch.forwarding import service_pool
 from skylarkpitch.forwarding import upstream_load
-from skylarkpitch.peers import rendezvous
+from skylarkpitch.forwarding import work_times
 from skylarkpitch import sentinels
 
 __all__ = ['Place', 'Room', 'Wanted']
@@ -24,21 +26,16 @@
 DOMAIN_TRIP_S = 0.003
 REGION_TRIP_S = 0.08
 GREY_PENALTY_S = 1.0
-# All entry hosts agree on the few upstreams that keep an object, so that
-# each upstream keeps few objects and remembers them.
-KEPT_SHARE = 0.4
-# What it costs to use an upstream that is not the first for an object, in
-# parts of the time that a miss takes longer.
-HELD_SHARE = 0.15
-UNHELD_SHARE = 0.8
-FIRST_KEPT_SHARE = 0.45
-FIRST_OTHER_SHARE = 1.4
+# An upstream that takes in what it does not keep forgets another object,
+# which costs this part of a miss.
+FORGETS_SHARE = 0.25
 # Of its slots, what an upstream may have taken to run what it does not keep.
 OTHER_FILL = 0.5
-QUEUE_SHARE = 0.25
-TIME_MEMORY = 0.08
-SHIFT_STEP_PER_S = 0.04
-MAX_RANKED = 4096
+# Requests that may wait at an upstream that keeps their object, in parts of
+# its slots.
+QUEUE_SHARE = 0.5
+# For a request without an object all upstreams are alike.
+_ONLY = service_pool.Standing(keeps=True, is_first=True, is_near=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -61,74 +58,14 @@
 class Place:
     """An upstream, and how long the request should take there.
 
-    ``keeps`` tells that it is one of those that keep the request's object.
+    ``keeps`` tells that it is one of those that keep the request's object,
+    ``holds`` that it should have it at hand now.
     """
 
     load: upstream_load.UpstreamLoad
     expected_s: float
     keeps: bool
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Times:
-    """Measured time of a route's requests, where the object is kept or not."""
-
-    kept_s: float
-    other_s: float
-
-
-class _Pool:
-    """The upstreams of one service that may be used."""
-
-    def __init__(self, *, now_s: float) -> None:
-        self.loads: dict[str, upstream_load.UpstreamLoad] = {}
-        self.shares = region_shares.RegionShares(
-            step_per_s=SHIFT_STEP_PER_S, now_s=now_s
-        )
-        self.groups: dict[str, dict[str, upstream_load.UpstreamLoad]] = {}
-        self._ranks: dict[str, dict[str, int]] = {}
-        self._keys: dict[str, float] = {}
-
-    def rank(self, affinity: str, upstream_id: str) -> int:
-        """Return the place of an upstream for an object, 0 the best.
-
-        Upstreams of the own region are ranked among themselves, and those
-        of the others among themselves.
-        """
-        ranks = self._ranks.get(affinity)
-        if ranks is None:
-            if len(self._ranks) >= MAX_RANKED:
-                self._ranks.clear()
-            ranks = self._ranks[affinity] = {
-                name: place
-                for loads in self.groups.values()
-                for place, name in enumerate(rendezvous.rank(affinity, loads))
-            }
-        return ranks[upstream_id]
-
-    def key(self, affinity: str | None) -> float | None:
-        """Return a number from 0 to 1 that stands for an object."""
-        if affinity is None:
-            return None
-        if affinity not in self._keys:
-            if len(self._keys) >= MAX_RANKED:
-                self._keys.clear()
-            self._keys[affinity] = rendezvous.fraction(affinity)
-        return self._keys[affinity]
-
-    def set_loads(
-        self, groups: dict[str, dict[str, upstream_load.UpstreamLoad]]
-    ) -> None:
-        """Take the upstreams that may be used, in the own region and away."""
-        before = {place: set(loads) for place, loads in self.groups.items()}
-        if {p: set(loads) for p, loads in groups.items()} != before:
-            self._ranks.clear()
-        self.groups = groups
-        self.loads = {
-            name: load
-            for loads in groups.values()
-            for name, load in loads.items()
-        }
+    holds: bool
 
 
 class Room:
@@ -145,8 +82,9 @@
         self._failure_domain = failure_domain
         self._region_of = region_of
         self._loads: dict[str, upstream_load.UpstreamLoad] = {}
-        self._pools: dict[str, _Pool] = {}
-        self._times: dict[str, _Times] = {}
+        self._pools: dict[str, service_pool.ServicePool] = {}
+        self._times = work_times.WorkTimes()
+        self._offered = arrivals.OfferedWork()
         self._draining: frozenset[str] = frozenset()
 
     def learn(
@@ -178,31 +116,25 @@
         self._fill_pools(now_s)
 
     def _fill_pools(self, now_s: float) -> None:
-        groups: dict[str, dict[str, dict[str, Any]]] = {}
-        slots: dict[str, dict[str, int]] = {}
+        usable: dict[str, dict[str, service_pool.Loads]] = {}
         for name, load in sorted(self._loads.items()):
             item = load.upstream
             is_ready = item.state is model.UpstreamState.READY
-            if not is_ready or item.failure_domain in self._draining:
-                continue
-            places = groups.setdefault(item.service, {})
-            places.setdefault(self._group_of(load), {})[name] = load
-            region = self.region_of(load)
-            counted = slots.setdefault(item.service, {})
-            counted[region] = counted.get(region, 0) + item.slots
-        for service in set(self._pools) | set(groups):
-            pool = self._pools.setdefault(service, _Pool(now_s=now_s))
-            pool.set_loads(groups.get(service, {}))
-            pool.shares.set_places(
-                frozenset(pool.groups),
-                first_own_share=region_shares.first_own_share(
-                    slots.get(service, {}), own_region=self._region
-                ),
-            )
+            if is_ready and item.failure_domain not in self._draining:
+                by_region = usable.setdefault(item.service, {})
+                by_region.setdefault(self.region_of(load), {})[name] = load
+        for service in set(self._pools) | set(usable):
+            pool = self._pools.get(service)
+            if pool is None:
+                pool = self._pools[service] = service_pool.ServicePool(
+                    own_region=self._region, now_s=now_s
+                )
+            pool.set_upstreams(usable.get(service, {}))
+            pool.shares.set_places(pool.places)
 
     def _group_of(self, load: upstream_load.UpstreamLoad) -> str:
         is_own = self.region_of(load) == self._region
-        return region_shares.OWN if is_own else region_shares.AWAY
+        return regions.OWN if is_own else regions.AWAY
 
     def region_of(self, load: upstream_load.UpstreamLoad) -> str:
         """Return the region of an upstream."""
@@ -257,7 +189,7 @@
         return sentinels.Absent('no_room')
 
     def _judged(
-        self, pool: _Pool, wanted: Wanted, now_s: float
+        self, pool: service_pool.ServicePool, wanted: Wanted, now_s: float
     ) -> dict[str, list[tuple[float, str, Place]]]:
         times = self._times_of(wanted)
         judged: dict[str, list[tuple[float, str, Place]]] = {}
@@ -270,7 +202,7 @@
         return judged
 
     def _candidates(
-        self, pool: _Pool, wanted: Wanted, now_s: float
+        self, pool: service_pool.ServicePool, wanted: Wanted, now_s: float
     ) -> list[tuple[str, upstream_load.UpstreamLoad]]:
         """Return the upstreams that may run a request.
 
@@ -289,14 +221,24 @@
 
     def _judge(
         self,
-        pool: _Pool,
+        pool: service_pool.ServicePool,
         load: upstream_load.UpstreamLoad,
         wanted: Wanted,
-        times: _Times,
+        times: work_times.RouteTimes,
         now_s: float,
     ) -> tuple[float, Place]:
-        rank, keeps = self._rank(pool, load, wanted.affinity)
-        expected_s = times.kept_s if keeps else times.other_s
+        standing = _ONLY
+        if wanted.affinity is not None:
+            name = load.upstream.upstream_id
+            standing = pool.standing(wanted.affinity, name)
+        # Every host sends an object to its first upstream, which holds it
+        # also when this host did not send it there. Where homes name the
+        # region, that is the first of any region.
+        is_first = standing.is_first and (
+            standing.is_near or wanted.homes is not None
+        )
+        holds = is_first or load.holds(wanted.affinity, now_s=now_s)
+        expected_s = times.held_s if holds else times.missed_s
         work_s = expected_s * load.slowness
         slots = max(1, load.upstream.slots)
         over = load.occupied(now_s=now_s) + 1 - slots
@@ -305,28 +247,14 @@
         fill_s = 0.1 * work_s * max(0.0, over / slots + 0.5)
         cost_s = work_s + wait_s + fill_s + self._distance_s(load)
         cost_s += GREY_PENALTY_S * load.failure_share
-        # What an upstream does not hold yet drives out an object that
-        # another request will miss.
-        missed_s = max(0.0, times.other_s - times.kept_s)
-        if not keeps:
-            cost_s += missed_s
-        elif rank > 0:
-            held = load.holds(wanted.affinity, now_s=now_s)
-            cost_s += missed_s * (HELD_SHARE if held else UNHELD_SHARE)
-        return cost_s, Place(load=load, expected_s=expected_s, keeps=keeps)
-
-    def _rank(
-        self,
-        pool: _Pool,
-        load: upstream_load.UpstreamLoad,
-        affinity: str | None,
-    ) -> tuple[int, bool]:
-        """Return an upstream's place for an object; tell if it keeps it."""
-        if affinity is None:
-            return 0, True
-        rank = pool.rank(affinity, load.upstream.upstream_id)
-        group = pool.groups[self._group_of(load)]
-        return rank, rank < max(1, round(KEPT_SHARE * len(group)))
+        if not is_first:
+            cost_s += FORGETS_SHARE * times.miss_costs_s
+        return cost_s, Place(
+            load=load,
+            expected_s=expected_s,
+            keeps=standing.keeps,
+            holds=holds,
+        )
 
     def _distance_s(self, load: upstream_load.UpstreamLoad) -> float:
         if load.upstream.failure_domain == self._failure_domain:
@@ -337,23 +265,23 @@
 
     def _groups(
         self,
-        pool: _Pool,
+        pool: service_pool.ServicePool,
         wanted: Wanted,
         judged: dict[str, list[tuple[float, str, Place]]],
         now_s: float,
     ) -> list[str]:
         """Return the groups to try: the own region, away, or either.
 
-        Where the shares name one it is tried alone, but for the own region,
+        The share names one, which is tried alone, but for the own region,
         which may take what does not fit away.
         """
-        by_cost = sorted(judged, key=lambda group: judged[group][0][:2])
         if wanted.homes is not None or wanted.excluded:
-            return by_cost
-        key = pool.key(wanted.affinity)
-        chosen = pool.shares.choose(by_cost[0], key=key, now_s=now_s)
-        wished = [chosen, region_shares.OWN]
-        return [g for g in dict.fromkeys(wished) if g in judged] or by_cost
+            return sorted(judged, key=lambda group: judged[group][0][:2])
+        key = pool.fraction(wanted.affinity)
+        chosen = pool.shares.choose(key=key, now_s=now_s)
+        wished = [chosen, regions.OWN, regions.AWAY]
+        tried = [g for g in dict.fromkeys(wished) if g in judged]
+        return tried if chosen == regions.AWAY else tried[:1]
 
     def _has_room(
         self,
@@ -393,23 +321,41 @@
             near = self.region_of(place.load) == self._region
             trip_s = DOMAIN_TRIP_S if near else REGION_TRIP_S
         worked_s = max(0.001, took_s - trip_s)
-        times = self._times_of(wanted)
-        if place.keeps:
-            times.kept_s += TIME_MEMORY * (worked_s - times.kept_s)
+        self._offered.worked(wanted.service, took_s=worked_s)
+        self._times.learn(
+            wanted.route,
+            objective_s=wanted.objective_s,
+            held=place.holds,
+            worked_s=worked_s,
+        )
+        if place.holds:
             place.load.answered(took_s=worked_s, expected_s=place.expected_s)
-        else:
-            times.other_s += TIME_MEMORY * (worked_s - times.other_s)
 
     def expected_s(self, wanted: Wanted) -> float:
         """Return how long a request should take where its object is known."""
-        return self._times_of(wanted).kept_s
-
-    def _times_of(self, wanted: Wanted) -> _Times:
-        times = self._times.get(wanted.route)
-        if times is None:
-            times = _Times(
-                kept_s=FIRST_KEPT_SHARE * wanted.objective_s,
-                other_s=FIRST_OTHER_SHARE * wanted.objective_s,
-            )
-            self._times[wanted.route] = times
-        return times
+        return self._times_of(wanted).held_s
+
+    def _times_of(self, wanted: Wanted) -> work_times.RouteTimes:
+        return self._times.of(wanted.route, objective_s=wanted.objective_s)
+
+    def asked(self, service: str, *, now_s: float) -> None:
+        """Count a request for a service, whether or not it finds room."""
+        self._offered.asked(service, now_s=now_s)
+
+    def offered_slots(self, *, now_s: float) -> dict[str, float]:
+        """Return the work asked for by service, as slots that it fills."""
+        return self._offered.slots(now_s=now_s)
+
+    def own_shares(self) -> dict[str, float]:
+        """Return the share of each service that runs in the own region."""
+        return {
+            service: pool.shares.own_share
+            for service, pool in self._pools.items()
+            if pool.loads
+        }
+
+    def grant(self, own_shares: Mapping[str, float], *, now_s: float) -> None:
+        """Move towards the shares that control grants."""
+        for service, share in own_shares.items():
+            if service in self._pools:
+                self._pools[service].shares.grant(share, now_s=now_s)
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -12,6 +12,7 @@
 import structlog
 
 from skylarkpitch.fleet import model
+from skylarkpitch.fleet import orders
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.fleet import watcher as watchers
@@ -93,14 +94,9 @@
             peers=peers,
             view=self._view,
             seeds=seeds,
-            entry_host=host,
             on_changed=self._changed,
-            demand_per_s=lambda: self._path.rates.demand_per_s(
-                now_s=self._clock()
-            ),
-            on_grant=lambda rates: self._path.rates.grant(
-                rates, now_s=self._clock()
-            ),
+            report=self._report,
+            on_grant=self._path.grant,
             clock=clock,
         )
         self._listener = callers_listener.CallersListener(
@@ -147,6 +143,16 @@
             'ready': float(self._watcher.is_ready),
         }
 
+    def _report(self) -> orders.EntryReport:
+        now_s = self._clock()
+        return orders.EntryReport(
+            entry_host=self._settings.entry_host,
+            leaving=self._watcher.is_leaving,
+            demand_per_s=self._path.rates.demand_per_s(now_s=now_s),
+            offered_slots=self._path.room.offered_slots(now_s=now_s),
+            own_shares=self._path.room.own_shares(),
+        )
+
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.path != self._settings.ready_path:
             return web.Response(status=404)
--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -59,6 +59,7 @@
                 membership=member,
                 state=state,
                 heartbeat_s=1.5,
+                region_of=lambda domain: domain[:4],
             )
             await log.start()
             await member.start()
--- /dev/null
+++ b/tests/test_fleet_regions.py
@@ -0,0 +1,102 @@
+"""Pattern: regions whose upstreams do not match their callers."""
+
+import pytest
+
+from skylarkpitch.fleet import region_plan
+
+EVEN = {'east': 30.0, 'west': 30.0}
+UNEVEN = {'east': 72.0, 'north': 18.0, 'west': 72.0}
+
+
+@pytest.mark.parametrize(
+    ('slots', 'region', 'expected'),
+    [
+        (EVEN, 'east', 1.0),
+        ({'east': 10.0, 'west': 70.0}, 'east', 0.375),
+        (UNEVEN, 'north', 0.5),
+        ({'west': 10.0}, 'east', 0.0),
+        ({}, 'east', 1.0),
+    ],
+)
+def test_first_share_follows_the_room(slots, region, expected):
+    share = region_plan.first_own_share(region, slots=slots)
+    assert share == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ('offered', 'slots', 'expected'),
+    [
+        ({'east': 10.0, 'west': 10.0}, EVEN, 1.0),
+        ({'east': 45.0, 'west': 5.0}, EVEN, 0.8333 * 30 / 45),
+        ({'east': 60.0, 'west': 60.0}, EVEN, 1.0),
+        ({'east': 90.0, 'west': 30.0}, EVEN, 2.0 * 30 / 90),
+        ({'east': 0.1, 'west': 30.0}, EVEN, None),
+        ({'east': 5.0}, {'west': 30.0}, 0.0),
+        ({'east': 5.0}, {'east': 30.0}, 1.0),
+    ],
+    ids=[
+        'room-enough',
+        'one-is-full',
+        'all-are-overloaded-alike',
+        'all-are-overloaded-unlike',
+        'too-little-asked',
+        'no-upstream-here',
+        'no-upstream-away',
+    ],
+)
+def test_region_sends_away_what_would_fill_it(offered, slots, expected):
+    share = region_plan.wanted_own_share(
+        'east', offered_slots=offered, slots=slots
+    )
+    assert share == pytest.approx(expected, abs=1e-3)
+
+
+def told(plan, host, *, share, offered, now_s, region='north'):
+    plan.report(
+        host,
+        region=region,
+        offered_slots={'desk': offered},
+        own_shares={'desk': share},
+        now_s=now_s,
+    )
+
+
+def shares(plan, now_s, slots=UNEVEN):
+    return plan.own_shares('north', slots={'desk': slots}, now_s=now_s)
+
+
+def test_upstreams_that_appear_one_by_one_do_not_set_the_first_share():
+    plan = region_plan.RegionPlan()
+    told(plan, 'e1', share=1.0, offered=0.0, now_s=0.0)
+    assert shares(plan, 0.1, {'east': 9.0}) == {'desk': 0.0}
+    assert shares(plan, 0.2, UNEVEN) == {'desk': 0.5}
+
+
+def test_share_moves_slowly_and_alike_for_all_hosts():
+    plan = region_plan.RegionPlan()
+    for host in ('e1', 'e2'):
+        told(plan, host, share=1.0, offered=18.0, now_s=0.0)
+    before = 1.0
+    for step in range(1, 41):
+        now_s = step * 0.25
+        for host in ('e1', 'e2'):
+            told(plan, host, share=0.0, offered=18.0, now_s=now_s)
+        (share,) = shares(plan, now_s).values()
+        assert before - share <= region_plan.STEP_PER_S * 0.25 + 1e-9
+        before = share
+    assert before == pytest.approx(1.0 - region_plan.STEP_PER_S * 10.0)
+
+
+def test_new_leader_goes_on_from_the_shares_in_force():
+    plan = region_plan.RegionPlan()
+    told(plan, 'e1', share=1.0, offered=18.0, now_s=0.0)
+    plan.forget_all()
+    told(plan, 'e1', share=0.6, offered=9.0, now_s=1.0)
+    assert shares(plan, 1.0) == {'desk': 0.6}
+
+
+def test_hosts_that_fall_silent_are_counted_no_longer():
+    plan = region_plan.RegionPlan()
+    told(plan, 'gone', share=0.5, offered=100.0, now_s=0.0)
+    told(plan, 'e1', share=0.5, offered=9.0, now_s=3.0)
+    assert shares(plan, 5.0)['desk'] > 0.5
