Connect the members of the control group ahead of elections

A message to a host without a connection is dropped, and only the leader had connections, so that the first questions of an election went nowhere; a connection between regions takes about five round trips of 110 ms.

Change: a member connects to the group as soon as its log names it.

Test failed first: test_members_are_connected_before_an_election_needs_it.

--- a/src/skylarkpitch/fleet/membership.py
+++ b/src/skylarkpitch/fleet/membership.py
@@ -51,6 +51,7 @@
         """Take part in the messages about members."""
         self._peers.handle(messages.JoinAsk, self._on_join)
         self._peers.handle(messages.GroupNotice, self._on_notice)
+        self._connect()
 
     def check_large_enough(self) -> None:
         """Raise ``NotLeaderError`` while losses could not be borne."""
@@ -68,6 +69,17 @@
         everyone = status.voters + status.learners
         return tuple(sorted({member_sets.host_of(item) for item in everyone}))
 
+    def _connect(self) -> None:
+        """Connect to the group ahead of the next election.
+
+        Only the leader speaks to the others meanwhile, so that the first
+        questions of an election would find no connection.
+        """
+        own = self._peers.directory.own.name
+        for host in self.control_hosts():
+            if host != own:
+                self._peers.connect(host)
+
     async def _on_join(
         self, sender: str, ask: messages.JoinAsk
     ) -> messages.JoinAnswer | None:
@@ -137,6 +149,7 @@
         """As leader, tell seeds of the group and let go a lost voter."""
         while not self.should_stop:
             await self.sleep(UPKEEP_INTERVAL_S)
+            self._connect()
             if not self._replicated.leads:
                 continue
             self._notice_seeds()
--- a/src/skylarkpitch/peers/network.py
+++ b/src/skylarkpitch/peers/network.py
@@ -50,6 +50,9 @@
     def handle(self, message_type: type, handler: Handler) -> None:
         """Call ``handler(sender, message)`` for each message of a type."""
 
+    def connect(self, host: str) -> None:
+        """Connect to a host that will be spoken to, if that is not done."""
+
     def send(self, host: str, message: object) -> bool:
         """Send without waiting for an answer; tell whether it was queued."""
 
@@ -142,6 +145,14 @@
         """
         self._handlers[message_type] = handler
 
+    def connect(self, host: str) -> None:
+        """Begin to connect to a host, without waiting.
+
+        What is sent before a connection stands is dropped, and between
+        regions that takes several round trips.
+        """
+        self._connection(host)
+
     def send(self, host: str, message: object) -> bool:
         """Send without waiting; return False if the peer is unreachable."""
         connection = self._connection(host)
--- a/tests/stand_ins/fake_peers.py
+++ b/tests/stand_ins/fake_peers.py
@@ -47,6 +47,10 @@
         self._network = network
         self._handlers = {}
         self._tasks = set()
+        self.connected = set()
+
+    def connect(self, host):
+        self.connected.add(host)
 
     def handle(self, message_type, handler):
         self._handlers[message_type] = handler
--- a/tests/test_fleet_group.py
+++ b/tests/test_fleet_group.py
@@ -147,3 +147,18 @@
         assert read.content == b'good'
 
     run(check, tmp_path)
+
+
+def test_members_are_connected_before_an_election_needs_it(tmp_path):
+    """Also right after all of them were killed, before any is due."""
+
+    async def check(cluster):
+        await cluster.start('abcdef')
+        await cluster.grown(6)
+        await cluster.stop()
+        await cluster.start('abcdef', is_first_start=False)
+        for name in 'abcdef':
+            transport = cluster.network.peer(name, name)
+            assert transport.connected == set('abcdef') - {name}
+
+    run(check, tmp_path)
