--- a/src/skylarkpitch/operators/cli.py
+++ b/src/skylarkpitch/operators/cli.py
@@ -8,6 +8,7 @@
 from skylarkpitch import errors
 from skylarkpitch.operators import config_commands
 from skylarkpitch.operators import context as contexts
+from skylarkpitch.operators import explain_command
 from skylarkpitch.operators import fleet_commands
 from skylarkpitch.operators import key_commands
 from skylarkpitch.operators import provision_command
@@ -80,6 +81,7 @@
     fleet_commands.lookup,
     status_commands.status,
     status_commands.report,
+    explain_command.explain,
 ):
     skylark.add_command(command)
 
