--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR):$(CURDIR)/platform
 
-.PHONY: setup check format lint imports test demo model soak faults rolling costs bench capacity
+.PHONY: setup check format lint imports test demo model soak faults rolling costs bench capacity events
 
 setup: $(STAMP)
 
@@ -66,3 +66,6 @@
 
 capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
+
+events: $(STAMP)
+	$(BIN)/python -m benchmarks.event_page
