--- a/src/skylarkpitch/forwarding/work_times.py
+++ b/src/skylarkpitch/forwarding/work_times.py
@@ -6,7 +6,7 @@
 
 import dataclasses
 
-__all__ = ['WorkTimes']
+__all__ = ['RouteTimes', 'WorkTimes']
 
 MEMORY = 0.08
 # Before anything is measured, in parts of the route's objective.
--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -24,6 +24,13 @@
     return listener, address
 
 
+async def text_of(session, address):
+    """Return the answer of the listener."""
+    async with session.get(f'http://{address}/') as response:
+        assert response.status == 200
+        return await response.text()
+
+
 @pytest.mark.parametrize('idle_connections', [0, 1, 20])
 def test_stop_does_not_wait_for_connections_that_carry_nothing(
     idle_connections,
@@ -37,12 +44,9 @@
         listener, address = await listen(handler)
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
-
-            async def ask():
-                async with session.get(f'http://{address}/') as response:
-                    assert response.status == 200
-
-            await asyncio.gather(*(ask() for _ in range(idle_connections)))
+            await asyncio.gather(
+                *(text_of(session, address) for _ in range(idle_connections))
+            )
             # A wait for LONG_S would outlast any scheduling of the test.
             await asyncio.wait_for(listener.close(timeout_s=LONG_S), 10.0)
 
@@ -60,12 +64,7 @@
     async def check():
         listener, address = await listen(handler)
         async with aiohttp.ClientSession() as session:
-
-            async def ask():
-                async with session.get(f'http://{address}/') as response:
-                    return await response.text()
-
-            asked = asyncio.create_task(ask())
+            asked = asyncio.create_task(text_of(session, address))
             await begun.wait()
             closing = asyncio.create_task(listener.close(timeout_s=LONG_S))
             await asyncio.sleep(0.05)
@@ -88,12 +87,7 @@
     async def check():
         listener, address = await listen(handler)
         async with aiohttp.ClientSession() as session:
-
-            async def ask():
-                async with session.get(f'http://{address}/') as response:
-                    return await response.text()
-
-            asked = asyncio.create_task(ask())
+            asked = asyncio.create_task(text_of(session, address))
             await begun.wait()
             await asyncio.wait_for(listener.close(timeout_s=0.1), 10.0)
             with pytest.raises(aiohttp.ClientError):
