--- /dev/null
+++ b/src/skylarkpitch/settings/fleet.py
@@ -0,0 +1,129 @@
+"""Read and validate the settings file of one process of a fleet.
+
+The hosts of a fleet find each other from seeds, so that the file names no
+other hosts. It is JSON; :func:`load` raises ``SettingsError`` with the
+field, the value and the remedy of each mistake.
+"""
+
+import json
+import pathlib
+
+import pydantic
+
+from skylarkpitch import errors
+from skylarkpitch.settings import daemon
+
+__all__ = ['ControlFile', 'EntryFile', 'FleetFile', 'load', 'parse']
+
+MOST_SEEDS = 9
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class ControlFile(_Model):
+    """What a control host is told beside what every host is.
+
+    Only hosts whose ``is_first_start`` is set may found the group; take it
+    out once the group stands. Of the voters' disks ``tolerated_disks`` may
+    be lost at once.
+    """
+
+    calls: daemon.Address
+    data_folder: pathlib.Path
+    operator_token_file: pathlib.Path
+    is_first_start: bool = False
+    is_voter: bool = True
+    tolerated_disks: int = pydantic.Field(default=1, ge=0, le=4)
+    heartbeat_s: float = pydantic.Field(default=1.5, gt=0, le=60)
+
+
+class EntryFile(_Model):
+    """What an entry host is told beside what every host is.
+
+    ``retry_ratio`` and ``retry_extra`` bound how many requests are sent
+    again within ``retry_window_s``, ``rate_over`` and ``rate_slack`` how far
+    an organisation may go over its rate within ``rate_window_s``; all of
+    them hold over the fleet.
+    """
+
+    callers: daemon.Address
+    ready: daemon.Address
+    ready_path: str = pydantic.Field(default='/readyz', pattern='^/')
+    retry_ratio: float = pydantic.Field(default=0.1, ge=0, le=1)
+    retry_extra: float = pydantic.Field(default=10.0, ge=0)
+    retry_window_s: float = pydantic.Field(default=10.0, gt=0, le=600)
+    rate_over: float = pydantic.Field(default=0.0, ge=0, le=1)
+    rate_slack: float = pydantic.Field(default=0.0, ge=0)
+    rate_window_s: float = pydantic.Field(default=5.0, gt=0, le=600)
+    goodbye_s: float = pydantic.Field(default=2.6, ge=0, le=60)
+    grace_s: float = pydantic.Field(default=6.0, gt=0, le=600)
+
+
+class FleetFile(_Model):
+    """Settings of one process.
+
+    ``regions`` gives the region of each failure domain. Every host uses
+    ``peers_port``, and reaches the ``seeds`` at their IP addresses.
+    """
+
+    host: str = pydantic.Field(min_length=1, max_length=64)
+    ip: pydantic.IPvAnyAddress
+    failure_domain: str
+    regions: dict[str, str]
+    peers_port: daemon.Port
+    seeds: tuple[pydantic.IPvAnyAddress, ...] = pydantic.Field(
+        min_length=1, max_length=MOST_SEEDS
+    )
+    secret_file: pathlib.Path
+    metrics: daemon.Address | None = None
+    control: ControlFile | None = None
+    entry: EntryFile | None = None
+
+    @pydantic.model_validator(mode='after')
+    def _check(self) -> 'FleetFile':
+        if (self.control is None) == (self.entry is None):
+            raise ValueError(
+                'give either control or entry; a host that does both runs '
+                'two processes'
+            )
+        if self.failure_domain not in self.regions:
+            raise ValueError(
+                f'regions does not name failure_domain '
+                f'{self.failure_domain!r}; add it with its region'
+            )
+        if self.entry and self.entry.goodbye_s >= self.entry.grace_s:
+            raise ValueError(
+                'goodbye_s leaves nothing of grace_s to end requests in; '
+                'make it shorter'
+            )
+        return self
+
+
+def parse(text: str | bytes, *, source: str) -> FleetFile:
+    """Return the settings in a JSON text; ``source`` names it in errors."""
+    try:
+        return FleetFile.model_validate(json.loads(text))
+    except pydantic.ValidationError as error:
+        mistakes = '; '.join(daemon.validation_lines(error))
+        raise errors.SettingsError(
+            f'{source}: {mistakes}. Correct each field and check again '
+            'with skylarkd-fleet --check'
+        ) from error
+    except (ValueError, RecursionError) as error:
+        raise errors.SettingsError(
+            f'{source} is not valid JSON ({error}); correct it at that place'
+        ) from error
+
+
+def load(path: pathlib.Path) -> FleetFile:
+    """Return the settings in a file; raises ``SettingsError``."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        raise errors.SettingsError(
+            f'{path} cannot be read ({error.strerror}); give the path of a '
+            'settings file in JSON'
+        ) from error
+    return parse(text, source=str(path))
