Bound every election of the turns test, not only the median

Cause: the test's bound on the longest election was 3.4 s, and its medians were as loose, so that the code before voters took turns would have passed.

Change: the longest of 20 must end within one turn more than the first.

--- a/tests/test_consensus_turns.py
+++ b/tests/test_consensus_turns.py
@@ -37,6 +37,7 @@
     took_s = [time_to_leader_s(seed, lost=lost) for seed in range(20)]
     turn_s = (TIMING.election_max_s - TIMING.election_min_s) / len(VOTERS)
     first_s = TIMING.election_min_s + (lost + states.TURN_JITTER) * turn_s
+    last_s = TIMING.election_min_s + (lost + 1) * turn_s
     round_trips_s = 4 * FAR_S[1]
     assert statistics.median(took_s) <= first_s + round_trips_s
-    assert max(took_s) <= 2 * TIMING.election_max_s
+    assert max(took_s) <= last_s + round_trips_s
