--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -26,7 +26,9 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import service as forwarding_service
+from skylarkpitch.observability import histograms
 from skylarkpitch.observability import logs
+from skylarkpitch.observability import loop_delay as loop_delays
 from skylarkpitch.observability import metrics
 from skylarkpitch.peers import directory
 from skylarkpitch.peers import network
@@ -156,6 +158,7 @@
         *,
         settings: FleetSettings,
         peers: network.Peers,
+        loop_delay: loop_delays.LoopDelay,
         rng: random.Random,
         **options: Any,
     ) -> None:
@@ -187,6 +190,7 @@
             state=self.fleet,
             heartbeat_s=control.heartbeat_s,
             region_of=control.region_of,
+            loop_delay=loop_delay,
         )
         super().__init__(**options)
 
@@ -232,6 +236,11 @@
             server.close()
         await self._http_server.shutdown(HTTP_SHUTDOWN_TIMEOUT_S)
 
+    @property
+    def histograms(self) -> histograms.LatencyHistograms:
+        """Return the durations of control requests."""
+        return self.control_service.histograms
+
     def counters(self) -> dict[str, float]:
         """Return counts since the start and gauges of the current state."""
         return {
@@ -263,10 +272,16 @@
             directory=_directory(settings),
             secret_key=_curve_secret_key(settings.secret),
         )
+        self._loop_delay = loop_delays.LoopDelay()
         self._roles: list[Any] = []
         if settings.control is not None:
             self._roles.append(
-                ControlRole(settings=settings, peers=self._peers, rng=rng)
+                ControlRole(
+                    settings=settings,
+                    peers=self._peers,
+                    loop_delay=self._loop_delay,
+                    rng=rng,
+                )
             )
         if settings.forwarding is not None:
             self._roles.append(
@@ -281,7 +296,7 @@
 
     def on_init_dependencies(self) -> list[mode.Service]:
         """Return the transport, then the roles."""
-        return [self._peers, *self._roles]
+        return [self._loop_delay, self._peers, *self._roles]
 
     async def on_started(self) -> None:
         """Log that every service has started, and serve the metrics."""
@@ -300,13 +315,12 @@
         )
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
-        counters: dict[str, float] = {}
+        counters = self._loop_delay.counters()
         for role in self._roles:
             counters.update(role.counters())
         text = metrics.text_page(counters)
         for role in self._roles:
-            if isinstance(role, forwarding_service.ForwardingRole):
-                text += _latency_lines(role)
+            text += _latency_lines(role.histograms)
         return web.Response(text=text)
 
     def _reload(self) -> None:
@@ -321,9 +335,9 @@
             self._on_reload()
 
 
-def _latency_lines(role: forwarding_service.ForwardingRole) -> str:
+def _latency_lines(latencies: histograms.LatencyHistograms) -> str:
     lines = []
-    for summary in role.histograms.summaries():
+    for summary in latencies.summaries():
         series = f'{summary.request_class}/{summary.organisation}'
         for name in ('p50_ms', 'p90_ms', 'p99_ms', 'max_ms', 'count'):
             value = getattr(summary, name)
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -25,6 +25,8 @@
 from skylarkpitch.fleet import region_plan
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.messages import fleet as messages
+from skylarkpitch.observability import histograms
+from skylarkpitch.observability import loop_delay as loop_delays
 from skylarkpitch.peers import network
 from skylarkpitch import sentinels
 
@@ -39,6 +41,11 @@
 ENTRY_HOST_TIMEOUT_S = 2.5
 # An upstream is removed after this many heartbeat intervals without one.
 UPSTREAM_TIMEOUT_INTERVALS = 3.4
+LOAD_LOG_INTERVAL_S = 5.0
+# Control requests that take longer are logged; the acknowledgement of an
+# operator's request is due within a few seconds.
+SLOW_REQUEST_S = 1.0
+MS_PER_S = 1000
 
 _log = structlog.get_logger(__name__)
 
@@ -48,8 +55,10 @@
 
     ``heartbeat_s`` is the interval of the heartbeats of upstreams, and
     ``region_of`` returns the region of a failure domain, or None. ``counts``
-    has the number of requests executed here by kind, and of watches that
-    ended without a change.
+    has the number of requests executed here by kind, of watches that ended
+    without a change, and the time that this process spent on the grants of
+    entry hosts. ``histograms`` has the durations of requests by outcome and
+    kind, commits included.
     """
 
     def __init__(
@@ -61,6 +70,7 @@
         state: fleet_state.FleetState,
         heartbeat_s: float,
         region_of: Callable[[str], str | None],
+        loop_delay: loop_delays.LoopDelay | None = None,
         clock: Callable[[], float] = time.monotonic,
         **options: Any,
     ) -> None:
@@ -68,6 +78,7 @@
         self._replicated_log = log
         self._membership = membership
         self._state = state
+        self._loop_delay = loop_delay or loop_delays.LoopDelay(clock=clock)
         self._clock = clock
         self._upstreams = liveness.Liveness(
             timeout_s=UPSTREAM_TIMEOUT_INTERVALS * heartbeat_s
@@ -78,7 +89,8 @@
         self._region_plan = region_plan.RegionPlan()
         self._changed = asyncio.Event()
         self._was_leader = False
-        self.counts: dict[str, int] = {}
+        self.counts: dict[str, float] = {'grants_busy_ms': 0.0}
+        self.histograms = histograms.LatencyHistograms()
         self._handlers = {
             commands.PutConfiguration: self._put_configuration,
             commands.SetDomainDrain: self._set_drain,
@@ -155,6 +167,23 @@
     ) -> control_requests.Outcome:
         kind = type(request).__name__
         self.counts[kind] = self.counts.get(kind, 0) + 1
+        started_s = self._clock()
+        outcome = await self._handle(kind, request)
+        took_s = self._clock() - started_s
+        self.histograms.record(outcome.outcome, kind, took_s)
+        if took_s > SLOW_REQUEST_S:
+            _log.warning(
+                'control_request_slow',
+                request=kind,
+                outcome=outcome.outcome,
+                reason=outcome.reason,
+                took_ms=round(took_s * MS_PER_S),
+            )
+        return outcome
+
+    async def _handle(
+        self, kind: str, request: control_requests.ControlRequest
+    ) -> control_requests.Outcome:
         try:
             return await self._handlers[type(request)](request)
         except errors.ValidationError as error:
@@ -290,6 +319,7 @@
         if recorded != host:
             await self._submit(commands.RecordEntryHost(entry_host=host))
             _log.info('entry_host_recorded', entry_host=host.name)
+        granting_s = self._clock()
         self._rate_shares.record_demand(host.name, request.demand_per_s)
         granted = self._rate_shares.grant(
             host.name,
@@ -300,6 +330,8 @@
         grant = control_requests.EntryGrant(
             rate_per_s=granted, own_shares=self._local_shares(request, now_s)
         )
+        busy_s = self._clock() - granting_s
+        self.counts['grants_busy_ms'] += busy_s * MS_PER_S
         return control_requests.accepted(model.encode(grant))
 
     def _local_shares(
@@ -397,6 +429,26 @@
             if is_leader:
                 await self._remove_expired()
 
+    @mode.Service.task
+    async def _log_load(self) -> None:
+        """As leader, log what this process spends its time on."""
+        before = dict(self.counts)
+        while not self.should_stop:
+            await self.sleep(LOAD_LOG_INTERVAL_S)
+            now = dict(self.counts)
+            delay_s = self._loop_delay.take_recent_max_s()
+            if self._replicated_log.is_leader:
+                _log.info(
+                    'leader_load',
+                    loop_delay_max_ms=round(delay_s * MS_PER_S),
+                    interval_s=LOAD_LOG_INTERVAL_S,
+                    **{
+                        kind: round(count - before.get(kind, 0))
+                        for kind, count in now.items()
+                    },
+                )
+            before = now
+
     async def _remove_expired(self) -> None:
         now_s = self._clock()
         try:
--- a/src/skylarkpitch/forwarding/admission.py
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -122,7 +122,8 @@
         if wait_s > 0:
             return refusals.refuse(
                 refusals.Reason.OVER_RATE,
-                f'{call.organisation.name} is over its rate',
+                f'{call.organisation.name} is over its rate here: '
+                + self.rates.describe(call.organisation.name, now_s=now_s),
                 retry_after_s=wait_s,
             )
         return None
--- a/src/skylarkpitch/forwarding/callers.py
+++ b/src/skylarkpitch/forwarding/callers.py
@@ -132,6 +132,17 @@
             return min(equal_share_per_s, account.granted_per_s)
         return account.granted_per_s
 
+    def describe(self, name: str, *, now_s: float) -> str:
+        """Return what decides on requests of an organisation, for logs."""
+        account = self._accounts.get(name)
+        if account is None:
+            return 'no account'
+        return (
+            f'tokens {account.tokens:.2f}, granted_per_s '
+            f'{account.granted_per_s}, grant_age_s '
+            f'{now_s - account.granted_s:.2f}'
+        )
+
     def apply_grant(
         self, rates_per_s: dict[str, float], *, now_s: float
     ) -> None:
--- a/tests/test_observability.py
+++ b/tests/test_observability.py
@@ -1,9 +1,11 @@
 """Tests of histograms, metrics, the report page and missing heartbeats."""
 
 import pytest
+import structlog
 
 from skylarkpitch.membership import heartbeats
 from skylarkpitch.observability import histograms
+from skylarkpitch.observability import loop_delay
 from skylarkpitch.observability import metrics
 from skylarkpitch.operators import report
 
@@ -116,3 +118,20 @@
         views, ('a',), expected=frozenset(expected), now_s=10.0
     )
     assert (not_serving == {'a'}) is absent
+
+
+def test_late_event_loop_is_counted_and_logged():
+    delay = loop_delay.LoopDelay()
+    with structlog.testing.capture_logs() as lines:
+        for delay_s in (0.01, 0.4, -0.001):
+            delay.record(delay_s)
+    assert [line['delay_ms'] for line in lines] == [400]
+    assert delay.counters() == pytest.approx(
+        {
+            'loop_delay_samples': 3,
+            'loop_delay_total_ms': 410.0,
+            'loop_delay_max_ms': 400.0,
+        }
+    )
+    assert delay.take_recent_max_s() == 0.4
+    assert delay.take_recent_max_s() == 0.0
