Keep the cost of a grant independent of the number of hosts

Callers and operators saw late acknowledgements (one report: a valid configuration without any). Claims and grants are now totals that a report changes by its difference; slots and decoded organisations are kept until the state changes.

--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import time
 from typing import Any
 
@@ -87,6 +88,8 @@
         self._rate_shares = rate_shares.RateShares()
         self._region_of = region_of
         self._region_plan = region_plan.RegionPlan()
+        self._slots_index = -1
+        self._slots: dict[str, dict[str, float]] = {}
         self._changed = asyncio.Event()
         self._was_leader = False
         self.counts: dict[str, float] = {'grants_busy_ms': 0.0}
@@ -320,11 +323,11 @@
             await self._submit(commands.RecordEntryHost(entry_host=host))
             _log.info('entry_host_recorded', entry_host=host.name)
         granting_s = self._clock()
-        self._rate_shares.record_demand(host.name, request.demand_per_s)
         granted = self._rate_shares.grant(
             host.name,
-            rates_per_s=self._rates_of(request.demand_per_s),
-            hosts=set(self._state.entry_hosts),
+            usage=rate_shares.Usage(demand_per_s=request.demand_per_s),
+            limits=self._limits_of(request.demand_per_s),
+            host_count=len(self._state.entry_hosts),
             now_s=now_s,
         )
         grant = control_requests.EntryGrant(
@@ -352,8 +355,16 @@
     def _usable_slots(self) -> dict[str, dict[str, float]]:
         """Return the slots of ready upstreams, by service and region.
 
-        Upstreams of draining failure domains are not counted.
+        Upstreams of draining failure domains are not counted. Every report
+        of an entry host needs the slots, so they are added up only when the
+        state has changed.
         """
+        if self._slots_index != self._state.index:
+            self._slots_index = self._state.index
+            self._slots = self._count_usable_slots()
+        return self._slots
+
+    def _count_usable_slots(self) -> dict[str, dict[str, float]]:
         slots: dict[str, dict[str, float]] = {}
         for item in self._state.upstreams.values():
             if item.state is not model.UpstreamState.READY:
@@ -365,14 +376,18 @@
             by_region[region] = by_region.get(region, 0.0) + item.slots
         return slots
 
-    def _rates_of(self, demand_per_s: dict[str, float]) -> dict[str, float]:
-        rates = {}
-        for name in demand_per_s:
-            value = self._state.parts.get((fleet_state.ORGANISATION, name))
-            if value is not None:
-                organisation = model.decode(model.Organisation, value)
-                rates[name] = organisation.rate_per_s
-        return rates
+    def _limits_of(
+        self, organisations: Iterable[str]
+    ) -> dict[str, rate_shares.Limit]:
+        limits = {}
+        for name in organisations:
+            organisation = self._state.organisation(name)
+            if organisation is not None:
+                limits[name] = rate_shares.Limit(
+                    rate_per_s=organisation.rate_per_s,
+                    burst=organisation.burst,
+                )
+        return limits
 
     async def _remove_entry_host(self, name: str, *, why: str) -> None:
         await self._submit(commands.RemoveEntryHost(name=name))
--- a/src/skylarkpitch/fleet/state.py
+++ b/src/skylarkpitch/fleet/state.py
@@ -80,6 +80,7 @@
         self.entry_hosts: dict[str, model.EntryHost] = {}
         self.departed: dict[str, int] = {}
         self._by_address: dict[str, str] = {}
+        self._organisations: dict[str, model.Organisation] = {}
         self._appliers = {
             commands.PutConfiguration: self._put_configuration,
             commands.SetDomainDrain: self._set_drain,
@@ -99,6 +100,19 @@
         upstream_id = self._by_address.get(address)
         return None if upstream_id is None else self.upstreams.get(upstream_id)
 
+    def organisation(self, name: str) -> model.Organisation | None:
+        """Return an organisation of the configuration, or None.
+
+        Decoded organisations are kept until the configuration changes, since
+        every report of an entry host asks for some.
+        """
+        if name not in self._organisations:
+            value = self.parts.get((ORGANISATION, name))
+            if value is None:
+                return None
+            self._organisations[name] = model.decode(model.Organisation, value)
+        return self._organisations[name]
+
     def is_draining(self, failure_domain: str) -> bool:
         """Return whether a failure domain is being drained."""
         return self.parts.get((DRAIN, failure_domain)) is not None
@@ -124,6 +138,7 @@
         self.entry_hosts.clear()
         self.departed.clear()
         self._by_address.clear()
+        self._organisations.clear()
         for key, version, value in rows:
             self.parts.put(tuple(key), version, value)
             self._load_part(tuple(key), value)
@@ -163,6 +178,7 @@
         self.parts.put((DOCUMENT,), index, item.document)
         self.document = item.document
         self.configuration_version = configuration.version
+        self._organisations.clear()
 
     def _set_drain(self, index: int, item: commands.SetDomainDrain) -> None:
         if item.draining == self.is_draining(item.failure_domain):
--- a/tests/test_fleet_deciding.py
+++ b/tests/test_fleet_deciding.py
@@ -75,25 +75,50 @@
     ids=['below-rate', 'above-rate'],
 )
 def test_rate_is_divided_by_demand(rate, demand, expected):
-    assert rate_shares.divide(rate, demand) == pytest.approx(expected)
+    shares = {
+        host: rate_shares.fair_share(
+            rate,
+            claimed_per_s=claimed_per_s,
+            total_claimed_per_s=sum(demand.values()),
+            host_count=len(demand),
+        )
+        for host, claimed_per_s in demand.items()
+    }
+    assert shares == pytest.approx(expected)
 
 
 def test_granted_rates_never_exceed_the_rate():
     shares = rate_shares.RateShares()
-    hosts = {'a', 'b', 'c'}
-    rates = {'o': 90.0}
+    limits = {'o': rate_shares.Limit(rate_per_s=90.0, burst=90.0)}
     granted = {}
     for step in range(30):
         host = 'abc'[step % 3]
         busy = 'abc'[(step // 6) % 3]
-        shares.record_demand(host, {'o': 200.0 if host == busy else 1.0})
+        usage = rate_shares.Usage(
+            demand_per_s={'o': 200.0 if host == busy else 1.0}
+        )
         grant = shares.grant(
-            host, rates_per_s=rates, hosts=hosts, now_s=step * 0.2
+            host, usage=usage, limits=limits, host_count=3, now_s=step * 0.2
         )
         granted[host] = grant['o']
         assert sum(granted.values()) <= 90.0 + 1e-6
 
 
+def test_rate_of_a_silent_host_is_divided_after_its_lease():
+    shares = rate_shares.RateShares()
+    limits = {'o': rate_shares.Limit(rate_per_s=90.0, burst=90.0)}
+    usage = rate_shares.Usage(demand_per_s={'o': 200.0})
+
+    def granted(host, now_s):
+        return shares.grant(
+            host, usage=usage, limits=limits, host_count=2, now_s=now_s
+        )['o']
+
+    assert granted('a', 0.0) == pytest.approx(90.0 * 200 / 204.5)
+    assert granted('b', 0.1) == pytest.approx(90.0 * 4.5 / 204.5)
+    assert granted('b', rate_shares.GRANT_LEASE_S + 0.5) > 80.0
+
+
 def entry(name, domain):
     return model.EntryHost(
         name=name,
