Pass requests below an organisation's rate on any number of hosts

Cause: the rate was divided into a token bucket for each host. The part of a host was less than one token, so that the first request at a host found none, and a share of 0.3 a second has no room for two requests close together. 1,324 of 1,326 logged refusals had less than one token.

Now a host in touch with control passes up to two requests beyond its share between two grants and reports how many it passed; the leader subtracts them from a bucket for the fleet, and grants the share of the requests to admit while the bucket cannot cover the demand.

--- a/src/skylarkpitch/fleet/control_requests.py
+++ b/src/skylarkpitch/fleet/control_requests.py
@@ -58,7 +58,9 @@
 class EntryReport(_Tagged, frozen=True, kw_only=True):
     """Report of an entry host that it is alive, with its load.
 
-    ``demand_per_s`` is the rate of requests by organisation.
+    ``demand_per_s`` is the rate of requests by organisation, and ``passed``
+    counts those within the limits since the start that ``incarnation``
+    identifies.
     ``offered_slots`` is the load by service, as the number of slots that it
     occupies, and ``own_shares`` the share of it that the host sends to its
     own region, by service.
@@ -69,6 +71,8 @@
     demand_per_s: dict[str, float] = {}
     offered_slots: dict[str, float] = {}
     own_shares: dict[str, float] = {}
+    passed: dict[str, int] = {}
+    incarnation: str = ''
 
 
 class EntryGrant(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,11 +80,13 @@
 
     ``rate_per_s`` are the rates that it may use, by organisation, and
     ``own_shares`` the shares of the load that it sends to its own region,
-    by service.
+    by service. ``admitted_shares`` are the shares of the requests to admit
+    of organisations that are over their rate.
     """
 
     rate_per_s: dict[str, float]
     own_shares: dict[str, float] = {}
+    admitted_shares: dict[str, float] = {}
 
 
 ControlRequest = (
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -325,13 +325,19 @@
         granting_s = self._clock()
         granted = self._rate_shares.grant(
             host.name,
-            usage=rate_shares.Usage(demand_per_s=request.demand_per_s),
+            usage=rate_shares.Usage(
+                demand_per_s=request.demand_per_s,
+                passed=request.passed,
+                incarnation=request.incarnation,
+            ),
             limits=self._limits_of(request.demand_per_s),
             host_count=len(self._state.entry_hosts),
             now_s=now_s,
         )
         grant = control_requests.EntryGrant(
-            rate_per_s=granted, own_shares=self._local_shares(request, now_s)
+            rate_per_s=granted.rate_per_s,
+            own_shares=self._local_shares(request, now_s),
+            admitted_shares=granted.admitted_shares,
         )
         busy_s = self._clock() - granting_s
         self.counts['grants_busy_ms'] += busy_s * MS_PER_S
--- a/src/skylarkpitch/forwarding/admission.py
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import hashlib
 import math
+import random
 
 from aiohttp import web
 
@@ -50,6 +51,7 @@
         rate_tolerance: callers.RateTolerance,
         is_serving: Callable[[], bool],
         clock: Callable[[], float],
+        rng: random.Random | None = None,
     ) -> None:
         self._view = view
         self._names = names
@@ -58,7 +60,7 @@
         self._routes = routing.RoutingTable(())
         self._splitter = routing.Splitter()
         self._key_table = callers.KeyTable(())
-        self.rates = callers.RateLimits(tolerance=rate_tolerance)
+        self.rates = callers.RateLimits(tolerance=rate_tolerance, rng=rng)
 
     def apply_view_changes(self, changed: frozenset[str]) -> None:
         """Apply changes of the view.
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -89,6 +89,7 @@
             rate_tolerance=rate_tolerance,
             is_serving=lambda: is_ready() or is_stopping(),
             clock=clock,
+            rng=rng,
         )
         self.selector = selector
         self._scheduler = schedulers.RequestScheduler(
@@ -127,7 +128,9 @@
     def apply_grant(self, grant: control_requests.EntryGrant) -> None:
         """Apply the rates and local shares that control grants."""
         now_s = self._clock()
-        self.rates.apply_grant(grant.rate_per_s, now_s=now_s)
+        self.rates.apply_grant(
+            grant.rate_per_s, grant.admitted_shares, now_s=now_s
+        )
         self.selector.apply_grant(grant.own_shares, now_s=now_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -151,10 +151,13 @@
 
     def _build_report(self) -> control_requests.EntryReport:
         now_s = self._clock()
+        usage = self._handler.rates.usage(now_s=now_s)
         return control_requests.EntryReport(
             entry_host=self._settings.entry_host,
             leaving=self._subscriber.is_leaving,
-            demand_per_s=self._handler.rates.demand_per_s(now_s=now_s),
+            demand_per_s=dict(usage.demand_per_s),
+            passed=dict(usage.passed),
+            incarnation=usage.incarnation,
             offered_slots=self._handler.selector.offered_slots(now_s=now_s),
             own_shares=self._handler.selector.local_shares(),
         )
--- a/tests/test_fleet_deciding.py
+++ b/tests/test_fleet_deciding.py
@@ -100,7 +100,7 @@
         grant = shares.grant(
             host, usage=usage, limits=limits, host_count=3, now_s=step * 0.2
         )
-        granted[host] = grant['o']
+        granted[host] = grant.rate_per_s['o']
         assert sum(granted.values()) <= 90.0 + 1e-6
 
 
@@ -112,7 +112,7 @@
     def granted(host, now_s):
         return shares.grant(
             host, usage=usage, limits=limits, host_count=2, now_s=now_s
-        )['o']
+        ).rate_per_s['o']
 
     assert granted('a', 0.0) == pytest.approx(90.0 * 200 / 204.5)
     assert granted('b', 0.1) == pytest.approx(90.0 * 4.5 / 204.5)
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -83,7 +83,7 @@
     limits = callers.RateLimits(tolerance=callers.RateTolerance())
     org = organisation()
     limits.spend(org, entry_hosts=4, now_s=0.0)
-    limits.apply_grant({'o': 20.0}, now_s=0.0)
+    limits.apply_grant({'o': 20.0}, {'o': 1.0}, now_s=0.0)
     passed = 0
     for step in range(1, 1001):
         now_s = step * 0.002
