--- a/tests/test_fleet_group.py
+++ b/tests/test_fleet_group.py
@@ -150,6 +150,23 @@
     run(check, tmp_path)
 
 
+# Guards against requests for an upstream that has left: it left while it was
+# not recorded, as after a time without a leader, and an earlier heartbeat of
+# it arrived later.
+def test_late_heartbeat_after_an_unrecorded_upstream_left(tmp_path):
+    async def check(cluster):
+        await cluster.start('abcdef')
+        await cluster.wait_for_voters(6)
+        await cluster.submit_until_accepted(
+            'e', control_requests.Leave(upstream_id='u1')
+        )
+        await cluster.submit_until_accepted('a', heartbeat(sequence=5))
+        leader = next(n for n, log in cluster.logs.items() if log.is_leader)
+        assert cluster.states[leader].upstreams == {}
+
+    run(check, tmp_path)
+
+
 def test_invalid_configuration_is_refused_and_changes_nothing(tmp_path):
     async def check(cluster):
         await cluster.start('abcdef')
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -294,6 +294,28 @@
     assert sent * hosts <= 19.0 + hosts
 
 
+# Guards against cold upstreams without requests where the part of the cold
+# rate that falls to one entry host is less than one request. The bound is
+# half of what the rate allows while the upstream is cold.
+def test_cold_upstream_receives_requests_of_many_hosts():
+    hosts = 89
+    selectors_of_hosts = [
+        new_selector([upstream(cold_left_ms=3000.0)]) for _host in range(hosts)
+    ]
+    sent = 0
+    for step in range(3000):
+        selector = selectors_of_hosts[step * 7 % hosts]
+        now_s = step * 0.001
+        candidate = select(
+            selector, now_s=now_s, cold_rate_per_s=3.2, entry_hosts=hosts
+        )
+        if not sentinels.is_absent(candidate):
+            selector.reserve(candidate, criteria(), now_s=now_s)
+            selector.release(candidate)
+            sent += 1
+    assert 0.5 * 3.2 * 3 <= sent <= 1.5 * 3.2 * 3 + 8
+
+
 def test_upstreams_of_an_undrained_domain_are_cold():
     selector = new_selector([NEAR], draining=['east-a'])
     update(selector, [NEAR], now_s=10.0)
