Mark the departure of an upstream that is not recorded

The leader now commits a mark with its own time of day; reports of incarnations started before it are ignored. Marks are replicated, bounded in number, and forgotten after 30 s, so that a restart whose clock is behind is ignored for no longer.

--- a/src/skylarkpitch/fleet/commands.py
+++ b/src/skylarkpitch/fleet/commands.py
@@ -11,6 +11,8 @@
 
 __all__ = [
     'Command',
+    'ForgetDeparture',
+    'MarkDeparture',
     'PutConfiguration',
     'RecordEntryHost',
     'RecordUpstream',
@@ -66,6 +68,24 @@
     left: bool
 
 
+class MarkDeparture(_Tagged, frozen=True, kw_only=True):
+    """Mark the departure of an upstream that is not recorded.
+
+    Its incarnation is unknown. Reports of incarnations that started at
+    ``before_ms`` or earlier are ignored until :class:`ForgetDeparture`.
+    """
+
+    upstream_id: str
+    before_ms: int
+
+
+class ForgetDeparture(_Tagged, frozen=True, kw_only=True):
+    """Delete the mark of an upstream, if its time is ``before_ms``."""
+
+    upstream_id: str
+    before_ms: int
+
+
 class RecordEntryHost(_Tagged, frozen=True, kw_only=True):
     """Record an entry host, so that look-ups return it to callers."""
 
@@ -83,6 +103,8 @@
     | SetDomainDrain
     | RecordUpstream
     | RemoveUpstream
+    | MarkDeparture
+    | ForgetDeparture
     | RecordEntryHost
     | RemoveEntryHost
 )
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -42,6 +42,9 @@
 ENTRY_HOST_TIMEOUT_S = 2.5
 # An upstream is removed after this many heartbeat intervals without one.
 UPSTREAM_TIMEOUT_INTERVALS = 3.4
+# Late heartbeats arrive seconds after their upstream has left. A mark that
+# lasted longer could only affect a restart with a clock that is behind.
+UNRECORDED_DEPARTURE_S = 30.0
 LOAD_LOG_INTERVAL_S = 5.0
 # Control requests that take longer are logged; the acknowledgement of an
 # operator's request is due within a few seconds.
@@ -51,6 +54,10 @@
 _log = structlog.get_logger(__name__)
 
 
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 class ControlService(mode.Service):
     """Control requests and watches of one control host.
 
@@ -73,10 +80,12 @@
         region_of: Callable[[str], str | None],
         loop_delay: loop_delays.LoopDelay | None = None,
         clock: Callable[[], float] = time.monotonic,
+        unix_clock_ms: Callable[[], int] = _unix_ms,
         **options: Any,
     ) -> None:
         self._peers = peers
         self._replicated_log = log
+        self._unix_clock_ms = unix_clock_ms
         self._membership = membership
         self._state = state
         self._loop_delay = loop_delay or loop_delays.LoopDelay(clock=clock)
@@ -85,6 +94,9 @@
             timeout_s=UPSTREAM_TIMEOUT_INTERVALS * heartbeat_s
         )
         self._entry_hosts = liveness.Liveness(timeout_s=ENTRY_HOST_TIMEOUT_S)
+        self._departure_marks = liveness.Liveness(
+            timeout_s=UNRECORDED_DEPARTURE_S
+        )
         self._rate_shares = rate_shares.RateShares()
         self._region_of = region_of
         self._region_plan = region_plan.RegionPlan()
@@ -290,12 +302,19 @@
         if born_ms is None:
             recorded = self._state.upstreams.get(request.upstream_id)
             if recorded is None:
-                await self._confirm_leadership()
+                await self._mark_departure(request.upstream_id)
                 return control_requests.accepted()
             born_ms = recorded.born_ms
         await self._remove_upstream(request.upstream_id, born_ms, left=True)
         return control_requests.accepted()
 
+    async def _mark_departure(self, name: str) -> None:
+        before_ms = self._unix_clock_ms()
+        await self._submit(
+            commands.MarkDeparture(upstream_id=name, before_ms=before_ms)
+        )
+        _log.info('departure_marked', upstream=name, before_ms=before_ms)
+
     async def _remove_upstream(
         self, name: str, born_ms: int, *, left: bool
     ) -> None:
@@ -432,6 +451,13 @@
             leader=status.leader or '',
         )
 
+    async def _forget_departure(self, name: str) -> None:
+        before_ms = self._state.departed_unrecorded.get(name)
+        if before_ms is not None:
+            await self._submit(
+                commands.ForgetDeparture(upstream_id=name, before_ms=before_ms)
+            )
+
     @mode.Service.task
     async def _expire_regularly(self) -> None:
         """As leader, remove upstreams and entry hosts that expired."""
@@ -441,6 +467,7 @@
             if is_leader and not self._was_leader:
                 self._upstreams.reset()
                 self._entry_hosts.reset()
+                self._departure_marks.reset()
                 self._rate_shares.reset()
                 self._region_plan.reset()
                 _log.info('leading', index=self._state.index)
@@ -482,5 +509,8 @@
             hosts = self._state.entry_hosts
             for name in self._entry_hosts.expired(hosts, now_s=now_s):
                 await self._remove_entry_host(name, why='silent')
+            marks = self._state.departed_unrecorded
+            for name in self._departure_marks.expired(marks, now_s=now_s):
+                await self._forget_departure(name)
         except errors.SkylarkError as error:
             _log.info('expiry_failed', reason=error.reason, error=str(error))
--- a/src/skylarkpitch/fleet/state.py
+++ b/src/skylarkpitch/fleet/state.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     'DEPARTED',
+    'DEPARTED_UNRECORDED',
     'DOCUMENT',
     'DRAIN',
     'ENTRY_HOST',
@@ -39,6 +40,7 @@
 UPSTREAM = 'upstream'
 ENTRY_HOST = 'entry_host'
 DEPARTED = 'departed'
+DEPARTED_UNRECORDED = 'departed_unrecorded'
 DOCUMENT = 'document'
 # Departures are stored so that late heartbeats of the departed incarnation
 # are ignored; above this number the oldest is discarded.
@@ -55,7 +57,7 @@
     ENTRY_HOST: model.EntryHost,
 }
 _CONFIGURATION_KINDS = (VERSION, LIMITS, ROUTE, SERVICE, ORGANISATION)
-_CONTROL_ONLY_KINDS = frozenset((DEPARTED, DOCUMENT))
+_CONTROL_ONLY_KINDS = frozenset((DEPARTED, DEPARTED_UNRECORDED, DOCUMENT))
 _snapshot_decoder = msgspec.msgpack.Decoder(
     tuple[int, list[tuple[parts.PartKey, int, bytes | None]]]
 )
@@ -79,6 +81,7 @@
         self.upstreams: dict[str, model.Upstream] = {}
         self.entry_hosts: dict[str, model.EntryHost] = {}
         self.departed: dict[str, int] = {}
+        self.departed_unrecorded: dict[str, int] = {}
         self._by_address: dict[str, str] = {}
         self._organisations: dict[str, model.Organisation] = {}
         self._appliers = {
@@ -86,6 +89,8 @@
             commands.SetDomainDrain: self._set_drain,
             commands.RecordUpstream: self._record_upstream,
             commands.RemoveUpstream: self._remove_upstream,
+            commands.MarkDeparture: self._mark_departure,
+            commands.ForgetDeparture: self._forget_departure,
             commands.RecordEntryHost: self._record_entry_host,
             commands.RemoveEntryHost: self._remove_entry_host,
         }
@@ -137,6 +142,7 @@
         self.upstreams.clear()
         self.entry_hosts.clear()
         self.departed.clear()
+        self.departed_unrecorded.clear()
         self._by_address.clear()
         self._organisations.clear()
         for key, version, value in rows:
@@ -157,6 +163,8 @@
             self.entry_hosts[key[1]] = model.decode(model.EntryHost, value)
         elif key[0] == DEPARTED:
             self.departed[key[1]] = model.decode(int, value)
+        elif key[0] == DEPARTED_UNRECORDED:
+            self.departed_unrecorded[key[1]] = model.decode(int, value)
 
     def _put_configuration(
         self, index: int, item: commands.PutConfiguration
@@ -209,7 +217,11 @@
         or a later revision is recorded, or if an upstream that was started
         later is recorded at its address.
         """
-        if reported.born_ms <= self.departed.get(reported.upstream_id, -1):
+        name = reported.upstream_id
+        departed_ms = max(
+            self.departed.get(name, -1), self.departed_unrecorded.get(name, -1)
+        )
+        if reported.born_ms <= departed_ms:
             return False
         recorded = self.upstreams.get(reported.upstream_id)
         if recorded is not None and reported.revision <= recorded.revision:
@@ -229,17 +241,50 @@
     def _record_departure(
         self, index: int, item: commands.RemoveUpstream
     ) -> None:
-        departed_ms = self.departed.get(item.upstream_id, -1)
-        if item.born_ms <= departed_ms:
+        self._store_departure(
+            index, DEPARTED, self.departed, item.upstream_id, item.born_ms
+        )
+
+    def _mark_departure(
+        self, index: int, item: commands.MarkDeparture
+    ) -> None:
+        self._store_departure(
+            index,
+            DEPARTED_UNRECORDED,
+            self.departed_unrecorded,
+            item.upstream_id,
+            item.before_ms,
+        )
+        # A heartbeat may have been committed since the departure arrived.
+        recorded = self.upstreams.get(item.upstream_id)
+        if recorded is not None and recorded.born_ms <= item.before_ms:
+            self._delete_upstream(index, item.upstream_id)
+
+    def _store_departure(
+        self,
+        index: int,
+        kind: str,
+        departures: dict[str, int],
+        upstream_id: str,
+        born_ms: int,
+    ) -> None:
+        if born_ms <= departures.get(upstream_id, -1):
             return
-        self.departed.pop(item.upstream_id, None)
-        self.departed[item.upstream_id] = item.born_ms
-        key = (DEPARTED, item.upstream_id)
-        self.parts.put(key, index, model.encode(item.born_ms))
-        if len(self.departed) > MAX_DEPARTED:
-            oldest = next(iter(self.departed))
-            del self.departed[oldest]
-            self.parts.put((DEPARTED, oldest), index, None)
+        departures.pop(upstream_id, None)
+        departures[upstream_id] = born_ms
+        self.parts.put((kind, upstream_id), index, model.encode(born_ms))
+        if len(departures) > MAX_DEPARTED:
+            oldest = next(iter(departures))
+            del departures[oldest]
+            self.parts.put((kind, oldest), index, None)
+
+    def _forget_departure(
+        self, index: int, item: commands.ForgetDeparture
+    ) -> None:
+        name = item.upstream_id
+        if self.departed_unrecorded.get(name) == item.before_ms:
+            del self.departed_unrecorded[name]
+            self.parts.put((DEPARTED_UNRECORDED, name), index, None)
 
     def _record_entry_host(
         self, index: int, item: commands.RecordEntryHost
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -149,6 +149,45 @@
     assert (restored.configuration_version, restored.document) == (3, b'doc')
 
 
+def mark(before_ms, name='u1'):
+    return commands.MarkDeparture(upstream_id=name, before_ms=before_ms)
+
+
+def forget(before_ms):
+    return commands.ForgetDeparture(upstream_id='u1', before_ms=before_ms)
+
+
+@pytest.mark.parametrize(
+    ('items', 'expected'),
+    [
+        ([mark(100), record(born_ms=100)], []),
+        ([mark(100), record(born_ms=101)], ['u1']),
+        ([record(born_ms=100), mark(100)], []),
+        ([record(born_ms=101), mark(100)], ['u1']),
+        ([mark(100), mark(90), record(born_ms=95)], []),
+        ([mark(100), forget(100), record(born_ms=100)], ['u1']),
+        ([mark(100), mark(120), forget(100), record(born_ms=110)], []),
+        ([forget(100), record(born_ms=100)], ['u1']),
+        ([mark(100, name='u2'), record(born_ms=100)], ['u1']),
+    ],
+)
+def test_marked_departure_ignores_reports_of_earlier_starts(items, expected):
+    state = applied(*items)
+    assert list(state.upstreams) == expected
+    restored = fleet_state.FleetState()
+    restored.restore(state.snapshot())
+    assert restored.departed_unrecorded == state.departed_unrecorded
+    assert restored.upstreams == state.upstreams
+
+
+def test_number_of_marked_departures_is_bounded():
+    state = applied(
+        *(mark(100, name=f'u{n}') for n in range(fleet_state.MAX_DEPARTED + 5))
+    )
+    assert len(state.departed_unrecorded) == fleet_state.MAX_DEPARTED
+    assert 'u0' not in state.departed_unrecorded
+
+
 def watch_response(state, index):
     whole = index == 0
     rows = state.parts.rows() if whole else state.parts.rows_since(index, {})
