Select an upstream at a cost that does not grow with their number

A request now considers the upstreams that are preferred for its key, at most 8 a region, and a sample of 16 of the others. Changes are applied one by one; a join or leave changes only the rankings it belongs to. The head of a queue polls by a share of its objective.

New tables: 8 to 1,000 hosts, with pauses. When all preferred upstreams of a key failed recently, others are used at once instead of after the wait.

--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -42,7 +42,7 @@
 class Subscriber(mode.Service):
     """Watch control hosts, and report this entry host to the leader.
 
-    ``on_changed`` is called with the kinds that changed in the view,
+    ``on_changed`` is called with the changes of the view,
     ``report`` returns the next report, and ``on_grant`` is called with the
     leader's response to it. ``seeds`` returns the control hosts to use until
     the first response lists the members of the control group.
@@ -54,7 +54,7 @@
         peers: network.Peers,
         view: views.FleetView,
         seeds: Callable[[], tuple[str, ...]],
-        on_changed: Callable[[frozenset[str]], None],
+        on_changed: Callable[[views.Changes], None],
         report: Callable[[], control_requests.EntryReport],
         on_grant: Callable[[control_requests.EntryGrant], None],
         clock: Callable[[], float] = time.monotonic,
--- a/src/skylarkpitch/fleet/view.py
+++ b/src/skylarkpitch/fleet/view.py
@@ -1,13 +1,33 @@
 """Store an entry host's copy of the fleet state."""
 
 from collections.abc import Iterable
+import dataclasses
 from typing import Any
 
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.messages import fleet as messages
 
-__all__ = ['FleetView']
+__all__ = ['Changes', 'FleetView']
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Changes:
+    """What a response changed in a view.
+
+    ``kinds`` are the kinds of parts that changed. ``upstreams`` are the ids
+    of the upstreams that were added, changed or removed; None stands for
+    any of them, as after the view was replaced as a whole.
+    """
+
+    kinds: frozenset[str] = frozenset()
+    upstreams: frozenset[str] | None = frozenset()
+
+    def __bool__(self) -> bool:
+        return bool(self.kinds)
+
+
+_NO_CHANGES = Changes()
 
 
 class FleetView:
@@ -23,6 +43,7 @@
         self._tables: dict[str, dict[tuple[str, ...], Any]] = {
             kind: {} for kind in fleet_state.KINDS
         }
+        self._positions: dict[str, int] = {}
 
     @property
     def version(self) -> int:
@@ -76,29 +97,57 @@
         """Return the failure domains that are being drained."""
         return frozenset(key[0] for key in self._tables[fleet_state.DRAIN])
 
-    def apply(self, response: messages.WatchResponse) -> frozenset[str]:
-        """Apply the response of a control host; return the changed kinds."""
+    def upstream(self, upstream_id: str) -> model.Upstream | None:
+        """Return an upstream by its id, or None."""
+        return self._tables[fleet_state.UPSTREAM].get((upstream_id,))
+
+    def entry_host_position(self, name: str) -> int | None:
+        """Return the position of an entry host among all, in their order.
+
+        Returns None for a host that control has not recorded.
+        """
+        if not self._positions:
+            names = sorted(self._tables[fleet_state.ENTRY_HOST])
+            self._positions = {key[0]: i for i, key in enumerate(names)}
+        return self._positions.get(name)
+
+    def apply(self, response: messages.WatchResponse) -> Changes:
+        """Apply the response of a control host; return what it changed."""
         if self.cluster and response.cluster != self.cluster:
-            return frozenset()
+            return _NO_CHANGES
         if not response.cluster or response.index <= self.index:
-            return frozenset()
-        changed = set()
-        if response.whole:
-            for kind, table in self._tables.items():
-                if table:
-                    changed.add(kind)
-                table.clear()
+            return _NO_CHANGES
+        changed = self._clear() if response.whole else set()
+        upstreams = set()
         for key, _version, value in response.rows:
             kind, *name = key
             if kind not in self._tables:
                 continue
             changed.add(kind)
-            table = self._tables[kind]
-            if value is None:
-                table.pop(tuple(name), None)
-            else:
-                decoded = model.decode(fleet_state.KINDS[kind], value)
-                table[tuple(name)] = decoded
+            if kind == fleet_state.UPSTREAM:
+                upstreams.add(name[0])
+            self._set(kind, tuple(name), value)
         self.cluster = response.cluster
         self.index = response.index
-        return frozenset(changed)
+        if fleet_state.ENTRY_HOST in changed:
+            self._positions = {}
+        return Changes(
+            kinds=frozenset(changed),
+            upstreams=None if response.whole else frozenset(upstreams),
+        )
+
+    def _clear(self) -> set[str]:
+        """Remove all parts; return the kinds that there were."""
+        cleared = {kind for kind, table in self._tables.items() if table}
+        for table in self._tables.values():
+            table.clear()
+        return cleared
+
+    def _set(
+        self, kind: str, name: tuple[str, ...], value: bytes | None
+    ) -> None:
+        table = self._tables[kind]
+        if value is None:
+            table.pop(name, None)
+        else:
+            table[name] = model.decode(fleet_state.KINDS[kind], value)
--- a/src/skylarkpitch/forwarding/regions.py
+++ b/src/skylarkpitch/forwarding/regions.py
@@ -79,9 +79,13 @@
             MAX_SPILL_TOKENS, self._spill_tokens + SPILL_SHARE
         )
 
+    def has_spill_token(self) -> bool:
+        """Return whether a request may spill over now."""
+        return self._spill_tokens >= 1.0
+
     def consume_spill_token(self) -> bool:
         """Consume a spill token; return False if there is none."""
-        if self._spill_tokens < 1.0:
+        if not self.has_spill_token():
             return False
         self._spill_tokens -= 1.0
         return True
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -62,12 +62,13 @@
 
 
 class RequestHandler:
-    """Handle all requests of callers on one entry host."""
+    """Handle all requests of callers on the entry host named ``host``."""
 
     def __init__(
         self,
         *,
         view: views.FleetView,
+        host: str,
         selector: selectors.UpstreamSelector,
         names: header_names.HeaderNames,
         retry_limits: retry_budget.RetryLimits,
@@ -94,6 +95,7 @@
         self.selector = selector
         self._scheduler = schedulers.RequestScheduler(
             view=view,
+            host=host,
             selector=selector,
             names=names,
             clock=clock,
@@ -112,13 +114,10 @@
         """Close the connections to upstreams."""
         await self._sender.close()
 
-    def apply_view_changes(self, changed: frozenset[str]) -> None:
-        """Apply changes of the view.
-
-        ``changed`` are the kinds of state that differ, such as ``route``.
-        """
-        self._admission.apply_view_changes(changed)
-        self._scheduler.apply_view_changes(changed)
+    def apply_view_changes(self, changes: views.Changes) -> None:
+        """Apply changes of the view."""
+        self._admission.apply_view_changes(changes.kinds)
+        self._scheduler.apply_view_changes(changes)
 
     @property
     def rates(self) -> callers.RateLimits:
--- a/src/skylarkpitch/forwarding/scheduler.py
+++ b/src/skylarkpitch/forwarding/scheduler.py
@@ -15,8 +15,11 @@
 
 __all__ = ['MIN_TIME_LEFT_S', 'RequestScheduler']
 
-# How often the head of a queue tries to reserve a slot without being woken.
-POLL_INTERVAL_S = 0.03
+# How often the head of a queue tries to reserve a slot without being woken:
+# a fraction of its latency objective, within bounds.
+POLL_OBJECTIVE_SHARE = 0.05
+MIN_POLL_INTERVAL_S = 0.03
+MAX_POLL_INTERVAL_S = 0.15
 # A request with less time to its deadline is not sent.
 MIN_TIME_LEFT_S = 0.005
 MS_PER_S = 1000
@@ -26,37 +29,46 @@
 
 
 class RequestScheduler:
-    """Assign requests to upstream slots, with one queue for each service."""
+    """Assign requests to upstream slots, with one queue for each service.
+
+    ``host`` is the name of this entry host in the view.
+    """
 
     def __init__(
         self,
         *,
         view: views.FleetView,
+        host: str,
         selector: selectors.UpstreamSelector,
         names: header_names.HeaderNames,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._view = view
+        self._host = host
         self._selector = selector
         self._names = names
         self._clock = clock
         self._rng = rng
         self._queues: dict[str, request_queue.RequestQueue] = {}
 
-    def apply_view_changes(self, changed: frozenset[str]) -> None:
-        """Apply changes of the view.
-
-        ``changed`` are the kinds of state that differ, such as ``route``.
-        """
-        if not changed & _RELEVANT_KINDS:
+    def apply_view_changes(self, changes: views.Changes) -> None:
+        """Apply changes of the view."""
+        if not changes.kinds & _RELEVANT_KINDS:
             return
-        self._selector.update_upstreams(
-            self._view.upstreams,
-            draining_domains=self._view.draining_domains,
-            cold_s=self._cold_s,
-            now_s=self._clock(),
-        )
+        now_s = self._clock()
+        if changes.upstreams is None or fleet_state.DRAIN in changes.kinds:
+            self._selector.update_upstreams(
+                self._view.upstreams,
+                draining_domains=self._view.draining_domains,
+                cold_s=self._cold_s,
+                now_s=now_s,
+            )
+        else:
+            for name in sorted(changes.upstreams):
+                self._selector.update_upstream(
+                    name, self._view.upstream(name), now_s=now_s
+                )
         for queue in self._queues.values():
             queue.wake(len(queue))
 
@@ -133,6 +145,7 @@
             if configured is None
             else configured.cold_rate_per_s,
             entry_hosts=self._view.entry_host_count,
+            host_position=self._view.entry_host_position(self._host),
             now_s=now_s,
             is_final_attempt=is_final,
         )
@@ -178,10 +191,17 @@
         waiter: request_queue.Waiter,
     ) -> selectors.Candidate | sentinels.Absent:
         candidate = sentinels.Absent('no_room')
+        interval_s = min(
+            MAX_POLL_INTERVAL_S,
+            max(
+                MIN_POLL_INTERVAL_S,
+                POLL_OBJECTIVE_SHARE * criteria.objective_s,
+            ),
+        )
         while (
             not candidate and (left_s := waiter.expires_s - self._clock()) > 0
         ):
-            woken = await _wait_woken(waiter, min(left_s, POLL_INTERVAL_S))
+            woken = await _wait_woken(waiter, min(left_s, interval_s))
             if woken or queue.is_head(waiter):
                 candidate = self._try_reserve(call, criteria)
         return candidate
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -78,6 +78,7 @@
         host = settings.entry_host
         self._handler = handlers.RequestHandler(
             view=self._view,
+            host=host.name,
             selector=selectors.UpstreamSelector(
                 region=host.region,
                 failure_domain=host.failure_domain,
@@ -167,9 +168,9 @@
             return web.Response(status=404)
         return web.Response(status=200 if self._subscriber.is_ready else 503)
 
-    def _on_view_changed(self, kinds: frozenset[str]) -> None:
-        self._handler.apply_view_changes(kinds)
-        if fleet_state.LIMITS in kinds:
+    def _on_view_changed(self, changes: views.Changes) -> None:
+        self._handler.apply_view_changes(changes)
+        if fleet_state.LIMITS in changes.kinds:
             self._listener.set_limits(self._view.limits)
 
     def _record_outcome(self, outcome: handlers.RequestOutcome) -> None:
--- a/src/skylarkpitch/forwarding/service_pool.py
+++ b/src/skylarkpitch/forwarding/service_pool.py
@@ -1,20 +1,27 @@
 """Rank the upstreams of one service for each affinity key.
 
 All entry hosts compute the same ranking by rendezvous hashing, so that they
-agree on the few preferred upstreams of a key.
+agree on the few preferred upstreams of a key. The cost of a request does not
+grow with the number of upstreams: it considers the preferred ones of its key,
+and a sample of bounded size of the others.
 """
 
-import dataclasses
+import bisect
+from collections.abc import Iterable
 
 from skylarkpitch.forwarding import regions
 from skylarkpitch.forwarding import upstream_load
 from skylarkpitch.peers import rendezvous
 
-__all__ = ['AffinityRank', 'Loads', 'ServicePool']
+__all__ = ['Loads', 'ServicePool']
 
-# Fraction of a region's upstreams that are preferred for an affinity key. It
-# is small so that each upstream serves few keys and has them cached.
+# Fraction of a region's upstreams that are preferred for an affinity key, and
+# the maximum number. Both are small so that each upstream serves few keys and
+# has them cached.
 PREFERRED_SHARE = 0.4
+MAX_PREFERRED = 8
+# Maximum number of upstreams of a region that a request samples.
+SAMPLE_SIZE = 16
 SHARE_STEP_PER_S = 0.06
 # Entries of each cache below, which is cleared when it is full.
 MAX_CACHED_KEYS = 4096
@@ -22,19 +29,64 @@
 Loads = dict[str, upstream_load.UpstreamLoad]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class AffinityRank:
-    """How an upstream ranks for an affinity key.
+class _RegionUpstreams:
+    """The usable upstreams of a service in one region.
 
-    ``is_preferred`` is set for the few upstreams of each region that the key
-    is assigned to, ``is_first`` for the first of them.
-    ``is_in_planned_region`` is set in the local region and in the first
-    remote region of the key.
+    ``_rankings`` has the first upstreams of the affinity keys in use, and is
+    updated when an upstream joins or leaves.
     """
 
-    is_preferred: bool
-    is_first: bool
-    is_in_planned_region: bool
+    def __init__(self) -> None:
+        self.loads: Loads = {}
+        self.slots = 0
+        self._names: list[str] = []
+        self._next_sample = 0
+        self._rankings: dict[str, list[rendezvous.Ranked]] = {}
+
+    def put(self, name: str, load: upstream_load.UpstreamLoad) -> None:
+        """Add an upstream, or replace its load."""
+        previous = self.loads.get(name)
+        self.loads[name] = load
+        self.slots = sum(item.upstream.slots for item in self.loads.values())
+        if previous is not None:
+            return
+        bisect.insort(self._names, name)
+        for key, ranking in self._rankings.items():
+            bisect.insort(ranking, rendezvous.ranked(key, name))
+            del ranking[MAX_PREFERRED:]
+
+    def remove(self, name: str) -> None:
+        """Remove an upstream."""
+        del self.loads[name]
+        self.slots = sum(item.upstream.slots for item in self.loads.values())
+        self._names.remove(name)
+        self._rankings = {
+            key: ranking
+            for key, ranking in self._rankings.items()
+            if all(ranked_name != name for _hash, ranked_name in ranking)
+        }
+
+    def preferred(self, affinity_key: str) -> list[str]:
+        """Return the upstreams that are preferred for a key, in order."""
+        ranking = self._rankings.get(affinity_key)
+        if ranking is None:
+            if len(self._rankings) >= MAX_CACHED_KEYS:
+                self._rankings.clear()
+            ranking = self._rankings[affinity_key] = rendezvous.best(
+                affinity_key, self._names, count=MAX_PREFERRED
+            )
+        count = round(PREFERRED_SHARE * len(self._names))
+        return [name for _hash, name in ranking[: max(1, count)]]
+
+    def sample(self) -> list[str]:
+        """Return up to ``SAMPLE_SIZE`` upstreams, others at each call."""
+        count = len(self._names)
+        if count <= SAMPLE_SIZE:
+            return list(self._names)
+        start = self._next_sample % count
+        self._next_sample = start + SAMPLE_SIZE
+        following = self._names[start : start + SAMPLE_SIZE]
+        return following + self._names[: SAMPLE_SIZE - len(following)]
 
 
 class ServicePool:
@@ -46,63 +98,63 @@
         self.shares = regions.RegionShares(
             step_per_s=SHARE_STEP_PER_S, now_s=now_s
         )
-        self._by_region: dict[str, Loads] = {}
-        self._ranks: dict[str, dict[str, AffinityRank]] = {}
+        self._by_region: dict[str, _RegionUpstreams] = {}
+        self._region_of_upstream: dict[str, str] = {}
         self._first_remote_regions: dict[str, str | None] = {}
         self._fractions: dict[str, float] = {}
 
     @property
-    def region_groups(self) -> frozenset[str]:
-        """Return which of local and remote regions have upstreams."""
-        return frozenset(
-            regions.LOCAL if region == self._local_region else regions.REMOTE
-            for region in self._by_region
+    def regions(self) -> Iterable[str]:
+        """Return the regions that have upstreams."""
+        return self._by_region.keys()
+
+    def put(
+        self, name: str, load: upstream_load.UpstreamLoad, *, region: str
+    ) -> None:
+        """Add a usable upstream, or replace its load."""
+        if self._region_of_upstream.get(name, region) != region:
+            self.remove(name)
+        self._region_of_upstream[name] = region
+        self.loads[name] = load
+        self._by_region.setdefault(region, _RegionUpstreams()).put(name, load)
+        self._apply_region_changes()
+
+    def remove(self, name: str) -> None:
+        """Remove an upstream that is no longer usable, if it is known."""
+        region = self._region_of_upstream.pop(name, None)
+        if region is None:
+            return
+        del self.loads[name]
+        self._by_region[region].remove(name)
+        if not self._by_region[region].loads:
+            del self._by_region[region]
+        self._apply_region_changes()
+
+    def _apply_region_changes(self) -> None:
+        self._first_remote_regions.clear()
+        self.shares.set_region_groups(
+            frozenset(
+                regions.LOCAL
+                if region == self._local_region
+                else regions.REMOTE
+                for region in self._by_region
+            )
         )
 
-    def set_upstreams(self, by_region: dict[str, Loads]) -> None:
-        """Replace the usable upstreams, given by region."""
-        before = {name: set(loads) for name, loads in self._by_region.items()}
-        if {name: set(loads) for name, loads in by_region.items()} != before:
-            self._ranks.clear()
-            self._first_remote_regions.clear()
-        self._by_region = by_region
-        self.loads = {
-            name: load
-            for loads in by_region.values()
-            for name, load in loads.items()
-        }
+    def preferred(self, affinity_key: str, *, region: str) -> list[str]:
+        """Return the upstreams of a region preferred for a key, in order."""
+        return self._by_region[region].preferred(affinity_key)
 
-    def affinity_rank(
-        self, affinity_key: str, upstream_id: str
-    ) -> AffinityRank:
-        """Return how an upstream ranks for an affinity key."""
-        ranks = self._ranks.get(affinity_key)
-        if ranks is None:
-            if len(self._ranks) >= MAX_CACHED_KEYS:
-                self._ranks.clear()
-            ranks = self._ranks[affinity_key] = self._compute_ranks(
-                affinity_key
-            )
-        return ranks[upstream_id]
-
-    def _compute_ranks(self, affinity_key: str) -> dict[str, AffinityRank]:
-        first_remote_region = self.first_remote_region(affinity_key)
-        ranks = {}
-        for region, loads in self._by_region.items():
-            preferred_count = max(1, round(PREFERRED_SHARE * len(loads)))
-            is_in_planned_region = region in (
-                self._local_region,
-                first_remote_region,
-            )
-            for position, name in enumerate(
-                rendezvous.rank(affinity_key, loads)
-            ):
-                ranks[name] = AffinityRank(
-                    is_preferred=position < preferred_count,
-                    is_first=position == 0,
-                    is_in_planned_region=is_in_planned_region,
-                )
-        return ranks
+    def has_other_than(self, excluded: frozenset[str], *, region: str) -> bool:
+        """Return whether a region has an upstream that is not excluded."""
+        loads = self._by_region[region].loads
+        if not excluded:
+            return bool(loads)
+        return len(loads) > sum(1 for name in excluded if name in loads)
+
+    def sample(self, *, region: str) -> list[str]:
+        """Return a sample of the upstreams of a region."""
+        return self._by_region[region].sample()
 
     def first_remote_region(self, affinity_key: str) -> str | None:
         """Return the remote region that an affinity key is assigned to.
@@ -114,8 +166,8 @@
             if len(self._first_remote_regions) >= MAX_CACHED_KEYS:
                 self._first_remote_regions.clear()
             slots = {
-                region: sum(load.upstream.slots for load in loads.values())
-                for region, loads in self._by_region.items()
+                region: upstreams.slots
+                for region, upstreams in self._by_region.items()
                 if region != self._local_region
             }
             found = rendezvous.first_by_weight(affinity_key, slots)
--- a/src/skylarkpitch/forwarding/upstream_selector.py
+++ b/src/skylarkpitch/forwarding/upstream_selector.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import functools
 
 from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import arrivals
@@ -39,10 +40,6 @@
 # Requests that may queue at an upstream that is preferred for their affinity
 # key, as a fraction of its slots.
 QUEUE_SHARE = 0.5
-# All upstreams are equal for a request without an affinity key.
-_NO_AFFINITY_RANK = service_pool.AffinityRank(
-    is_preferred=True, is_first=True, is_in_planned_region=True
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,79 +110,47 @@
         """
         undrained = self._draining - draining_domains
         self._draining = draining_domains
-        loads = {}
-        for item in upstreams:
-            load = self._loads.get(item.upstream_id)
-            if load is None or load.upstream.born_ms != item.born_ms:
-                load = upstream_load.UpstreamLoad(item, now_s=now_s)
-            elif load.upstream != item:
-                load.update(item, now_s=now_s)
+        current = {item.upstream_id: item for item in upstreams}
+        for name in set(self._loads) - set(current):
+            self.update_upstream(name, None, now_s=now_s)
+        for name, item in sorted(current.items()):
+            self.update_upstream(name, item, now_s=now_s)
             if item.failure_domain in undrained:
+                load = self._loads[name]
                 load.become_cold(cold_s(item.service), now_s=now_s)
-            loads[item.upstream_id] = load
-        self._loads = loads
-        self._fill_pools(now_s)
-
-    def _fill_pools(self, now_s: float) -> None:
-        usable: dict[str, dict[str, service_pool.Loads]] = {}
-        for name, load in sorted(self._loads.items()):
-            item = load.upstream
-            is_ready = item.state is model.UpstreamState.READY
-            if is_ready and item.failure_domain not in self._draining:
-                by_region = usable.setdefault(item.service, {})
-                by_region.setdefault(self.region_of(load), {})[name] = load
-        for service in set(self._pools) | set(usable):
-            pool = self._pools.get(service)
-            if pool is None:
-                pool = self._pools[service] = service_pool.ServicePool(
-                    local_region=self._region, now_s=now_s
-                )
-            pool.set_upstreams(usable.get(service, {}))
-            pool.shares.set_region_groups(pool.region_groups)
 
-    def _region_group(
-        self,
-        pool: service_pool.ServicePool,
-        load: upstream_load.UpstreamLoad,
-        criteria: SelectionCriteria,
-    ) -> str:
-        """Return the region group of an upstream, as a request sees it.
-
-        The groups are the local region, the first remote region of the
-        affinity key (without a key, all remote regions), and the other
-        remote regions. All upstreams count as local for a request whose
-        ``homes`` are named.
-        """
-        if criteria.homes is not None:
-            return regions.LOCAL
-        region = self.region_of(load)
-        if region == self._region:
-            return regions.LOCAL
-        if criteria.affinity_key is None:
-            return regions.REMOTE
-        first_remote_region = pool.first_remote_region(criteria.affinity_key)
-        return (
-            regions.REMOTE
-            if region == first_remote_region
-            else regions.OTHER_REMOTE
-        )
+    def update_upstream(
+        self, name: str, item: model.Upstream | None, *, now_s: float
+    ) -> None:
+        """Replace one upstream, or remove it if ``item`` is None."""
+        before = self._loads.pop(name, None)
+        if before is not None and (
+            item is None or item.service != before.upstream.service
+        ):
+            self._pools[before.upstream.service].remove(name)
+        if item is None:
+            return
+        load = before
+        if load is None or load.upstream.born_ms != item.born_ms:
+            load = upstream_load.UpstreamLoad(item, now_s=now_s)
+        elif load.upstream != item:
+            load.update(item, now_s=now_s)
+        self._loads[name] = load
+        pool = self._pools.get(item.service)
+        if pool is None:
+            pool = self._pools[item.service] = service_pool.ServicePool(
+                local_region=self._region, now_s=now_s
+            )
+        is_ready = item.state is model.UpstreamState.READY
+        if is_ready and item.failure_domain not in self._draining:
+            pool.put(name, load, region=self.region_of(load))
+        else:
+            pool.remove(name)
 
     def region_of(self, load: upstream_load.UpstreamLoad) -> str:
         """Return the region of an upstream."""
         return self._region_of(load.upstream.failure_domain) or ''
 
-    def is_known(self, service: str) -> bool:
-        """Return whether a service has a usable upstream."""
-        pool = self._pools.get(service)
-        return pool is not None and bool(pool.loads)
-
-    def is_current(self, load: upstream_load.UpstreamLoad) -> bool:
-        """Return whether an upstream may still receive requests."""
-        pool = self._pools.get(load.upstream.service)
-        return pool is not None and (
-            pool.loads.get(load.upstream.upstream_id) is load
-        )
-
     def select(
         self,
         criteria: SelectionCriteria,
@@ -193,6 +158,7 @@
         cold_rate_per_s: float | None,
         entry_hosts: int,
         now_s: float,
+        host_position: int | None = 0,
         is_final_attempt: bool = False,
     ) -> Candidate | sentinels.Absent:
         """Return the candidate of the lowest cost that has capacity.
@@ -202,7 +168,8 @@
         the others, and of those only upstreams with few occupied slots (see
         ``NON_PREFERRED_FILL``).
         ``cold_rate_per_s`` bounds the requests for a cold upstream over all
-        ``entry_hosts``; None sets no bound.
+        ``entry_hosts``; None sets no bound. ``host_position`` is that of
+        this host among them, None if it is not recorded yet.
 
         Returns ``Absent`` with ``no_upstream`` when the service has no
         usable upstream, or ``no_room`` when all of them are full.
@@ -210,85 +177,172 @@
         pool = self._pools.get(criteria.service)
         if pool is None or not pool.loads:
             return sentinels.Absent('no_upstream')
-        scored = self._score_by_group(pool, criteria, now_s)
-        if not scored:
+        by_group = self._regions_by_group(pool, criteria)
+        if not by_group:
             return sentinels.Absent('no_upstream', 'all are excluded')
-        cold_share = None
+        cold_rate = None
         if cold_rate_per_s is not None:
-            cold_share = cold_rate_per_s / max(1, entry_hosts)
-        for number, group in enumerate(
-            self._group_order(pool, criteria, scored, now_s)
+            cold_rate = upstream_load.ColdRate(
+                rate_per_s=cold_rate_per_s,
+                entry_hosts=max(1, entry_hosts),
+                host_position=host_position,
+            )
+        score = functools.partial(
+            self._scored,
+            pool,
+            criteria,
+            now_s=now_s,
+            with_others=is_final_attempt,
+        )
+        for number, group_regions in enumerate(
+            self._group_order(pool, criteria, by_group, score, now_s)
         ):
-            for _cost, _name, candidate in scored[group]:
-                if not candidate.is_preferred and not is_final_attempt:
-                    continue
-                if not self._has_capacity(candidate, cold_share, now_s):
+            for _cost, _name, candidate in score(group_regions):
+                if not self._has_capacity(candidate, cold_rate, now_s):
                     continue
                 if number > 0 and not pool.shares.consume_spill_token():
                     break
                 return candidate
         return sentinels.Absent('no_room')
 
-    def _score_by_group(
+    def _regions_by_group(
+        self, pool: service_pool.ServicePool, criteria: SelectionCriteria
+    ) -> dict[str, list[str]]:
+        """Return the regions of each region group, as a request sees them.
+
+        The groups are the local region, the first remote region of the
+        affinity key (without a key, all remote regions), and the other
+        remote regions. All regions count as local for a request whose
+        ``homes`` are named. Regions whose upstreams are all excluded are
+        left out.
+        """
+        first_remote_region = None
+        if criteria.affinity_key is not None:
+            first_remote_region = pool.first_remote_region(
+                criteria.affinity_key
+            )
+        groups: dict[str, list[str]] = {}
+        for region in pool.regions:
+            if not pool.has_other_than(criteria.excluded, region=region):
+                continue
+            if criteria.homes is not None:
+                if region in criteria.homes:
+                    groups.setdefault(regions.LOCAL, []).append(region)
+            elif region == self._region:
+                groups.setdefault(regions.LOCAL, []).append(region)
+            elif first_remote_region in (None, region):
+                groups.setdefault(regions.REMOTE, []).append(region)
+            else:
+                groups.setdefault(regions.OTHER_REMOTE, []).append(region)
+        return groups
+
+    def _scored(
         self,
         pool: service_pool.ServicePool,
         criteria: SelectionCriteria,
+        group_regions: Iterable[str],
+        *,
         now_s: float,
-    ) -> dict[str, list[tuple[float, str, Candidate]]]:
+        with_others: bool,
+    ) -> list[tuple[float, str, Candidate]]:
+        """Return candidates with their costs, in ascending order.
+
+        Upstreams that are not preferred for the affinity key are included
+        if ``with_others`` is set, or if all preferred ones are excluded or
+        failed recently.
+        """
         times = self._times_of(criteria)
-        scored: dict[str, list[tuple[float, str, Candidate]]] = {}
-        for name, load in self._eligible(pool, criteria, now_s):
-            cost_s, candidate = self._score(pool, load, criteria, times, now_s)
-            entry = (cost_s, name, candidate)
-            group = self._region_group(pool, load, criteria)
-            scored.setdefault(group, []).append(entry)
-        for entries in scored.values():
-            entries.sort(key=lambda entry: entry[:2])
+        scored = []
+        for region in group_regions:
+            first, preferred = self._preferred(pool, criteria, region)
+            for name in self._names_to_score(
+                pool, criteria, region, preferred, now_s, with_others
+            ):
+                cost_s, candidate = self._score(
+                    pool.loads[name],
+                    criteria,
+                    times,
+                    now_s,
+                    is_first=name == first,
+                    is_preferred=name in preferred,
+                )
+                scored.append((cost_s, name, candidate))
+        scored.sort(key=lambda entry: entry[:2])
         return scored
 
-    def _eligible(
+    def _names_to_score(
         self,
         pool: service_pool.ServicePool,
         criteria: SelectionCriteria,
+        region: str,
+        preferred: list[str],
         now_s: float,
-    ) -> list[tuple[str, upstream_load.UpstreamLoad]]:
-        """Return the upstreams that may run a request, with their ids.
-
-        Those that failed recently are left out while there are others.
+        with_others: bool,
+    ) -> list[str]:
+        names = self._eligible(pool, criteria, preferred, now_s)
+        if names and not with_others:
+            return names
+        others = [n for n in pool.sample(region=region) if n not in preferred]
+        names += self._eligible(pool, criteria, others, now_s)
+        if names:
+            return names
+        return [n for n in preferred + others if n not in criteria.excluded]
+
+    def _preferred(
+        self,
+        pool: service_pool.ServicePool,
+        criteria: SelectionCriteria,
+        region: str,
+    ) -> tuple[str | None, list[str]]:
+        """Return the upstream of a region to send a request to first.
+
+        Also returns those that are preferred for its affinity key. Without
+        a key, all of a sample are, and None is the first. All entry hosts
+        send an affinity key to its first upstream, so that one is warm even
+        if this host has not sent it the key. If homes name the regions, that
+        holds for the first upstream of each region.
         """
-        allowed = [
-            (name, load)
-            for name, load in pool.loads.items()
+        key = criteria.affinity_key
+        if key is None:
+            return None, pool.sample(region=region)
+        preferred = pool.preferred(key, region=region)
+        is_planned = criteria.homes is not None or region in (
+            self._region,
+            pool.first_remote_region(key),
+        )
+        return preferred[0] if is_planned else None, preferred
+
+    def _eligible(
+        self,
+        pool: service_pool.ServicePool,
+        criteria: SelectionCriteria,
+        names: Iterable[str],
+        now_s: float,
+    ) -> list[str]:
+        """Return which upstreams are not excluded and not in backoff."""
+        return [
+            name
+            for name in names
             if name not in criteria.excluded
-            and (
-                criteria.homes is None
-                or self.region_of(load) in criteria.homes
-            )
-        ]
-        not_in_backoff = [
-            item for item in allowed if not item[1].is_in_backoff(now_s=now_s)
+            and not pool.loads[name].is_in_backoff(now_s=now_s)
         ]
-        return not_in_backoff or allowed
 
     def _score(
         self,
-        pool: service_pool.ServicePool,
         load: upstream_load.UpstreamLoad,
         criteria: SelectionCriteria,
         times: work_times.RouteTimes,
         now_s: float,
+        *,
+        is_first: bool,
+        is_preferred: bool,
     ) -> tuple[float, Candidate]:
-        affinity_rank = _NO_AFFINITY_RANK
-        if criteria.affinity_key is not None:
-            name = load.upstream.upstream_id
-            affinity_rank = pool.affinity_rank(criteria.affinity_key, name)
-        # All entry hosts send an affinity key to its first upstream, so that
-        # one is warm even if this host has not sent it the key. If homes
-        # name the regions, that holds for the first upstream of each region.
-        is_first = affinity_rank.is_first and (
-            affinity_rank.is_in_planned_region or criteria.homes is not None
+        has_key = criteria.affinity_key is not None
+        is_warm = (
+            not has_key
+            or is_first
+            or load.is_warm(criteria.affinity_key, now_s=now_s)
         )
-        is_warm = is_first or load.is_warm(criteria.affinity_key, now_s=now_s)
         expected_s = times.warm_s if is_warm else times.miss_s
         work_s = expected_s * load.slowness
         slots = max(1, load.upstream.slots)
@@ -299,12 +353,12 @@
         fill_s = 0.1 * work_s * max(0.0, excess / slots + 0.5)
         cost_s = work_s + wait_s + fill_s + self._distance_s(load)
         cost_s += DEGRADED_PENALTY_S * load.failure_share
-        if not is_first:
+        if has_key and not is_first:
             cost_s += EVICTION_COST_SHARE * times.miss_penalty_s
         return cost_s, Candidate(
             load=load,
             expected_s=expected_s,
-            is_preferred=affinity_rank.is_preferred,
+            is_preferred=is_preferred,
             is_warm=is_warm,
         )
 
@@ -319,28 +373,37 @@
         self,
         pool: service_pool.ServicePool,
         criteria: SelectionCriteria,
-        scored: dict[str, list[tuple[float, str, Candidate]]],
+        by_group: Mapping[str, list[str]],
+        score: Callable[[list[str]], list[tuple[float, str, Candidate]]],
         now_s: float,
-    ) -> list[str]:
-        """Return the region groups to try, in this order.
+    ) -> list[list[str]]:
+        """Return the regions of the groups to try, in this order.
 
         The first one follows from the local share. The others are used only
         for the few requests that may spill over. A retry uses only the group
         of the candidate with the lowest cost.
         """
         if criteria.excluded:
-            return sorted(scored, key=lambda group: scored[group][0][:2])[:1]
+            lowest = {}
+            for group, group_regions in by_group.items():
+                for entry in score(group_regions)[:1]:
+                    lowest[group] = entry[:2]
+            best = sorted(lowest, key=lowest.__getitem__)[:1]
+            return [by_group[group] for group in best]
         affinity_fraction = pool.affinity_fraction(criteria.affinity_key)
         chosen = pool.shares.choose(
             affinity_fraction=affinity_fraction, now_s=now_s
         )
         order = [chosen, regions.LOCAL, regions.REMOTE, regions.OTHER_REMOTE]
-        return [group for group in dict.fromkeys(order) if group in scored]
+        present = [g for g in dict.fromkeys(order) if g in by_group]
+        if not pool.shares.has_spill_token():
+            present = present[:1]
+        return [by_group[group] for group in present]
 
     def _has_capacity(
         self,
         candidate: Candidate,
-        cold_share_per_s: float | None,
+        cold_rate: upstream_load.ColdRate | None,
         now_s: float,
     ) -> bool:
         load = candidate.load
@@ -352,9 +415,9 @@
             max_occupied = max(1.0, NON_PREFERRED_FILL * slots)
         if load.occupied_slots(now_s=now_s) + 1 > max_occupied:
             return False
-        if cold_share_per_s is None or not load.is_cold(now_s=now_s):
+        if cold_rate is None or not load.is_cold(now_s=now_s):
             return True
-        return load.has_cold_token(cold_share_per_s, now_s=now_s)
+        return load.has_cold_token(cold_rate, now_s=now_s)
 
     def reserve(
         self,
--- a/src/skylarkpitch/peers/rendezvous.py
+++ b/src/skylarkpitch/peers/rendezvous.py
@@ -9,9 +9,21 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import hashlib
+import heapq
 import math
 
-__all__ = ['first', 'first_by_weight', 'hash_fraction', 'rank']
+__all__ = [
+    'Ranked',
+    'best',
+    'first',
+    'first_by_weight',
+    'hash_fraction',
+    'rank',
+    'ranked',
+]
+
+# A name with its hash for a key; the lowest is the most preferred.
+Ranked = tuple[bytes, str]
 
 
 def _hash(key: str, name: str) -> bytes:
@@ -25,6 +37,16 @@
     return sorted(names, key=lambda name: (_hash(key, name), name))
 
 
+def ranked(key: str, name: str) -> Ranked:
+    """Return a name with its hash for ``key``."""
+    return _hash(key, name), name
+
+
+def best(key: str, names: Iterable[str], *, count: int) -> list[Ranked]:
+    """Return the ``count`` most preferred names for ``key``, in order."""
+    return heapq.nsmallest(count, (ranked(key, name) for name in names))
+
+
 def first(key: str, names: Iterable[str]) -> str | None:
     """Return the most preferred name for ``key``; None without names."""
     return min(names, key=lambda name: (_hash(key, name), name), default=None)
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -210,18 +210,19 @@
     state.apply(3, commands.encode(put(2, routes=())))
     state.apply(4, commands.encode(leave()))
     changed = view.apply(watch_response(state, view.index))
-    assert changed == {'version', 'route', 'upstream'}
+    assert changed.kinds == {'version', 'route', 'upstream'}
+    assert changed.upstreams == {'u1'}
     assert (view.version, list(view.routes), list(view.upstreams)) == (
         2,
         [],
         [],
     )
-    assert view.apply(older) == frozenset()
+    assert view.apply(older) == views.Changes()
     assert view.version == 2
     other = dataclasses.replace(
         watch_response(state, 0), cluster='d', index=99
     )
-    assert view.apply(other) == frozenset()
+    assert view.apply(other) == views.Changes()
 
 
 def test_control_only_parts_are_not_sent_to_views():
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -187,11 +187,19 @@
     return selectors.SelectionCriteria(**values)
 
 
-def select(selector, now_s=0.0, cold_rate_per_s=None, entry_hosts=1, **fields):
+def select(
+    selector,
+    now_s=0.0,
+    cold_rate_per_s=None,
+    entry_hosts=1,
+    host_position=0,
+    **fields,
+):
     return selector.select(
         criteria(**fields),
         cold_rate_per_s=cold_rate_per_s,
         entry_hosts=entry_hosts,
+        host_position=host_position,
         now_s=now_s,
     )
 
@@ -294,6 +302,36 @@
     assert sent * hosts <= 19.0 + hosts
 
 
+def cold_requests(hosts, *, duration_s, paused=lambda host, now_s: False):
+    """Return when a cold upstream gets requests of many hosts.
+
+    Every host has a request for it every 50 ms of ``duration_s``, except
+    while it is paused.
+    """
+    selectors_of_hosts = [
+        new_selector([upstream(cold_left_ms=duration_s * 1000)])
+        for _host in range(hosts)
+    ]
+    sent = []
+    for step in range(int(duration_s * 20)):
+        now_s = step * 0.05
+        for position, selector in enumerate(selectors_of_hosts):
+            if paused(position, now_s):
+                continue
+            candidate = select(
+                selector,
+                now_s=now_s,
+                cold_rate_per_s=3.2,
+                entry_hosts=hosts,
+                host_position=position,
+            )
+            if not sentinels.is_absent(candidate):
+                selector.reserve(candidate, criteria(), now_s=now_s)
+                selector.release(candidate)
+                sent.append(now_s)
+    return sent
+
+
 # Guards against cold upstreams without requests where the part of the cold
 # rate that falls to one entry host is less than one request. The bound is
 # half of what the rate allows while the upstream is cold.
@@ -304,10 +342,15 @@
     ]
     sent = 0
     for step in range(3000):
-        selector = selectors_of_hosts[step * 7 % hosts]
+        position = step * 7 % hosts
+        selector = selectors_of_hosts[position]
         now_s = step * 0.001
         candidate = select(
-            selector, now_s=now_s, cold_rate_per_s=3.2, entry_hosts=hosts
+            selector,
+            now_s=now_s,
+            cold_rate_per_s=3.2,
+            entry_hosts=hosts,
+            host_position=position,
         )
         if not sentinels.is_absent(candidate):
             selector.reserve(candidate, criteria(), now_s=now_s)
@@ -316,6 +359,73 @@
     assert 0.5 * 3.2 * 3 <= sent <= 1.5 * 3.2 * 3 + 8
 
 
+@pytest.mark.parametrize(
+    'paused',
+    [
+        lambda host, now_s: False,
+        lambda host, now_s: host % 2 and now_s < 1.9,
+        lambda host, now_s: host % 3 == 0 and 0.5 < now_s < 2.5,
+    ],
+    ids=['none', 'half-late', 'a-third-for-2-s'],
+)
+@pytest.mark.parametrize('hosts', [8, 89, 182, 1000])
+def test_cold_rate_holds_in_every_second_for_any_number_of_hosts(
+    hosts, paused
+):
+    duration_s = 3.0
+    sent = cold_requests(hosts, duration_s=duration_s, paused=paused)
+    for start in range(21):
+        start_s = start * 0.1
+        within = [t for t in sent if start_s <= t < start_s + 1.0]
+        assert len(within) <= 1.5 * 3.2 + 8
+    assert len(sent) <= 3.2 * duration_s + 1
+    assert len(sent) >= 0.25 * 3.2 * duration_s
+
+
+def test_host_that_is_not_recorded_uses_no_cold_rate():
+    selector = new_selector([upstream(cold_left_ms=3000.0)])
+    assert sentinels.is_absent(
+        select(
+            selector,
+            now_s=0.5,
+            cold_rate_per_s=3.2,
+            entry_hosts=89,
+            host_position=None,
+        )
+    )
+
+
+@pytest.mark.parametrize('excluded', [frozenset(), frozenset({'u0', 'u1'})])
+@pytest.mark.parametrize('affinity_key', [None, 'r 7'])
+@pytest.mark.parametrize('failed', [False, True])
+def test_request_finds_an_upstream_among_many(excluded, affinity_key, failed):
+    items = [
+        upstream(f'u{i}', 'east-a' if i % 2 else 'west-a') for i in range(600)
+    ]
+    selector = new_selector(items)
+    if failed:
+        for candidate in fill(selector, 20, affinity_key=affinity_key):
+            candidate.load.record_unreachable(now_s=0.0)
+    found = select(selector, affinity_key=affinity_key, excluded=excluded)
+    assert not sentinels.is_absent(found)
+    assert found.load.upstream.upstream_id not in excluded
+
+
+def test_upstream_that_joins_or_leaves_changes_no_other_ranking():
+    items = [upstream(f'u{i}', 'east-a') for i in range(60)]
+    keys = [f'r {number}' for number in range(200)]
+    selector = new_selector(items)
+    before = {k: selected_id(selector, affinity_key=k) for k in keys}
+    selector.update_upstream('new', upstream('new', 'east-a'), now_s=0.0)
+    joined = {k: selected_id(selector, affinity_key=k) for k in keys}
+    moved = {k for k in keys if joined[k] != before[k]}
+    assert {joined[k] for k in moved} == {'new'}
+    fresh = new_selector([*items, upstream('new', 'east-a')])
+    assert joined == {k: selected_id(fresh, affinity_key=k) for k in keys}
+    selector.update_upstream('new', None, now_s=0.0)
+    assert before == {k: selected_id(selector, affinity_key=k) for k in keys}
+
+
 def test_upstreams_of_an_undrained_domain_are_cold():
     selector = new_selector([NEAR], draining=['east-a'])
     update(selector, [NEAR], now_s=10.0)
--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -63,6 +63,7 @@
     outcomes = []
     handler = handlers.RequestHandler(
         view=view,
+        host='e1',
         selector=selectors.UpstreamSelector(
             region='east',
             failure_domain='east-a',
@@ -76,7 +77,9 @@
         on_finished=outcomes.append,
     )
     handler.open()
-    handler.apply_view_changes(frozenset(fleet_state.KINDS))
+    handler.apply_view_changes(
+        views.Changes(kinds=frozenset(fleet_state.KINDS), upstreams=None)
+    )
     server = web.Server(handler.handle, handler_cancellation=True)
     listening = await asyncio.get_running_loop().create_server(
         server, '127.0.0.1', 0
