Start processes of a fleet with the modules of their roles only

Cause, by -X importtime: control's modules and the daemon's settings models were imported by entry hosts, aiohttp loaded the trusted certificates that nothing uses, and the collector went through the modules while they loaded; where the checkout is read-only, each start would also compile the source.

Roles are now created by functions that import them; FleetSettings carries those functions. ControlRole stops cleanly after a start that failed (AttributeError before). text_page moved out of the statsd module, from_settings out of peers.directory.

--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -23,6 +23,7 @@
 from skylarkpitch.membership import service as membership
 from skylarkpitch.observability import histograms
 from skylarkpitch.observability import metrics
+from skylarkpitch.observability import metrics_page
 from skylarkpitch.peers import network
 from skylarkpitch.requests import crash_watch
 from skylarkpitch.requests import ledger_service
@@ -328,7 +329,9 @@
         )
 
     async def _metrics_page(self, _request: web.Request) -> web.Response:
-        return web.Response(text=metrics.text_page(self._status.counters()))
+        return web.Response(
+            text=metrics_page.counter_lines(self._status.counters())
+        )
 
 
 def _client_blocks(
--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -1,73 +1,74 @@
-"""Assemble a process of a fleet whose hosts discover each other by seeds."""
+"""Assemble a process of a fleet whose hosts discover each other by seeds.
+
+The roles of the process are created by functions of its settings, so that a
+process imports only the modules of its own roles and starts sooner.
+"""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import gc
 import hashlib
 import ipaddress
-import os
-import pathlib
 import random
 import signal
 from typing import Any
+from typing import Protocol
 
 from aiohttp import web
 import mode
 import structlog
 from zmq.utils import z85
 
-from skylarkpitch.consensus import service as consensus
-from skylarkpitch.consensus import state as consensus_state
 from skylarkpitch.daemon import keys
 from skylarkpitch.daemon import runner
-from skylarkpitch.fleet import control_service as control_services
-from skylarkpitch.fleet import membership as memberships
-from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.forwarding import callers_listener
-from skylarkpitch.forwarding import service as forwarding_service
 from skylarkpitch.observability import histograms
 from skylarkpitch.observability import logs
 from skylarkpitch.observability import loop_delay as loop_delays
-from skylarkpitch.observability import metrics
+from skylarkpitch.observability import metrics_page
 from skylarkpitch.peers import directory
 from skylarkpitch.peers import network
 
-__all__ = ['ControlSettings', 'FleetDaemon', 'FleetSettings', 'run']
+__all__ = [
+    'FleetDaemon',
+    'FleetSettings',
+    'Role',
+    'RoleContext',
+    'RoleFactory',
+    'run',
+]
 
-BOOTSTRAP_MARKER_NAME = 'first-start'
-LEADERSHIP_TRANSFER_TIMEOUT_S = 1.0
-HTTP_SHUTDOWN_TIMEOUT_S = 1.5
-ELECTION_TIMING = consensus_state.Timing(
-    heartbeat_s=0.12, election_min_s=0.5, election_max_s=1.7
-)
 SETTINGS_CHECK_INTERVAL_S = 1.0
-LOG_CHECK_INTERVAL_S = 1.5
-
-HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 _log = structlog.get_logger(__name__)
 
 
+class Role(Protocol):
+    """What a process asks of each of its roles, which is a service."""
+
+    @property
+    def histograms(self) -> histograms.LatencyHistograms:
+        """Return the durations of requests."""
+
+    def counters(self) -> dict[str, float]:
+        """Return counts since the start and gauges of the current state."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ControlSettings:
-    """Settings of a control host.
+class RoleContext:
+    """What a process provides to its roles.
 
-    ``create_handler`` returns the handler of the HTTP API, which is served
-    at each of the ``addresses``. ``region_of`` returns the region of a
-    failure domain, None if it is unknown.
+    ``seeds`` returns the IP addresses of the control hosts to contact first.
     """
 
-    data_folder: pathlib.Path
-    is_first_start: bool
-    is_voter: bool
-    tolerated_disks: int
-    heartbeat_s: float
-    region_of: Callable[[str], str | None]
-    addresses: tuple[str, ...]
-    create_handler: Callable[
-        [control_services.ControlService, fleet_state.FleetState], HttpHandler
-    ]
+    peers: network.Peers
+    seeds: Callable[[], tuple[str, ...]]
+    loop_delay: loop_delays.LoopDelay
+    rng: random.Random
+
+
+RoleFactory = Callable[[RoleContext], Role]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -80,7 +81,7 @@
     enough to connect to it. This process listens on ``own_peers_port``.
 
     ``seeds`` returns the IP addresses of the control hosts to contact first.
-    All hosts share ``secret``.
+    All hosts share ``secret``. ``roles`` create the roles of the process.
     """
 
     name: str
@@ -92,9 +93,8 @@
     own_peers_port: int
     secret: str
     seeds: Callable[[], tuple[str, ...]]
+    roles: tuple[RoleFactory, ...]
     metrics_address: str | None = None
-    control: ControlSettings | None = None
-    forwarding: forwarding_service.ForwardingSettings | None = None
 
 
 def _curve_secret_key(secret: str) -> str:
@@ -136,125 +136,6 @@
     )
 
 
-def _is_bootstrap_host(control: ControlSettings) -> bool:
-    """Return whether this host ever started with ``is_first_start`` set.
-
-    A marker file in the data folder records it, so that a host that restarts
-    before bootstrap has finished still takes part in it.
-    """
-    marker = control.data_folder / BOOTSTRAP_MARKER_NAME
-    if not control.is_first_start:
-        return marker.exists()
-    control.data_folder.mkdir(parents=True, exist_ok=True)
-    marker.touch()
-    return True
-
-
-class ControlRole(mode.Service):
-    """Run the replicated log, the state of the fleet and the HTTP API."""
-
-    def __init__(
-        self,
-        *,
-        settings: FleetSettings,
-        peers: network.Peers,
-        loop_delay: loop_delays.LoopDelay,
-        rng: random.Random,
-        **options: Any,
-    ) -> None:
-        control = settings.control
-        self._control = control
-        self.fleet = fleet_state.FleetState()
-        self._replicated_log = consensus.ReplicatedLog(
-            peers=peers,
-            state_machine=self.fleet,
-            data_folder=control.data_folder,
-            voters=settings.seeds(),
-            may_bootstrap=control.is_voter and _is_bootstrap_host(control),
-            is_control=lambda name: True,
-            rng=rng,
-            on_applied=lambda: self.control_service.notify_applied(),
-            timing=ELECTION_TIMING,
-        )
-        self._membership = memberships.Membership(
-            peers=peers,
-            log=self._replicated_log,
-            seeds=settings.seeds,
-            tolerated_disks=control.tolerated_disks,
-            is_voter=control.is_voter,
-        )
-        self.control_service = control_services.ControlService(
-            peers=peers,
-            log=self._replicated_log,
-            membership=self._membership,
-            state=self.fleet,
-            heartbeat_s=control.heartbeat_s,
-            region_of=control.region_of,
-            loop_delay=loop_delay,
-        )
-        super().__init__(**options)
-
-    def on_init_dependencies(self) -> list[mode.Service]:
-        """Return the replicated log, then the services that use it."""
-        return [self._replicated_log, self._membership, self.control_service]
-
-    async def on_started(self) -> None:
-        """Serve the HTTP API at every address."""
-        loop = asyncio.get_running_loop()
-        self._http_server = web.Server(
-            self._control.create_handler(self.control_service, self.fleet),
-            access_log=None,
-        )
-        self._servers = [
-            await loop.create_server(
-                self._http_server, sock=callers_listener.bind(address)
-            )
-            for address in self._control.addresses
-        ]
-
-    @mode.Service.task
-    async def _stop_when_the_log_fails(self) -> None:
-        """Stop the process when its replicated log has failed.
-
-        After a disk error the log does not recover in the running process; a
-        restart reads the disk again.
-        """
-        while not self.should_stop:
-            await self.sleep(LOG_CHECK_INTERVAL_S)
-            if self._replicated_log.status().role == 'failed':
-                _log.error('ending', why='the replicated log has failed')
-                os.kill(os.getpid(), signal.SIGTERM)
-                return
-
-    async def on_stop(self) -> None:
-        """Transfer the leadership, then stop the HTTP servers."""
-        _log.info('stopping')
-        await self._replicated_log.resign(
-            timeout_s=LEADERSHIP_TRANSFER_TIMEOUT_S
-        )
-        for server in self._servers:
-            server.close()
-        await self._http_server.shutdown(HTTP_SHUTDOWN_TIMEOUT_S)
-
-    @property
-    def histograms(self) -> histograms.LatencyHistograms:
-        """Return the durations of control requests."""
-        return self.control_service.histograms
-
-    def counters(self) -> dict[str, float]:
-        """Return counts since the start and gauges of the current state."""
-        return {
-            **self._replicated_log.counters(),
-            **{
-                f'orders_{k}': v
-                for k, v in self.control_service.counts.items()
-            },
-            'upstreams': len(self.fleet.upstreams),
-            'entry_hosts': len(self.fleet.entry_hosts),
-            'configuration_version': self.fleet.configuration_version,
-        }
-
-
 class FleetDaemon(runner.Process):
     """Run the peer transport and the role of one process."""
 
@@ -273,25 +154,13 @@
             secret_key=_curve_secret_key(settings.secret),
         )
         self._loop_delay = loop_delays.LoopDelay()
-        self._roles: list[Any] = []
-        if settings.control is not None:
-            self._roles.append(
-                ControlRole(
-                    settings=settings,
-                    peers=self._peers,
-                    loop_delay=self._loop_delay,
-                    rng=rng,
-                )
-            )
-        if settings.forwarding is not None:
-            self._roles.append(
-                forwarding_service.ForwardingRole(
-                    settings=settings.forwarding,
-                    peers=self._peers,
-                    seeds=settings.seeds,
-                    rng=rng,
-                )
-            )
+        context = RoleContext(
+            peers=self._peers,
+            seeds=settings.seeds,
+            loop_delay=self._loop_delay,
+            rng=rng,
+        )
+        self._roles = [create(context) for create in settings.roles]
         super().__init__(**options)
 
     def on_init_dependencies(self) -> list[mode.Service]:
@@ -318,9 +187,9 @@
         counters = self._loop_delay.counters()
         for role in self._roles:
             counters.update(role.counters())
-        text = metrics.text_page(counters)
+        text = metrics_page.counter_lines(counters)
         for role in self._roles:
-            text += _latency_lines(role.histograms)
+            text += metrics_page.latency_lines(role.histograms)
         return web.Response(text=text)
 
     def _reload(self) -> None:
@@ -335,16 +204,6 @@
             self._on_reload()
 
 
-def _latency_lines(latencies: histograms.LatencyHistograms) -> str:
-    lines = []
-    for summary in latencies.summaries():
-        series = f'{summary.request_class}/{summary.organisation}'
-        for name in ('p50_ms', 'p90_ms', 'p99_ms', 'max_ms', 'count'):
-            value = getattr(summary, name)
-            lines.append(f'latency_{name}/{series} {value:g}\n')
-    return ''.join(lines)
-
-
 def run(settings: FleetSettings, *, on_reload: Callable[[], None]) -> None:
     """Run the process until a signal stops it.
 
@@ -353,6 +212,9 @@
     that could not start.
     """
     logs.configure(host=settings.name, level='info', to_stdout=True)
+    # Modules stay until the end; collections need not go through them.
+    gc.freeze()
+    gc.enable()
     runner.run(
         lambda: FleetDaemon(
             settings=settings,
--- /dev/null
+++ b/src/skylarkpitch/daemon/fleet_control.py
@@ -0,0 +1,185 @@
+"""Assemble the control role of a process of a fleet."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import os
+import pathlib
+import signal
+from typing import Any
+
+from aiohttp import web
+import mode
+import structlog
+
+from skylarkpitch.consensus import service as consensus
+from skylarkpitch.consensus import state as consensus_state
+from skylarkpitch.daemon import fleet
+from skylarkpitch.fleet import control_service as control_services
+from skylarkpitch.fleet import membership as memberships
+from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.forwarding import callers_listener
+from skylarkpitch.observability import histograms
+
+__all__ = ['ControlRole', 'ControlSettings', 'factory']
+
+BOOTSTRAP_MARKER_NAME = 'first-start'
+LEADERSHIP_TRANSFER_TIMEOUT_S = 1.0
+HTTP_SHUTDOWN_TIMEOUT_S = 1.5
+ELECTION_TIMING = consensus_state.Timing(
+    heartbeat_s=0.12, election_min_s=0.5, election_max_s=1.7
+)
+LOG_CHECK_INTERVAL_S = 1.5
+
+HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ControlSettings:
+    """Settings of a control host.
+
+    ``create_handler`` returns the handler of the HTTP API, which is served
+    at each of the ``addresses``. ``region_of`` returns the region of a
+    failure domain, None if it is unknown.
+    """
+
+    data_folder: pathlib.Path
+    is_first_start: bool
+    is_voter: bool
+    tolerated_disks: int
+    heartbeat_s: float
+    region_of: Callable[[str], str | None]
+    addresses: tuple[str, ...]
+    create_handler: Callable[
+        [control_services.ControlService, fleet_state.FleetState], HttpHandler
+    ]
+
+
+def _is_bootstrap_host(settings: ControlSettings) -> bool:
+    """Return whether this host ever started with ``is_first_start`` set.
+
+    A marker file in the data folder records it, so that a host that restarts
+    before bootstrap has finished still takes part in it.
+    """
+    marker = settings.data_folder / BOOTSTRAP_MARKER_NAME
+    if not settings.is_first_start:
+        return marker.exists()
+    settings.data_folder.mkdir(parents=True, exist_ok=True)
+    marker.touch()
+    return True
+
+
+class ControlRole(mode.Service):
+    """Run the replicated log, the state of the fleet and the HTTP API."""
+
+    def __init__(
+        self,
+        *,
+        settings: ControlSettings,
+        context: fleet.RoleContext,
+        **options: Any,
+    ) -> None:
+        self._settings = settings
+        self._servers: list[asyncio.Server] = []
+        self._http_server: web.Server | None = None
+        self.fleet = fleet_state.FleetState()
+        may_bootstrap = settings.is_voter and _is_bootstrap_host(settings)
+        self._replicated_log = consensus.ReplicatedLog(
+            peers=context.peers,
+            state_machine=self.fleet,
+            data_folder=settings.data_folder,
+            voters=context.seeds(),
+            may_bootstrap=may_bootstrap,
+            is_control=lambda name: True,
+            rng=context.rng,
+            on_applied=lambda: self.control_service.notify_applied(),
+            timing=ELECTION_TIMING,
+        )
+        self._membership = memberships.Membership(
+            peers=context.peers,
+            log=self._replicated_log,
+            seeds=context.seeds,
+            tolerated_disks=settings.tolerated_disks,
+            is_voter=settings.is_voter,
+        )
+        self.control_service = control_services.ControlService(
+            peers=context.peers,
+            log=self._replicated_log,
+            membership=self._membership,
+            state=self.fleet,
+            heartbeat_s=settings.heartbeat_s,
+            region_of=settings.region_of,
+            loop_delay=context.loop_delay,
+        )
+        super().__init__(**options)
+
+    def on_init_dependencies(self) -> list[mode.Service]:
+        """Return the replicated log, then the services that use it."""
+        return [self._replicated_log, self._membership, self.control_service]
+
+    async def on_started(self) -> None:
+        """Serve the HTTP API at every address."""
+        loop = asyncio.get_running_loop()
+        self._http_server = web.Server(
+            self._settings.create_handler(self.control_service, self.fleet),
+            access_log=None,
+        )
+        self._servers = [
+            await loop.create_server(
+                self._http_server, sock=callers_listener.bind(address)
+            )
+            for address in self._settings.addresses
+        ]
+
+    @mode.Service.task
+    async def _stop_when_the_log_fails(self) -> None:
+        """Stop the process when its replicated log has failed.
+
+        After a disk error the log does not recover in the running process; a
+        restart reads the disk again.
+        """
+        while not self.should_stop:
+            await self.sleep(LOG_CHECK_INTERVAL_S)
+            if self._replicated_log.status().role == 'failed':
+                _log.error('ending', why='the replicated log has failed')
+                os.kill(os.getpid(), signal.SIGTERM)
+                return
+
+    async def on_stop(self) -> None:
+        """Transfer the leadership, then stop the HTTP servers."""
+        if self._http_server is None:
+            # The start failed, so there is no leadership to transfer.
+            return
+        _log.info('stopping')
+        await self._replicated_log.resign(
+            timeout_s=LEADERSHIP_TRANSFER_TIMEOUT_S
+        )
+        for server in self._servers:
+            server.close()
+        await self._http_server.shutdown(HTTP_SHUTDOWN_TIMEOUT_S)
+
+    @property
+    def histograms(self) -> histograms.LatencyHistograms:
+        """Return the durations of control requests."""
+        return self.control_service.histograms
+
+    def counters(self) -> dict[str, float]:
+        """Return counts since the start and gauges of the current state."""
+        return {
+            **self._replicated_log.counters(),
+            **{
+                f'orders_{k}': v
+                for k, v in self.control_service.counts.items()
+            },
+            'upstreams': len(self.fleet.upstreams),
+            'entry_hosts': len(self.fleet.entry_hosts),
+            'configuration_version': self.fleet.configuration_version,
+        }
+
+
+def factory(settings: ControlSettings) -> fleet.RoleFactory:
+    """Return the function that creates the control role of a process."""
+    return lambda context: ControlRole(settings=settings, context=context)
--- a/src/skylarkpitch/daemon/fleet_main.py
+++ b/src/skylarkpitch/daemon/fleet_main.py
@@ -11,8 +11,6 @@
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import retry_budget
-from skylarkpitch.forwarding import service as forwarding
-from skylarkpitch.operators import fleet_calls
 from skylarkpitch.settings import fleet as files
 
 __all__ = ['main', 'settings_of']
@@ -38,14 +36,16 @@
     return secret
 
 
-def _control(file: files.FleetFile) -> fleet.ControlSettings | None:
-    section = file.control
-    if section is None:
-        return None
+def _control_role(
+    file: files.FleetFile, section: files.ControlFile
+) -> fleet.RoleFactory:
+    from skylarkpitch.daemon import fleet_control
+    from skylarkpitch.operators import fleet_calls
+
     token = _read_secret(
         section.operator_token_file, description='the operator token'
     )
-    return fleet.ControlSettings(
+    settings = fleet_control.ControlSettings(
         data_folder=section.data_folder,
         is_first_start=section.is_first_start,
         is_voter=section.is_voter,
@@ -60,15 +60,16 @@
             operator_token=token,
         ),
     )
+    return fleet_control.factory(settings)
+
 
+def _entry_role(
+    file: files.FleetFile, section: files.EntryFile
+) -> fleet.RoleFactory:
+    from skylarkpitch.daemon import fleet_entry
+    from skylarkpitch.forwarding import service
 
-def _forwarding(
-    file: files.FleetFile,
-) -> forwarding.ForwardingSettings | None:
-    section = file.entry
-    if section is None:
-        return None
-    return forwarding.ForwardingSettings(
+    settings = service.ForwardingSettings(
         entry_host=model.EntryHost(
             name=file.host,
             callers_address=section.callers.host_port,
@@ -92,6 +93,7 @@
         drain_s=section.goodbye_s,
         grace_s=section.grace_s,
     )
+    return fleet_entry.factory(settings)
 
 
 def settings_of(file: files.FleetFile) -> fleet.FleetSettings:
@@ -102,6 +104,11 @@
     """
     seeds = tuple(str(seed) for seed in file.seeds)
     is_control = file.control is not None
+    roles = []
+    if file.control is not None:
+        roles.append(_control_role(file, file.control))
+    if file.entry is not None:
+        roles.append(_entry_role(file, file.entry))
     return fleet.FleetSettings(
         name=file.host,
         peer_name=str(file.ip) if is_control else file.host,
@@ -114,9 +121,8 @@
             file.secret_file, description='the secret of the fleet'
         ),
         seeds=lambda: seeds,
+        roles=tuple(roles),
         metrics_address=file.metrics.host_port if file.metrics else None,
-        control=_control(file),
-        forwarding=_forwarding(file),
     )
 
 
@@ -139,9 +145,10 @@
     are invalid.
     """
     try:
-        settings = settings_of(files.load(path))
+        file = files.load(path)
+        settings = settings_of(file)
         if check:
-            role = 'control' if settings.control else 'entry'
+            role = 'control' if file.control else 'entry'
             click.echo(f'{path}: valid, {role} host {settings.name}')
             return
         fleet.run(settings, on_reload=lambda: None)
--- a/src/skylarkpitch/daemon/main.py
+++ b/src/skylarkpitch/daemon/main.py
@@ -13,11 +13,11 @@
 
 from skylarkpitch.daemon import control
 from skylarkpitch.daemon import entry
+from skylarkpitch.daemon import host_list
 from skylarkpitch.daemon import keys
 from skylarkpitch.daemon import runner
 from skylarkpitch import errors
 from skylarkpitch.observability import logs
-from skylarkpitch.peers import directory
 from skylarkpitch.peers import network
 from skylarkpitch.settings import daemon as daemon_settings
 
@@ -43,7 +43,7 @@
         self._settings = settings
         self.malformed = 0
         self._peers = network.PeerNetwork(
-            directory=directory.from_settings(
+            directory=host_list.from_settings(
                 settings, public_key=keys.public_key_of(secret_key)
             ),
             secret_key=secret_key,
--- a/src/skylarkpitch/observability/metrics.py
+++ b/src/skylarkpitch/observability/metrics.py
@@ -8,7 +8,7 @@
 
 from skylarkpitch.settings import daemon as daemon_settings
 
-__all__ = ['Metrics', 'text_page']
+__all__ = ['Metrics']
 
 MAX_TIMINGS_PER_FLUSH = 200
 MS_PER_S = 1000
@@ -71,10 +71,3 @@
         while not self.should_stop:
             await self.sleep(self._settings.flush_s)
             self.flush(client)
-
-
-def text_page(counters: dict[str, float]) -> str:
-    """Return counters as text lines ``name value``, sorted by name."""
-    return ''.join(
-        f'{name} {value:g}\n' for name, value in sorted(counters.items())
-    )
--- a/src/skylarkpitch/peers/directory.py
+++ b/src/skylarkpitch/peers/directory.py
@@ -4,9 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 
-from skylarkpitch.settings import daemon as daemon_settings
-
-__all__ = ['Directory', 'Host', 'from_settings']
+__all__ = ['Directory', 'Host']
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -108,43 +106,3 @@
         return tuple(
             host for host in self.with_role(role) if host.region == region
         )
-
-
-def _host_port(address: daemon_settings.Address | None) -> str | None:
-    return None if address is None else address.host_port
-
-
-def from_settings(
-    settings: daemon_settings.DaemonSettings, *, public_key: str
-) -> Directory:
-    """Return the directory of the hosts that a settings file lists.
-
-    ``public_key`` is that of this process, in Z85.
-    """
-    local_host_entry = Host(
-        name=settings.host,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        roles=settings.roles,
-        peers_address=settings.peers_address.host_port,
-        callers_address=_host_port(settings.callers_address),
-        relay_address=_host_port(settings.relay_address),
-        public_key=public_key,
-    )
-    peers = [
-        Host(
-            name=peer.host,
-            region=peer.region,
-            failure_domain=peer.failure_domain,
-            roles=peer.roles,
-            peers_address=peer.peers.host_port,
-            callers_address=_host_port(peer.callers),
-            relay_address=_host_port(peer.relay),
-            public_key=peer.public_key,
-        )
-        for peer in settings.peers
-        if peer.host != settings.host
-    ]
-    return Directory(
-        local_host=settings.host, hosts=[local_host_entry, *peers]
-    )
