Send gathered changes, once, from a control host nearby

An entry host now has one watch and polls another control host every 0.5 s. Control hosts record their failure domain, and entry hosts use the nearest, spread by hash. Messages and bytes by kind are on the metrics page; dropped messages are logged and counted. Watches and grants are modules of their own.

RecordControlHost is a new command: exchange all control hosts first.

--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -185,6 +185,7 @@
 
     async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
         counters = self._loop_delay.counters()
+        counters.update(self._peers.counters())
         for role in self._roles:
             counters.update(role.counters())
         text = metrics_page.counter_lines(counters)
--- a/src/skylarkpitch/fleet/commands.py
+++ b/src/skylarkpitch/fleet/commands.py
@@ -14,8 +14,10 @@
     'ForgetDeparture',
     'MarkDeparture',
     'PutConfiguration',
+    'RecordControlHost',
     'RecordEntryHost',
     'RecordUpstream',
+    'RemoveControlHost',
     'RemoveEntryHost',
     'RemoveUpstream',
     'SetDomainDrain',
@@ -98,6 +100,18 @@
     name: str
 
 
+class RecordControlHost(_Tagged, frozen=True, kw_only=True):
+    """Record where a control host is, so that hosts nearby watch it."""
+
+    control_host: model.ControlHost
+
+
+class RemoveControlHost(_Tagged, frozen=True, kw_only=True):
+    """Remove the record of a control host that left the group."""
+
+    name: str
+
+
 Command = (
     PutConfiguration
     | SetDomainDrain
@@ -107,6 +121,8 @@
     | ForgetDeparture
     | RecordEntryHost
     | RemoveEntryHost
+    | RecordControlHost
+    | RemoveControlHost
 )
 
 _decoder = msgspec.msgpack.Decoder(Command)
--- a/src/skylarkpitch/fleet/control_requests.py
+++ b/src/skylarkpitch/fleet/control_requests.py
@@ -92,6 +92,7 @@
 ControlRequest = (
     commands.PutConfiguration
     | commands.SetDomainDrain
+    | commands.RecordControlHost
     | Heartbeat
     | Leave
     | ReadConfiguration
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -5,9 +5,7 @@
 is committed by the control group.
 """
 
-import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
 import time
 from typing import Any
 
@@ -19,12 +17,12 @@
 from skylarkpitch.fleet import checks
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import control_requests
+from skylarkpitch.fleet import grants
 from skylarkpitch.fleet import liveness
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import model
-from skylarkpitch.fleet import rate_shares
-from skylarkpitch.fleet import region_plan
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import watches
 from skylarkpitch.messages import fleet as messages
 from skylarkpitch.observability import histograms
 from skylarkpitch.observability import loop_delay as loop_delays
@@ -46,6 +44,7 @@
 # lasted longer could only affect a restart with a clock that is behind.
 UNRECORDED_DEPARTURE_S = 30.0
 LOAD_LOG_INTERVAL_S = 5.0
+RECORD_INTERVAL_S = 1.0
 # Control requests that take longer are logged; the acknowledgement of an
 # operator's request is due within a few seconds.
 SLOW_REQUEST_S = 1.0
@@ -63,10 +62,9 @@
 
     ``heartbeat_s`` is the interval of the heartbeats of upstreams, and
     ``region_of`` returns the region of a failure domain, or None. ``counts``
-    has the number of requests executed here by kind, of watches that ended
-    without a change, and the time that this process spent on the grants of
-    entry hosts. ``histograms`` has the durations of requests by outcome and
-    kind, commits included.
+    has the number of requests executed here by kind, and the time that this
+    process spent on the grants of entry hosts. ``histograms`` has the
+    durations of requests by outcome and kind, commits included.
     """
 
     def __init__(
@@ -97,12 +95,13 @@
         self._departure_marks = liveness.Liveness(
             timeout_s=UNRECORDED_DEPARTURE_S
         )
-        self._rate_shares = rate_shares.RateShares()
-        self._region_of = region_of
-        self._region_plan = region_plan.RegionPlan()
-        self._slots_index = -1
-        self._slots: dict[str, dict[str, float]] = {}
-        self._changed = asyncio.Event()
+        self._grants = grants.Grants(state=state, region_of=region_of)
+        self._watches = watches.Watches(
+            log=log,
+            state=state,
+            control_hosts=membership.control_hosts,
+            clock=clock,
+        )
         self._was_leader = False
         self.counts: dict[str, float] = {'grants_busy_ms': 0.0}
         self.histograms = histograms.LatencyHistograms()
@@ -113,18 +112,18 @@
             control_requests.Leave: self._leave,
             control_requests.ReadConfiguration: self._read_configuration,
             control_requests.EntryReport: self._entry_report,
+            commands.RecordControlHost: self._record_control_host,
         }
         super().__init__(**options)
 
     async def on_start(self) -> None:
         """Register the handlers of messages from other hosts."""
         self._peers.handle(messages.SubmitRequest, self._on_submit)
-        self._peers.handle(messages.WatchRequest, self._on_watch)
+        self._peers.handle(messages.WatchRequest, self._watches.handle)
 
     def notify_applied(self) -> None:
         """Wake the watches that wait for a change of the state."""
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._watches.notify_applied()
 
     def leader(self) -> str:
         """Return the host name of the leader, or an empty string."""
@@ -342,115 +341,51 @@
             await self._submit(commands.RecordEntryHost(entry_host=host))
             _log.info('entry_host_recorded', entry_host=host.name)
         granting_s = self._clock()
-        granted = self._rate_shares.grant(
-            host.name,
-            usage=rate_shares.Usage(
-                demand_per_s=request.demand_per_s,
-                passed=request.passed,
-                incarnation=request.incarnation,
-            ),
-            limits=self._limits_of(request.demand_per_s),
-            host_count=len(self._state.entry_hosts),
-            now_s=now_s,
-        )
-        grant = control_requests.EntryGrant(
-            rate_per_s=granted.rate_per_s,
-            own_shares=self._local_shares(request, now_s),
-            admitted_shares=granted.admitted_shares,
-        )
+        grant = self._grants.grant(request, now_s=now_s)
         busy_s = self._clock() - granting_s
         self.counts['grants_busy_ms'] += busy_s * MS_PER_S
         return control_requests.accepted(model.encode(grant))
 
-    def _local_shares(
-        self, request: control_requests.EntryReport, now_s: float
-    ) -> dict[str, float]:
-        host = request.entry_host
-        self._region_plan.record_report(
-            host.name,
-            region=host.region,
-            offered_slots=request.offered_slots,
-            own_shares=request.own_shares,
-            now_s=now_s,
-        )
-        return self._region_plan.local_shares(
-            host.region, slots=self._usable_slots(), now_s=now_s
-        )
-
-    def _usable_slots(self) -> dict[str, dict[str, float]]:
-        """Return the slots of ready upstreams, by service and region.
+    async def _record_control_host(
+        self, request: commands.RecordControlHost
+    ) -> control_requests.Outcome:
+        host = request.control_host
+        if host.name not in self._membership.control_hosts():
+            return control_requests.unavailable('not_a_member')
+        if self._state.control_hosts.get(host.name) != host:
+            await self._submit(request)
+            _log.info(
+                'control_host_recorded',
+                control_host=host.name,
+                failure_domain=host.failure_domain,
+            )
+        return control_requests.accepted()
 
-        Upstreams of draining failure domains are not counted. Every report
-        of an entry host needs the slots, so they are added up only when the
-        state has changed.
-        """
-        if self._slots_index != self._state.index:
-            self._slots_index = self._state.index
-            self._slots = self._count_usable_slots()
-        return self._slots
-
-    def _count_usable_slots(self) -> dict[str, dict[str, float]]:
-        slots: dict[str, dict[str, float]] = {}
-        for item in self._state.upstreams.values():
-            if item.state is not model.UpstreamState.READY:
-                continue
-            if self._state.is_draining(item.failure_domain):
-                continue
-            region = self._region_of(item.failure_domain) or ''
-            by_region = slots.setdefault(item.service, {})
-            by_region[region] = by_region.get(region, 0.0) + item.slots
-        return slots
-
-    def _limits_of(
-        self, organisations: Iterable[str]
-    ) -> dict[str, rate_shares.Limit]:
-        limits = {}
-        for name in organisations:
-            organisation = self._state.organisation(name)
-            if organisation is not None:
-                limits[name] = rate_shares.Limit(
-                    rate_per_s=organisation.rate_per_s,
-                    burst=organisation.burst,
+    @mode.Service.task
+    async def _record_local_host(self) -> None:
+        """Record where this control host is, once it is a member."""
+        local_host = self._peers.directory.local_host
+        item = model.ControlHost(
+            name=local_host.name, failure_domain=local_host.failure_domain
+        )
+        while not self.should_stop:
+            await self.sleep(RECORD_INTERVAL_S)
+            is_member = item.name in self._membership.control_hosts()
+            if is_member and self._state.control_hosts.get(item.name) != item:
+                await self.execute(
+                    commands.RecordControlHost(control_host=item)
                 )
-        return limits
+
+    async def _remove_control_hosts(self) -> None:
+        """Remove the records of hosts that are no longer members."""
+        members = self._membership.control_hosts()
+        for name in set(self._state.control_hosts) - set(members):
+            await self._submit(commands.RemoveControlHost(name=name))
 
     async def _remove_entry_host(self, name: str, *, why: str) -> None:
         await self._submit(commands.RemoveEntryHost(name=name))
         _log.info('entry_host_removed', entry_host=name, why=why)
 
-    async def _on_watch(
-        self, sender: str, request: messages.WatchRequest
-    ) -> messages.WatchResponse:
-        cluster = self._replicated_log.cluster
-        changed = self._changed
-        if request.cluster == cluster and request.index >= self._state.index:
-            try:
-                await asyncio.wait_for(changed.wait(), request.wait_s)
-            except TimeoutError:
-                # No change within wait_s: the response has the same index.
-                self.counts['watch_idle'] = (
-                    self.counts.get('watch_idle', 0) + 1
-                )
-        status = self._replicated_log.status()
-        parts = self._state.parts
-        whole = (
-            request.cluster != self._replicated_log.cluster
-            or request.index < parts.floor_version
-            or request.index == 0
-        )
-        rows = parts.rows() if whole else parts.rows_since(request.index, {})
-        if whole:
-            rows = tuple(row for row in rows if row[2] is not None)
-        return messages.WatchResponse(
-            cluster=self._replicated_log.cluster,
-            index=self._state.index,
-            whole=whole,
-            heard_age_s=self.quorum_contact_age_s(),
-            rows=fleet_state.shared_rows(rows),
-            control_hosts=self._membership.control_hosts(),
-            leader=status.leader or '',
-        )
-
     async def _forget_departure(self, name: str) -> None:
         before_ms = self._state.departed_unrecorded.get(name)
         if before_ms is not None:
@@ -468,8 +403,7 @@
                 self._upstreams.reset()
                 self._entry_hosts.reset()
                 self._departure_marks.reset()
-                self._rate_shares.reset()
-                self._region_plan.reset()
+                self._grants.reset()
                 _log.info('leading', index=self._state.index)
             elif self._was_leader and not is_leader:
                 _log.info('leading_no_longer', leader=self.leader())
@@ -483,7 +417,7 @@
         before = dict(self.counts)
         while not self.should_stop:
             await self.sleep(LOAD_LOG_INTERVAL_S)
-            now = dict(self.counts)
+            now = {**self.counts, 'watch_idle': self._watches.idle}
             delay_s = self._loop_delay.take_recent_max_s()
             if self._replicated_log.is_leader:
                 _log.info(
@@ -509,6 +443,7 @@
             hosts = self._state.entry_hosts
             for name in self._entry_hosts.expired(hosts, now_s=now_s):
                 await self._remove_entry_host(name, why='silent')
+            await self._remove_control_hosts()
             marks = self._state.departed_unrecorded
             for name in self._departure_marks.expired(marks, now_s=now_s):
                 await self._forget_departure(name)
--- a/src/skylarkpitch/fleet/model.py
+++ b/src/skylarkpitch/fleet/model.py
@@ -12,6 +12,7 @@
 __all__ = [
     'CallerLimits',
     'Configuration',
+    'ControlHost',
     'EntryHost',
     'Organisation',
     'Route',
@@ -162,6 +163,14 @@
     failure_domain: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ControlHost:
+    """A control host; ``name`` is the one by which its peers know it."""
+
+    name: str
+    failure_domain: str
+
+
 def differs(recorded: Upstream, reported: Upstream) -> bool:
     """Return whether a report must be recorded.
 
--- a/src/skylarkpitch/fleet/sources.py
+++ b/src/skylarkpitch/fleet/sources.py
@@ -1,8 +1,11 @@
 """Select the control hosts that an entry host watches."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
+from skylarkpitch.peers import rendezvous
+
 __all__ = ['Sources']
 
 # Assumed until the round trip to a control host has been measured.
@@ -12,21 +15,36 @@
 
 @dataclasses.dataclass(slots=True)
 class _Source:
+    order: rendezvous.Ranked
     round_trip_s: float = DEFAULT_ROUND_TRIP_S
     backoff_until_s: float = float('-inf')
 
 
 class Sources:
-    """Control hosts ranked by recent failures and round-trip time."""
+    """Control hosts ranked by recent failures, distance and round trip.
+
+    ``distance`` returns how far a control host is, the lowest for the
+    nearest. Hosts at the same distance are ranked by their hash with
+    ``host``, so that entry hosts do not all watch the same one.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        host: str = '',
+        distance: Callable[[str], int] = lambda name: 0,
+    ) -> None:
+        self._host = host
+        self._distance = distance
         self._sources: dict[str, _Source] = {}
 
     def replace(self, names: Iterable[str]) -> None:
         """Replace the set of control hosts; retain what is measured."""
         names = set(names)
         self._sources = {
-            name: self._sources.get(name, _Source()) for name in sorted(names)
+            name: self._sources.get(name)
+            or _Source(order=rendezvous.ranked(self._host, name))
+            for name in sorted(names)
         }
 
     def record_round_trip(self, name: str, *, round_trip_s: float) -> None:
@@ -43,7 +61,7 @@
         """Return the control host to use next, or None if there is none.
 
         Hosts in backoff rank last, hosts ``in_use`` by another watch rank
-        after the others, and equal hosts rank by round-trip time.
+        after the others, then the nearer before the farther.
         """
         in_use = set(in_use)
         return min(
@@ -51,8 +69,9 @@
             key=lambda name: (
                 self._sources[name].backoff_until_s > now_s,
                 name in in_use,
+                self._distance(name),
                 self._sources[name].round_trip_s,
-                name,
+                self._sources[name].order,
             ),
             default=None,
         )
--- a/src/skylarkpitch/fleet/state.py
+++ b/src/skylarkpitch/fleet/state.py
@@ -15,6 +15,7 @@
 from skylarkpitch.fleet import model
 
 __all__ = [
+    'CONTROL_HOST',
     'DEPARTED',
     'DEPARTED_UNRECORDED',
     'DOCUMENT',
@@ -39,6 +40,7 @@
 DRAIN = 'drain'
 UPSTREAM = 'upstream'
 ENTRY_HOST = 'entry_host'
+CONTROL_HOST = 'control_host'
 DEPARTED = 'departed'
 DEPARTED_UNRECORDED = 'departed_unrecorded'
 DOCUMENT = 'document'
@@ -55,6 +57,7 @@
     DRAIN: bool,
     UPSTREAM: model.Upstream,
     ENTRY_HOST: model.EntryHost,
+    CONTROL_HOST: model.ControlHost,
 }
 _CONFIGURATION_KINDS = (VERSION, LIMITS, ROUTE, SERVICE, ORGANISATION)
 _CONTROL_ONLY_KINDS = frozenset((DEPARTED, DEPARTED_UNRECORDED, DOCUMENT))
@@ -80,6 +83,7 @@
         self.document = b''
         self.upstreams: dict[str, model.Upstream] = {}
         self.entry_hosts: dict[str, model.EntryHost] = {}
+        self.control_hosts: dict[str, model.ControlHost] = {}
         self.departed: dict[str, int] = {}
         self.departed_unrecorded: dict[str, int] = {}
         self._by_address: dict[str, str] = {}
@@ -93,6 +97,8 @@
             commands.ForgetDeparture: self._forget_departure,
             commands.RecordEntryHost: self._record_entry_host,
             commands.RemoveEntryHost: self._remove_entry_host,
+            commands.RecordControlHost: self._record_control_host,
+            commands.RemoveControlHost: self._remove_control_host,
         }
 
     @property
@@ -141,6 +147,7 @@
         self.document = b''
         self.upstreams.clear()
         self.entry_hosts.clear()
+        self.control_hosts.clear()
         self.departed.clear()
         self.departed_unrecorded.clear()
         self._by_address.clear()
@@ -161,6 +168,8 @@
             self._store_upstream(model.decode(model.Upstream, value))
         elif key[0] == ENTRY_HOST:
             self.entry_hosts[key[1]] = model.decode(model.EntryHost, value)
+        elif key[0] == CONTROL_HOST:
+            self.control_hosts[key[1]] = model.decode(model.ControlHost, value)
         elif key[0] == DEPARTED:
             self.departed[key[1]] = model.decode(int, value)
         elif key[0] == DEPARTED_UNRECORDED:
@@ -301,6 +310,21 @@
         if self.entry_hosts.pop(item.name, None) is not None:
             self.parts.put((ENTRY_HOST, item.name), index, None)
 
+    def _record_control_host(
+        self, index: int, item: commands.RecordControlHost
+    ) -> None:
+        host = item.control_host
+        if self.control_hosts.get(host.name) == host:
+            return
+        self.control_hosts[host.name] = host
+        self.parts.put((CONTROL_HOST, host.name), index, model.encode(host))
+
+    def _remove_control_host(
+        self, index: int, item: commands.RemoveControlHost
+    ) -> None:
+        if self.control_hosts.pop(item.name, None) is not None:
+            self.parts.put((CONTROL_HOST, item.name), index, None)
+
     def _store_upstream(self, upstream: model.Upstream) -> None:
         self.upstreams[upstream.upstream_id] = upstream
         self._by_address[upstream.address] = upstream.upstream_id
--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -1,12 +1,13 @@
 """Subscribe an entry host to the fleet state of the control hosts.
 
-Two control hosts are watched at the same time, so that one that stops
-responding delays no update. A response from a control host without recent
-contact to a quorum is applied, since it is never older than the view, but
-does not show that the view is current.
+One control host is watched: it responds when the state changes. Another one
+is polled, so that a watched one that stops responding delays no update for
+longer than the interval of the polls. While the watch works, polls find
+nothing new and their responses are small. A response from a control host
+without recent contact to a quorum is applied, since it is never older than
+the view, but does not show that the view is current.
 """
 
-import asyncio
 from collections.abc import Callable
 import time
 from typing import Any
@@ -25,7 +26,8 @@
 
 __all__ = ['Subscriber']
 
-CONCURRENT_WATCHES = 2
+POLL_INTERVAL_S = 0.5
+REPORT_ATTEMPTS = 2
 # A control host responds after this time if nothing has changed.
 WATCH_WAIT_S = 0.8
 WATCH_TIMEOUT_S = 1.3
@@ -45,7 +47,8 @@
     ``on_changed`` is called with the changes of the view,
     ``report`` returns the next report, and ``on_grant`` is called with the
     leader's response to it. ``seeds`` returns the control hosts to use until
-    the first response lists the members of the control group.
+    the first response lists the members of the control group. ``region_of``
+    returns the region of a failure domain, or None.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         on_changed: Callable[[views.Changes], None],
         report: Callable[[], control_requests.EntryReport],
         on_grant: Callable[[control_requests.EntryGrant], None],
+        region_of: Callable[[str], str | None],
         clock: Callable[[], float] = time.monotonic,
         **options: Any,
     ) -> None:
@@ -66,9 +70,12 @@
         self._on_changed = on_changed
         self._build_report = report
         self._on_grant = on_grant
+        self._region_of = region_of
         self._clock = clock
-        self._sources = source_sets.Sources()
-        self._watched_sources: dict[int, str] = {}
+        self._sources = source_sets.Sources(
+            host=peers.directory.local_host.name, distance=self._distance
+        )
+        self._watched_source = ''
         self._started_s = clock()
         self._fresh_at_s = float('-inf')
         self._has_been_fresh = False
@@ -101,32 +108,33 @@
     @mode.Service.task
     async def _watch(self) -> None:
         self._sources.replace(self._seeds())
-        await asyncio.gather(
-            *(self._watch_loop(i) for i in range(CONCURRENT_WATCHES))
-        )
-
-    async def _watch_loop(self, number: int) -> None:
         while not self.should_stop:
-            others = [
-                n for i, n in self._watched_sources.items() if i != number
-            ]
-            source = self._sources.best(now_s=self._clock(), in_use=others)
-            if source is None or source in others:
+            source = self._sources.best(now_s=self._clock())
+            if source is None:
                 await self.sleep(RETRY_DELAY_S)
                 self._update_sources(())
                 continue
-            self._watched_sources[number] = source
-            if not await self._watch_once(source):
+            self._watched_source = source
+            if not await self._watch_once(source, wait_s=WATCH_WAIT_S):
                 await self.sleep(RETRY_DELAY_S)
 
-    async def _watch_once(self, source: str) -> bool:
+    @mode.Service.task
+    async def _poll_regularly(self) -> None:
+        while not self.should_stop:
+            await self.sleep(POLL_INTERVAL_S)
+            watched = self._watched_source
+            source = self._sources.best(now_s=self._clock(), in_use=(watched,))
+            if source not in (None, watched):
+                await self._watch_once(source, wait_s=0.0)
+
+    async def _watch_once(self, source: str, *, wait_s: float) -> bool:
         sent_s = self._clock()
         response = await self._peers.request(
             source,
             messages.WatchRequest(
                 cluster=self._view.cluster,
                 index=self._view.index,
-                wait_s=WATCH_WAIT_S,
+                wait_s=wait_s,
             ),
             timeout_s=WATCH_TIMEOUT_S,
         )
@@ -172,6 +180,19 @@
             )
         self._on_changed(changed)
 
+    def _distance(self, control_host: str) -> int:
+        """Return 0 for a host of this failure domain, 1 of this region.
+
+        Returns 2 for any other, or if it is not known where the host is.
+        """
+        local_host = self._peers.directory.local_host
+        domain = self._view.domain_of_control_host(control_host)
+        if domain == local_host.failure_domain:
+            return 0
+        if domain and self._region_of(domain) == local_host.region:
+            return 1
+        return 2
+
     def _update_sources(self, control_hosts: tuple[str, ...]) -> None:
         names = set(control_hosts) or set(self._seeds())
         if control_hosts or not self._view.cluster:
@@ -215,7 +236,7 @@
         request = messages.SubmitRequest(
             order=control_requests.encode(self._build_report())
         )
-        for _attempt in range(CONCURRENT_WATCHES):
+        for _attempt in range(REPORT_ATTEMPTS):
             source = self._sources.best(now_s=self._clock())
             if source is None:
                 return
--- a/src/skylarkpitch/fleet/view.py
+++ b/src/skylarkpitch/fleet/view.py
@@ -97,6 +97,11 @@
         """Return the failure domains that are being drained."""
         return frozenset(key[0] for key in self._tables[fleet_state.DRAIN])
 
+    def domain_of_control_host(self, name: str) -> str | None:
+        """Return the failure domain of a control host, None if unknown."""
+        host = self._tables[fleet_state.CONTROL_HOST].get((name,))
+        return None if host is None else host.failure_domain
+
     def upstream(self, upstream_id: str) -> model.Upstream | None:
         """Return an upstream by its id, or None."""
         return self._tables[fleet_state.UPSTREAM].get((upstream_id,))
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -100,6 +100,7 @@
             on_changed=self._on_view_changed,
             report=self._build_report,
             on_grant=self._handler.apply_grant,
+            region_of=settings.region_of,
             clock=clock,
         )
         self._listener = callers_listener.CallersListener(
--- a/src/skylarkpitch/peers/network.py
+++ b/src/skylarkpitch/peers/network.py
@@ -23,6 +23,7 @@
 from skylarkpitch import errors
 from skylarkpitch.messages import codec
 from skylarkpitch.peers import directory as directories
+from skylarkpitch.peers import traffic
 from skylarkpitch import sentinels
 
 __all__ = ['Handler', 'PeerNetwork', 'Peers']
@@ -75,8 +76,11 @@
 class _Connection:
     """Manage one DEALER socket and the requests pending on it."""
 
-    def __init__(self, *, socket: zmq.asyncio.Socket) -> None:
+    def __init__(
+        self, *, socket: zmq.asyncio.Socket, counts: traffic.Traffic
+    ) -> None:
         self._socket = socket
+        self._counts = counts
         self._pending: dict[bytes, asyncio.Future[Any]] = {}
         self._request_ids = itertools.count(1)
         self._reader = asyncio.create_task(self._read())
@@ -85,10 +89,14 @@
         # Not a send on the underlying synchronous socket: ZeroMQ signals
         # readiness by edges, so that such a send would consume the one that
         # wakes the reader task.
+        kind, body = codec.encode(message)
         sent = self._socket.send_multipart(
-            [request_id, *codec.encode(message)], flags=zmq.NOBLOCK
+            [request_id, kind, body], flags=zmq.NOBLOCK
         )
-        return sent.done() and sent.exception() is None
+        if not sent.done() or sent.exception() is not None:
+            return False
+        self._counts.record_sent(kind.decode(), size_bytes=len(body))
+        return True
 
     async def request(
         self, message: object, *, timeout_s: float
@@ -151,6 +159,7 @@
         self._handlers: dict[type, Handler] = {}
         self._connections: dict[str, _Connection] = {}
         self._handler_tasks: set[asyncio.Task[None]] = set()
+        self._traffic = traffic.Traffic()
         super().__init__(**options)
 
     def handle(self, message_type: type, handler: Handler) -> None:
@@ -230,6 +239,10 @@
         self._authenticator.stop()
         self._context.destroy(linger=0)
 
+    def counters(self) -> dict[str, float]:
+        """Return the messages and bytes sent, by kind, and the drops."""
+        return self._traffic.counters()
+
     def callback(self, domain: str, key: bytes) -> bool:
         """Return whether a public key in Z85 belongs to a known peer.
 
@@ -242,7 +255,13 @@
         while not self.should_stop:
             frames = await self._router.recv_multipart(copy=False)
             if len(self._handler_tasks) >= MAX_CONCURRENT_HANDLERS:
-                # Drops the message; a request for a response times out.
+                # A request for a response times out.
+                self._traffic.dropped += 1
+                _log.warning(
+                    'message_dropped',
+                    running=len(self._handler_tasks),
+                    dropped=self._traffic.dropped,
+                )
                 continue
             task = asyncio.create_task(self._handle_frames(frames))
             self._handler_tasks.add(task)
@@ -269,12 +288,7 @@
             return
         response = await self._call_handler(handler, sender, message)
         if request_id:
-            response_frames = (
-                (b'', b'') if response is None else codec.encode(response)
-            )
-            await self._send_response(
-                [routing_id, request_id, *response_frames]
-            )
+            await self._send_response(routing_id, request_id, response)
 
     async def _call_handler(
         self, handler: Handler, sender: str | None, message: object
@@ -295,11 +309,20 @@
             )
         return None
 
-    async def _send_response(self, response_frames: list[bytes]) -> None:
+    async def _send_response(
+        self, routing_id: bytes, request_id: bytes, response: object | None
+    ) -> None:
+        kind, body = b'', b''
+        if response is not None:
+            kind, body = codec.encode(response)
         try:
-            await self._router.send_multipart(response_frames, zmq.NOBLOCK)
+            await self._router.send_multipart(
+                [routing_id, request_id, kind, body], zmq.NOBLOCK
+            )
         except zmq.ZMQError as error:
             _log.info('answer_dropped', error=str(error))
+            return
+        self._traffic.record_sent(kind.decode(), size_bytes=len(body))
 
     def _report_malformed(self, error: str) -> None:
         self._on_malformed()
@@ -335,5 +358,7 @@
             socket.routing_id = self.directory.local_host.name.encode()
         socket.curve_serverkey = host.public_key.encode()
         socket.connect(f'tcp://{host.peers_address}')
-        self._connections[name] = _Connection(socket=socket)
+        self._connections[name] = _Connection(
+            socket=socket, counts=self._traffic
+        )
         return self._connections[name]
--- a/tests/test_fleet_deciding.py
+++ b/tests/test_fleet_deciding.py
@@ -156,7 +156,7 @@
 def test_nearest_source_is_preferred_and_a_failed_one_avoided():
     control_hosts = sources.Sources()
     control_hosts.replace(['a', 'b', 'c'])
-    for name, round_trip_s in (('a', 0.04), ('b', 0.001), ('c', 0.04)):
+    for name, round_trip_s in (('a', 0.03), ('b', 0.001), ('c', 0.04)):
         control_hosts.record_round_trip(name, round_trip_s=round_trip_s)
     assert control_hosts.best(now_s=0.0) == 'b'
     assert control_hosts.best(now_s=0.0, in_use=['b']) == 'a'
