End endless responses with their request, and never reuse a connection unnamed

A response body without end was relayed past the request's deadline for as long as the upstream went on: the time-out covered the head only. Streaming now ends at the deadline and aborts the connection. A caller that sends no request id could get the late second copy of another caller's response: nothing tells the two apart. Such requests now get a connection of their own.

Not possible here, now shown: a second copy with an id, an earlier refusal written again, heads and chunks that break off, heads without end.

--- a/src/skylarkpitch/forwarding/http_messages.py
+++ b/src/skylarkpitch/forwarding/http_messages.py
@@ -1,5 +1,6 @@
 """Build the requests to upstreams and the responses to callers."""
 
+import asyncio
 from collections.abc import Callable
 
 from aiohttp import web
@@ -75,11 +76,12 @@
     upstream_response: senders.UpstreamResponse,
     *,
     finish: Finish,
+    left_s: float,
 ) -> web.StreamResponse:
     """Relay the response of an upstream to the caller.
 
     ``finish`` is called with the response before its head is written. A body
-    that is not buffered completely is streamed.
+    that is not buffered completely is streamed, for at most ``left_s``.
     """
     headers = multidict.CIMultiDict(upstream_response.headers)
     if upstream_response.rest is None:
@@ -95,11 +97,8 @@
         web.StreamResponse(status=upstream_response.status, headers=headers)
     )
     try:
-        await response.prepare(request)
-        await response.write(upstream_response.body)
-        async for chunk in upstream_response.rest:
-            await response.write(chunk)
-        await response.write_eof()
+        async with asyncio.timeout(left_s):
+            await _stream(request, response, upstream_response)
     except BaseException:
         # Abort the connection, so that the caller cannot take an incomplete
         # body for a complete one.
@@ -108,3 +107,15 @@
             request.transport.abort()
         raise
     return response
+
+
+async def _stream(
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+    upstream_response: senders.UpstreamResponse,
+) -> None:
+    await response.prepare(request)
+    await response.write(upstream_response.body)
+    async for chunk in upstream_response.rest:
+        await response.write(chunk)
+    await response.write_eof()
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -154,8 +154,16 @@
                 )
             reason = 'answered' if status < 500 else 'upstream_failed'
             return await http_messages.relay_response(
-                request, result, finish=self._close_if_stopping
+                request,
+                result,
+                finish=self._close_if_stopping,
+                left_s=call.deadline_s - self._clock(),
             )
+        except TimeoutError:
+            # The connection is aborted, so that the caller does not take the
+            # part that it has for the whole response.
+            reason, detail = 'too_late', 'the response did not end in time'
+            raise
         finally:
             self.running -= 1
             self._report_outcome(call, status, reason, detail)
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -1,7 +1,8 @@
 """Send one request to one upstream and read its response.
 
 A response is accepted only if it echoes the id of the request, since data on
-a reused connection may belong to an earlier request.
+a reused connection may belong to an earlier request. A request without an id
+gets a connection of its own.
 """
 
 import asyncio
@@ -85,24 +86,32 @@
 
 
 class Sender:
-    """HTTP client for upstreams, which reuses connections."""
+    """HTTP client for upstreams, which reuses connections.
+
+    They are not reused for requests without an id.
+    """
 
     def __init__(self, *, names: header_names.HeaderNames) -> None:
         self._names = names
         self._session: aiohttp.ClientSession | None = None
+        self._single_use_session: aiohttp.ClientSession | None = None
 
     def open(self) -> None:
-        """Create the session; needs a running event loop."""
+        """Create the sessions; needs a running event loop."""
         self._session = sessions.new_session(
             repeatable=True,
             keepalive_s=KEEPALIVE_S,
             connect_s=CONNECT_TIMEOUT_S,
         )
+        self._single_use_session = sessions.new_session(
+            repeatable=False, connect_s=CONNECT_TIMEOUT_S
+        )
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._single_use_session):
+            if session is not None:
+                await session.close()
 
     async def send(
         self, request: UpstreamRequest, *, address: str, deadline_s: float
@@ -143,7 +152,10 @@
         self, request: UpstreamRequest, address: str
     ) -> UpstreamResponse | Failure:
         url = yarl.URL(f'http://{address}{request.target}', encoded=True)
-        response = await self._session.request(
+        session = self._session
+        if request.request_id is None:
+            session = self._single_use_session
+        response = await session.request(
             request.method,
             url,
             headers=request.headers,
--- a/tests/stand_ins/raw_upstream.py
+++ b/tests/stand_ins/raw_upstream.py
@@ -117,3 +117,51 @@
     """Send nothing until the caller closes the connection."""
     await reader.read(1)
     writer.close()
+
+
+def respond_again_later(first, *, delay_s=0.1):
+    """Return a behaviour that sends a response, and once more later."""
+
+    async def behave(request_id, reader, writer):
+        await first(request_id, reader, writer)
+
+        async def repeat():
+            await asyncio.sleep(delay_s)
+            await first(request_id, reader, writer)
+
+        writer.repetition = asyncio.create_task(repeat())
+
+    return behave
+
+
+def close_inside_head(*lines):
+    """Return a behaviour that breaks off after some lines of a head."""
+
+    async def behave(request_id, reader, writer):
+        rows = ('HTTP/1.1 200 OK', f'{ID}: {request_id}', *lines)
+        writer.write(''.join(f'{row}\r\n' for row in rows).encode())
+        await writer.drain()
+        writer.close()
+
+    return behave
+
+
+async def close_inside_chunks(request_id, reader, writer):
+    """Send a chunk of a response and close the connection."""
+    head = _head(200, request_id, f'{SEAL}: s', 'Transfer-Encoding: chunked')
+    writer.write(head + b'4\r\nhalf\r\n')
+    await writer.drain()
+    writer.close()
+
+
+def send_without_end(start, piece):
+    """Return a behaviour that sends a piece until the caller closes."""
+
+    async def behave(request_id, reader, writer):
+        writer.write(start.replace(b'%ID%', request_id.encode()))
+        while not writer.is_closing():
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0.0005)
+
+    return behave
--- /dev/null
+++ b/tests/test_forwarding_faulty_upstreams.py
@@ -0,0 +1,164 @@
+"""Test what callers get from upstreams that break the protocol.
+
+Each test brings about a fault that operators of similar systems reported.
+"""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.stand_ins import raw_upstream as upstreams
+from tests.test_forwarding_exchange import forwarding
+from tests.test_forwarding_exchange import run
+
+DONE = upstreams.respond()
+SEALED = f'{upstreams.SEAL}: s'
+HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nAnswer-Seal: s\r\n'
+
+
+def answered_by_id(request_id, reader, writer):
+    """Send a response whose body is the id of the request."""
+    return upstreams.respond(body=request_id.encode())(
+        request_id, reader, writer
+    )
+
+
+# Guards against a late second copy of a response that reaches the next
+# caller, and against "not run" said of a request that runs: the upstream
+# writes the earlier response again before, or while, it runs the next one.
+@pytest.mark.parametrize('delay_s', [0.0, 0.1])
+@pytest.mark.parametrize(
+    'first', [answered_by_id, upstreams.reject(503)], ids=['answer', 'refusal']
+)
+def test_second_copy_of_a_response_reaches_no_other_caller(first, delay_s):
+    async def slow(request_id, reader, writer):
+        await asyncio.sleep(0.3)
+        await answered_by_id(request_id, reader, writer)
+
+    async def check():
+        twice = upstreams.respond_again_later(first, delay_s=delay_s)
+        async with forwarding([twice, slow], repeatable=False) as entry:
+            async with entry.post('r1') as response:
+                await response.read()
+            for name in ('r2', 'r3'):
+                async with entry.post(name) as response:
+                    body = await response.read()
+                    ran = any(
+                        row[2]['Request-Id'] == name
+                        for row in entry.upstreams[0].seen
+                    )
+                    assert response.status != 200 or body == name.encode()
+                    assert response.status not in (429, 503) or not ran
+
+    run(check)
+
+
+# Guards against the same for callers that send no id of their own.
+def test_second_copy_is_recognised_without_an_id_of_the_caller():
+    async def slow(request_id, reader, writer):
+        await asyncio.sleep(0.3)
+        await upstreams.respond(body=b'second')(request_id, reader, writer)
+
+    async def check():
+        first = upstreams.respond(body=b'first')
+        twice = upstreams.respond_again_later(first)
+        async with forwarding([twice, slow], repeatable=False) as entry:
+            bodies = []
+            for _number in range(2):
+                url = f'http://127.0.0.1:{entry.port}/pans/a'
+                headers = {'Host': 'pans.example', 'Request-Key': 'key'}
+                async with entry.session.post(url, headers=headers) as got:
+                    bodies.append((got.status, await got.read()))
+        assert bodies[0] == (200, b'first')
+        assert bodies[1][0] == 502 or bodies[1] == (200, b'second')
+
+    run(check)
+
+
+# Guards against a success with an empty or short body, framed as whole.
+@pytest.mark.parametrize(
+    'behaviour',
+    [
+        upstreams.close_inside_head(),
+        upstreams.close_inside_head(SEALED),
+        upstreams.close_inside_head(SEALED, 'Content-Length: 8'),
+        upstreams.close_inside_head(SEALED, 'Content-Length: 0'),
+        upstreams.close_inside_head(SEALED, 'Transfer-Encoding: chunked'),
+        upstreams.close_inside_chunks,
+        upstreams.close_after_half,
+        upstreams.respond_without_length(is_reset=True),
+    ],
+    ids=[
+        'head',
+        'head-with-seal',
+        'head-with-length',
+        'head-with-no-body',
+        'head-of-chunks',
+        'chunks',
+        'body-with-length',
+        'body-without-length-reset',
+    ],
+)
+def test_response_that_breaks_off_is_no_success(behaviour):
+    async def check():
+        async with forwarding([behaviour], repeatable=False) as entry:
+            async with entry.post() as response:
+                await response.read()
+            assert response.status == 502
+            assert entry.runs == 1
+
+    run(check)
+
+
+# Guards against bytes without end, which would fill the memory of the host
+# or keep the request past its time.
+@pytest.mark.parametrize(
+    ('start', 'piece'),
+    [
+        (b'', b'x' * 1024),
+        (b'HTTP/1.1 200 OK\r\n', b'x' * 1024),
+        (b'HTTP/1.1 200 OK\r\n', b'Name: value\r\n' * 50),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 20),
+        (HEAD + b'\r\n', b'x' * 4096),
+        (HEAD + b'\r\n', b'x' * 65536),
+        (HEAD + b'Content-Length: 99999999999\r\n\r\n', b'x' * 4096),
+        (HEAD + b'Transfer-Encoding: chunked\r\n\r\n', b'4\r\nhalf\r\n'),
+        (HEAD + b'Transfer-Encoding: chunked\r\n\r\n', b'0' * 1024),
+    ],
+    ids=[
+        'no-line',
+        'no-end-of-a-header',
+        'no-end-of-headers',
+        'informational-heads',
+        'body-without-length',
+        'large-body-without-length',
+        'body-of-a-large-length',
+        'chunks',
+        'size-of-a-chunk',
+    ],
+)
+def test_bytes_without_end_end_with_the_request(start, piece):
+    async def check():
+        behaviour = upstreams.send_without_end(start, piece)
+        async with forwarding(
+            [behaviour], repeatable=False, timeout_ms=400.0
+        ) as entry:
+            async with asyncio.timeout(3.0):
+                status, is_complete = await read(entry)
+                await entry.upstreams[0].closed.wait()
+            assert not is_complete or status in (502, 504)
+
+    run(check)
+
+
+async def read(entry):
+    """Return the status of a response, and whether it is complete."""
+    status = None
+    try:
+        async with entry.post() as response:
+            status = response.status
+            await response.read()
+    except aiohttp.ClientError:
+        return status, False
+    return status, True
