Lower the share of a region that responds later than the others

Entry hosts report the mean time of responses from their region and from others, relative to the objective and time-outs included. While a region is fuller than the others and later than they are, the leader lowers a ceiling of its share, by 3 in 100 a second; it rises again otherwise.

--- a/src/skylarkpitch/fleet/control_requests.py
+++ b/src/skylarkpitch/fleet/control_requests.py
@@ -63,7 +63,9 @@
     identifies.
     ``offered_slots`` is the load by service, as the number of slots that it
     occupies, and ``own_shares`` the share of it that the host sends to its
-    own region, by service.
+    own region, by service. ``relative_times`` has the mean times of responses
+    from its own region and from others, by service, as fractions of the
+    latency objective.
     """
 
     entry_host: model.EntryHost
@@ -73,6 +75,7 @@
     own_shares: dict[str, float] = {}
     passed: dict[str, int] = {}
     incarnation: str = ''
+    relative_times: dict[str, tuple[float, float]] = {}
 
 
 class EntryGrant(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/skylarkpitch/fleet/grants.py
+++ b/src/skylarkpitch/fleet/grants.py
@@ -66,6 +66,7 @@
             region=host.region,
             offered_slots=report.offered_slots,
             own_shares=report.own_shares,
+            relative_times=report.relative_times,
             now_s=now_s,
         )
         return self._region_plan.local_shares(
--- a/src/skylarkpitch/fleet/region_plan.py
+++ b/src/skylarkpitch/fleet/region_plan.py
@@ -5,12 +5,22 @@
 plans one share for all entry hosts of a region, so that they all send the
 requests of one affinity key to the same region. Shares change slowly, since
 a request that moves to another region finds nothing cached there.
+
+Slots alone do not show when a region is short: its upstreams also cache less
+than its callers ask for, and work several times as long on what they do not
+cache. While a region that is fuller than the others responds later than they
+do, its share therefore has a ceiling that goes down.
 """
 
 from collections.abc import Mapping
 import dataclasses
 
-__all__ = ['RegionPlan', 'initial_local_share', 'target_local_share']
+__all__ = [
+    'RegionPlan',
+    'initial_local_share',
+    'is_fuller_than_others',
+    'target_local_share',
+]
 
 # Up to this utilisation of its slots a region serves all of its requests.
 TARGET_UTILISATION = 0.75
@@ -18,6 +28,13 @@
 MIN_OFFERED_SLOTS = 0.5
 REPORT_VALID_S = 2.5
 INITIAL_HEADROOM_FACTOR = 1.5
+# How fast the ceiling of a share moves, and by which fraction the times of
+# the region and of the others have to differ for that.
+CEILING_CHANGE_PER_S = 0.03
+TIME_MARGIN = 0.1
+MIN_CEILING = 0.1
+# Reports are added up at most this often.
+TOTALS_INTERVAL_S = 0.25
 
 ByRegion = Mapping[str, float]
 
@@ -58,10 +75,22 @@
     return min(1.0, utilisation * local / offered)
 
 
+def is_fuller_than_others(
+    region: str, *, offered_slots: ByRegion, slots: ByRegion
+) -> bool:
+    """Return whether a region has more load a slot than the others."""
+    local_slots = slots.get(region, 0.0)
+    other_slots = sum(slots.values()) - local_slots
+    local = offered_slots.get(region, 0.0)
+    others = sum(offered_slots.values()) - local
+    return local * other_slots > others * local_slots
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Report:
     region: str
     offered_slots: Mapping[str, float]
+    relative_times: Mapping[str, tuple[float, float]]
     received_s: float
 
 
@@ -69,6 +98,17 @@
 class _LocalShare:
     share: float
     updated_s: float
+    ceiling: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Total:
+    """Sum of the reports of one region on one service."""
+
+    offered_slots: float = 0.0
+    local_time: float = 0.0
+    remote_time: float = 0.0
+    timed_hosts: int = 0
 
 
 class RegionPlan:
@@ -77,11 +117,15 @@
     def __init__(self) -> None:
         self._reports: dict[str, _Report] = {}
         self._shares: dict[tuple[str, str], _LocalShare] = {}
+        self._totals: dict[str, dict[str, _Total]] = {}
+        self._totalled_s = float('-inf')
 
     def reset(self) -> None:
         """Discard reports and shares, as when this process becomes leader."""
         self._reports.clear()
         self._shares.clear()
+        self._totals.clear()
+        self._totalled_s = float('-inf')
 
     def record_report(
         self,
@@ -91,14 +135,20 @@
         offered_slots: Mapping[str, float],
         own_shares: Mapping[str, float],
         now_s: float,
+        relative_times: Mapping[str, tuple[float, float]] | None = None,
     ) -> None:
         """Record the load that callers offer to an entry host, by service.
 
+        ``relative_times`` are the mean times of responses from the region of
+        the host and from others, as fractions of the latency objective.
         ``own_shares`` are the local shares that the host applies now. A new
         leader, which has no shares yet, starts from them.
         """
         self._reports[host] = _Report(
-            region=region, offered_slots=offered_slots, received_s=now_s
+            region=region,
+            offered_slots=offered_slots,
+            relative_times=relative_times or {},
+            received_s=now_s,
         )
         for service, share in own_shares.items():
             current = _LocalShare(share=share, updated_s=now_s)
@@ -117,11 +167,8 @@
         than ``REPORT_VALID_S`` are discarded. A share moves towards its
         target by at most ``MAX_SHARE_CHANGE_PER_S``.
         """
-        self._reports = {
-            host: report
-            for host, report in self._reports.items()
-            if now_s - report.received_s <= REPORT_VALID_S
-        }
+        if now_s - self._totalled_s >= TOTALS_INTERVAL_S:
+            self._add_up(now_s)
         shares = {}
         for service, by_region in slots.items():
             current = self._shares.get((region, service))
@@ -138,22 +185,67 @@
         slots: ByRegion,
         now_s: float,
     ) -> None:
-        max_change = MAX_SHARE_CHANGE_PER_S * (now_s - current.updated_s)
+        elapsed_s = now_s - current.updated_s
+        max_change = MAX_SHARE_CHANGE_PER_S * elapsed_s
         current.updated_s = now_s
-        offered = self._offered_slots(service)
+        totals = self._totals.get(service, {})
+        offered = {name: item.offered_slots for name, item in totals.items()}
         if sum(offered.values()) < MIN_OFFERED_SLOTS:
             current.share = initial_local_share(region, slots=slots)
             return
         target = target_local_share(region, offered_slots=offered, slots=slots)
-        if target is not None:
-            current.share += max(
-                -max_change, min(max_change, target - current.share)
-            )
-
-    def _offered_slots(self, service: str) -> dict[str, float]:
-        """Return the load of a service by region, as occupied slots."""
-        totals: dict[str, float] = {}
+        if target is None:
+            return
+        is_fuller = is_fuller_than_others(
+            region, offered_slots=offered, slots=slots
+        )
+        total = totals.get(region, _Total())
+        _move_ceiling(current, total, is_fuller=is_fuller, elapsed_s=elapsed_s)
+        target = min(target, current.ceiling)
+        current.share += max(
+            -max_change, min(max_change, target - current.share)
+        )
+
+    def _add_up(self, now_s: float) -> None:
+        """Discard expired reports, and add up the others.
+
+        The cost of a share then does not grow with the number of hosts.
+        """
+        self._totalled_s = now_s
+        self._reports = {
+            host: report
+            for host, report in self._reports.items()
+            if now_s - report.received_s <= REPORT_VALID_S
+        }
+        self._totals = {}
         for report in self._reports.values():
-            offered = report.offered_slots.get(service, 0.0)
-            totals[report.region] = totals.get(report.region, 0.0) + offered
-        return totals
+            for service, offered_slots in report.offered_slots.items():
+                total = self._total(service, report.region)
+                total.offered_slots += offered_slots
+            for service, times in report.relative_times.items():
+                total = self._total(service, report.region)
+                total.local_time += times[0]
+                total.remote_time += times[1]
+                total.timed_hosts += 1
+
+    def _total(self, service: str, region: str) -> _Total:
+        by_region = self._totals.setdefault(service, {})
+        return by_region.setdefault(region, _Total())
+
+
+def _move_ceiling(
+    current: _LocalShare,
+    total: _Total,
+    *,
+    is_fuller: bool,
+    elapsed_s: float,
+) -> None:
+    """Lower the ceiling of a share while its region is late, or raise it."""
+    change = CEILING_CHANGE_PER_S * elapsed_s
+    later = total.local_time > (1 + TIME_MARGIN) * total.remote_time
+    sooner = total.local_time < (1 - TIME_MARGIN) * total.remote_time
+    if total.timed_hosts and later and is_fuller:
+        ceiling = min(current.ceiling, current.share) - change
+        current.ceiling = max(MIN_CEILING, ceiling)
+    elif sooner or not total.timed_hosts or not is_fuller:
+        current.ceiling = min(1.0, current.ceiling + change)
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -259,11 +259,13 @@
         finally:
             self._scheduler.release(call, candidate)
         now_s = self._clock()
+        took_s = now_s - sent_s
         if isinstance(result, senders.UpstreamResponse):
             self._record_load(candidate, result, now_s=now_s)
             if result.status < 400:
-                took_s = now_s - sent_s
                 self._scheduler.record_response(call, candidate, took_s=took_s)
+        elif result.reason is refusals.Reason.TOO_LATE:
+            self._scheduler.record_timeout(call, candidate, took_s=took_s)
         return result
 
     def _record_load(
--- a/src/skylarkpitch/forwarding/scheduler.py
+++ b/src/skylarkpitch/forwarding/scheduler.py
@@ -122,7 +122,25 @@
     ) -> None:
         """Update the measured times with those of a successful response."""
         self._selector.record_response(
-            candidate, self._criteria(call), took_s=took_s
+            candidate,
+            self._criteria(call),
+            took_s=took_s,
+            now_s=self._clock(),
+        )
+
+    def record_timeout(
+        self,
+        call: calls.Call,
+        candidate: selectors.Candidate,
+        *,
+        took_s: float,
+    ) -> None:
+        """Record that an upstream did not respond before the deadline."""
+        self._selector.record_timeout(
+            candidate,
+            self._criteria(call),
+            took_s=took_s,
+            now_s=self._clock(),
         )
 
     def _queue(self, call: calls.Call) -> request_queue.RequestQueue:
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -162,6 +162,7 @@
             incarnation=usage.incarnation,
             offered_slots=self._handler.selector.offered_slots(now_s=now_s),
             own_shares=self._handler.selector.local_shares(),
+            relative_times=self._handler.selector.relative_times(now_s=now_s),
         )
 
     async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
--- a/src/skylarkpitch/forwarding/upstream_selector.py
+++ b/src/skylarkpitch/forwarding/upstream_selector.py
@@ -15,6 +15,7 @@
 
 from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import arrivals
+from skylarkpitch.forwarding import region_times
 from skylarkpitch.forwarding import regions
 from skylarkpitch.forwarding import service_pool
 from skylarkpitch.forwarding import upstream_load
@@ -92,6 +93,7 @@
         self._pools: dict[str, service_pool.ServicePool] = {}
         self._times = work_times.WorkTimes()
         self._offered_load = arrivals.OfferedLoad()
+        self._region_times = region_times.RegionTimes()
         self._draining: frozenset[str] = frozenset()
 
     def update_upstreams(
@@ -443,13 +445,16 @@
         criteria: SelectionCriteria,
         *,
         took_s: float,
+        now_s: float,
     ) -> None:
         """Update the measured times with those of a successful response."""
+        self._record_region_time(candidate, criteria, took_s, now_s)
         round_trip_s = 0.0
         if candidate.load.upstream.failure_domain != self._failure_domain:
-            is_local = self.region_of(candidate.load) == self._region
             round_trip_s = (
-                DOMAIN_ROUND_TRIP_S if is_local else REGION_ROUND_TRIP_S
+                DOMAIN_ROUND_TRIP_S
+                if self._is_local(candidate)
+                else REGION_ROUND_TRIP_S
             )
         work_s = max(0.001, took_s - round_trip_s)
         self._offered_load.record_work(criteria.service, took_s=work_s)
@@ -464,6 +469,41 @@
                 took_s=work_s, expected_s=candidate.expected_s
             )
 
+    def record_timeout(
+        self,
+        candidate: Candidate,
+        criteria: SelectionCriteria,
+        *,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        """Record that an upstream did not respond before the deadline."""
+        self._record_region_time(candidate, criteria, took_s, now_s)
+
+    def _record_region_time(
+        self,
+        candidate: Candidate,
+        criteria: SelectionCriteria,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        self._region_times.record(
+            criteria.service,
+            is_local=self._is_local(candidate),
+            took_s=took_s,
+            objective_s=criteria.objective_s,
+            now_s=now_s,
+        )
+
+    def _is_local(self, candidate: Candidate) -> bool:
+        return self.region_of(candidate.load) == self._region
+
+    def relative_times(
+        self, *, now_s: float
+    ) -> dict[str, tuple[float, float]]:
+        """Return the local and the remote mean times, by service."""
+        return self._region_times.relative_times(now_s=now_s)
+
     def expected_warm_s(self, criteria: SelectionCriteria) -> float:
         """Return how long a warm upstream should work on a request."""
         return self._times_of(criteria).warm_s
--- a/tests/test_fleet_regions.py
+++ b/tests/test_fleet_regions.py
@@ -142,3 +142,100 @@
     assert counts['east'] / 2000 == pytest.approx(0.75, abs=0.04)
     assert counts['lost'] == 0
     assert rendezvous.first_by_weight('r', {}) is None
+
+
+# A region with a ninth of the upstreams and a third of the callers, whose
+# upstreams cache what CACHED_SHARE of the callers ask for. Others than these
+# take as long as a miss; responses from other regions take REMOTE_TIME.
+CACHED_SHARE = 0.4
+WARM_TIME, MISS_TIME, REMOTE_TIME = 0.3, 1.1, 0.5
+
+
+def local_time(share):
+    missed = max(0.0, share - CACHED_SHARE) / max(share, 0.01)
+    return WARM_TIME + missed * (MISS_TIME - WARM_TIME)
+
+
+def planned_share(*, offered, times_of, duration_s):
+    plan = region_plan.RegionPlan()
+    share = 0.9
+    for step in range(int(duration_s * 2)):
+        now_s = step * 0.5
+        plan.record_report(
+            'e1',
+            region='north',
+            offered_slots={'desk': offered},
+            own_shares={'desk': share},
+            relative_times={'desk': times_of(share)},
+            now_s=now_s,
+        )
+        report(plan, 'e2', region='east', share=1.0, offered=20.0, now_s=now_s)
+        (share,) = shares(plan, now_s).values()
+    return share
+
+
+# Guards against a region that keeps requests which it serves later than the
+# others would, since its upstreams cannot cache what they are about.
+@pytest.mark.parametrize(
+    ('offered', 'times_of', 'lowest', 'highest'),
+    [
+        (15.0, lambda share: (local_time(share), REMOTE_TIME), 0.4, 0.62),
+        (15.0, lambda share: (WARM_TIME, REMOTE_TIME), 0.9, 0.9),
+        (15.0, lambda share: (MISS_TIME, MISS_TIME), 0.9, 0.9),
+        (2.0, lambda share: (MISS_TIME, REMOTE_TIME), 1.0, 1.0),
+        (15.0, lambda share: (5.0, REMOTE_TIME), 0.1, 0.15),
+    ],
+    ids=[
+        'caches-too-little',
+        'sooner-than-others',
+        'others-are-as-late',
+        'late-but-not-fuller',
+        'late-whatever-its-share',
+    ],
+)
+def test_full_region_keeps_what_it_serves_in_time(
+    offered, times_of, lowest, highest
+):
+    share = planned_share(offered=offered, times_of=times_of, duration_s=60)
+    assert lowest - 1e-9 <= share <= highest + 1e-9
+
+
+def test_ceiling_is_lifted_once_the_region_is_in_time_again():
+    late_until_s = 20.0
+    calls = iter(range(10**6))
+
+    def times_of(share):
+        late = next(calls) * 0.5 < late_until_s
+        return (5.0 if late else WARM_TIME, REMOTE_TIME)
+
+    share = planned_share(offered=15.0, times_of=times_of, duration_s=60)
+    assert share == pytest.approx(0.9)
+
+
+@pytest.mark.parametrize('hosts', [60, 2000])
+def test_a_share_costs_the_same_on_any_number_of_hosts(hosts):
+    plan = region_plan.RegionPlan()
+    for number in range(hosts):
+        report(plan, f'e{number}', share=0.5, offered=0.1, now_s=0.0)
+    shares(plan, 0.0)
+    visited = []
+    plan._reports = CountingReports(plan._reports, visited)
+    for number in range(hosts):
+        shares(plan, 0.2 * number / hosts)
+    assert not visited
+
+
+class CountingReports(dict):
+    """Reports that record when all of them are gone through."""
+
+    def __init__(self, reports, visited):
+        super().__init__(reports)
+        self._visited = visited
+
+    def items(self):
+        self._visited.append(len(self))
+        return super().items()
+
+    def values(self):
+        self._visited.append(len(self))
+        return super().values()
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -438,7 +438,7 @@
     selector = new_selector([NEAR, ACROSS])
     for _number in range(20):
         candidate = select(selector, excluded=frozenset({'across'}))
-        selector.record_response(candidate, criteria(), took_s=3.0)
+        selector.record_response(candidate, criteria(), took_s=3.0, now_s=0.0)
     assert selected_id(selector) == 'across'
 
 
