Remove silent hosts and upstreams at once, not one after the other

With 182 hosts the last would be removed 22 s after the decision. Upstreams that crashed together were used as long. The loop also looked like a stall of the process to Liveness, which put off all other time-outs.

--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -5,6 +5,7 @@
 is committed by the control group.
 """
 
+import asyncio
 from collections.abc import Callable
 import time
 from typing import Any
@@ -432,20 +433,41 @@
             before = now
 
     async def _remove_expired(self) -> None:
+        """Remove what has been silent for too long.
+
+        All removals are submitted at once. One after the other, the last of
+        many would be removed long after the decision, when it may be back.
+        """
         now_s = self._clock()
-        try:
-            upstreams = self._state.upstreams
-            for name in self._upstreams.expired(upstreams, now_s=now_s):
-                if name in upstreams:
-                    await self._remove_upstream(
-                        name, upstreams[name].born_ms, left=False
-                    )
-            hosts = self._state.entry_hosts
-            for name in self._entry_hosts.expired(hosts, now_s=now_s):
-                await self._remove_entry_host(name, why='silent')
-            await self._remove_control_hosts()
-            marks = self._state.departed_unrecorded
-            for name in self._departure_marks.expired(marks, now_s=now_s):
-                await self._forget_departure(name)
-        except errors.SkylarkError as error:
-            _log.info('expiry_failed', reason=error.reason, error=str(error))
+        upstreams = self._state.upstreams
+        hosts = self._state.entry_hosts
+        marks = self._state.departed_unrecorded
+        removals = [
+            *(
+                self._remove_upstream(
+                    name, upstreams[name].born_ms, left=False
+                )
+                for name in self._upstreams.expired(upstreams, now_s=now_s)
+            ),
+            *(
+                self._remove_entry_host(name, why='silent')
+                for name in self._entry_hosts.expired(hosts, now_s=now_s)
+            ),
+            *(
+                self._forget_departure(name)
+                for name in self._departure_marks.expired(marks, now_s=now_s)
+            ),
+            self._remove_control_hosts(),
+        ]
+        results = await asyncio.gather(*removals, return_exceptions=True)
+        failures = [item for item in results if item is not None]
+        for failure in failures:
+            if not isinstance(failure, errors.SkylarkError):
+                raise failure
+        if failures:
+            _log.info(
+                'expiry_failed',
+                failed=len(failures),
+                reason=failures[0].reason,
+                error=str(failures[0]),
+            )
