Report an entry host as soon as it is ready, and back off longer from silence

It now reports at once.

Found by the new tests of the subscriber: with two control hosts nearby that do not respond, none was ever watched, as the backoff of one (1 s) ended while the other was waited for (1.3 s); the view was kept current by polls only, up to 1.8 s old. The backoff now doubles with each failure, up to 8 s. test_nearest_control_host_that_responds_is_watched[other-region] failed before and passes.

--- a/src/skylarkpitch/fleet/sources.py
+++ b/src/skylarkpitch/fleet/sources.py
@@ -10,7 +10,10 @@
 
 # Assumed until the round trip to a control host has been measured.
 DEFAULT_ROUND_TRIP_S = 0.05
-FAILURE_BACKOFF_S = 1.0
+# The backoff doubles with each consecutive failure. Otherwise the backoff of
+# one silent host would end while another one is waited for.
+FIRST_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 8.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -18,6 +21,7 @@
     order: rendezvous.Ranked
     round_trip_s: float = DEFAULT_ROUND_TRIP_S
     backoff_until_s: float = float('-inf')
+    failures: int = 0
 
 
 class Sources:
@@ -53,9 +57,18 @@
             self._sources[name].round_trip_s = round_trip_s
 
     def record_failure(self, name: str, *, now_s: float) -> None:
-        """Rank a control host last for ``FAILURE_BACKOFF_S``."""
+        """Rank a control host last until its backoff ends."""
+        source = self._sources.get(name)
+        if source is None:
+            return
+        source.failures += 1
+        backoff_s = FIRST_BACKOFF_S * 2 ** min(source.failures - 1, 10)
+        source.backoff_until_s = now_s + min(MAX_BACKOFF_S, backoff_s)
+
+    def record_success(self, name: str) -> None:
+        """Record that a control host responded, with a quorum."""
         if name in self._sources:
-            self._sources[name].backoff_until_s = now_s + FAILURE_BACKOFF_S
+            self._sources[name].failures = 0
 
     def best(self, *, now_s: float, in_use: Iterable[str] = ()) -> str | None:
         """Return the control host to use next, or None if there is none.
--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -35,6 +35,7 @@
 # Maximum age of a control host's contact with a quorum to count as current.
 MAX_QUORUM_AGE_S = 1.0
 REPORT_INTERVAL_S = 0.5
+READY_CHECK_INTERVAL_S = 0.05
 REPORT_TIMEOUT_S = 1.0
 MAX_STARTUP_WAIT_S = 4.0
 
@@ -151,6 +152,7 @@
         if response.heard_age_s > MAX_QUORUM_AGE_S:
             self._record_failure(source, now_s, 'no_quorum')
             return False
+        self._sources.record_success(source)
         if response.index == self._view.index:
             # The response was current at some time after the request.
             fresh_at_s = (
@@ -227,10 +229,17 @@
 
     @mode.Service.task
     async def _report_regularly(self) -> None:
+        """Report this host as soon as it is ready, then regularly.
+
+        Until the first report, look-ups do not return the host, and it has
+        no grant for the rates of organisations.
+        """
         while not self.should_stop:
-            await self.sleep(REPORT_INTERVAL_S)
             if self.is_ready:
                 await self._report()
+                await self.sleep(REPORT_INTERVAL_S)
+            else:
+                await self.sleep(READY_CHECK_INTERVAL_S)
 
     async def _report(self) -> None:
         request = messages.SubmitRequest(
