Answer requests that have arrived when a planned stop closes connections

Callers lost requests that had just been accepted: at the end of its drain a host closed its listening socket and all idle connections at once, among them those whose request had arrived but was not read yet. Of 30 requests written just before, none was answered, on new and on kept connections (test_stop_answers_requests_that_have_just_arrived, both cases failed before). The listener now accepts and reads what has arrived, 0.05 s each, before it closes.

--- a/src/skylarkpitch/forwarding/callers_listener.py
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -15,6 +15,8 @@
 __all__ = ['CallersListener', 'bind']
 
 ACCEPT_BACKLOG_CONNECTIONS = 2048
+# Time to accept the connections, and to read the requests, that have arrived.
+ARRIVED_S = 0.05
 # How long connections may take to close once their requests are aborted.
 ABORT_TIMEOUT_S = 0.05
 MS_PER_S = 1000
@@ -87,10 +89,13 @@
     async def close(self, *, timeout_s: float) -> None:
         """Close the connections, each after its current request.
 
-        Idle connections are closed at once. Requests that have not ended
-        within ``timeout_s`` are aborted.
+        Requests that have arrived before this call are answered. Then idle
+        connections are closed at once. Requests that have not ended within
+        ``timeout_s`` are aborted.
         """
+        await asyncio.sleep(ARRIVED_S)
         self.stop_listening()
+        await asyncio.sleep(ARRIVED_S)
         for server in self._servers.values():
             server.pre_shutdown()
         if not await self._wait_closed(timeout_s):
--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -97,3 +97,47 @@
                 await response_task
 
     asyncio.run(check())
+
+
+REQUEST = b'GET / HTTP/1.1\r\nHost: pans.example\r\n\r\n'
+
+
+async def open_connections(address, count):
+    host, port = address.split(':')
+    return await asyncio.gather(
+        *(asyncio.open_connection(host, int(port)) for _ in range(count))
+    )
+
+
+# Guards against a stop under load that cuts requests which have arrived, but
+# which the process has not read yet when it closes its idle connections.
+@pytest.mark.parametrize('is_kept', [False, True], ids=['new', 'kept'])
+def test_stop_answers_requests_that_have_just_arrived(is_kept):
+    connections = 30
+
+    async def handler(request):
+        return web.Response(text='done')
+
+    async def check():
+        listener, address = await listen(handler)
+        opened = await open_connections(address, connections)
+        if is_kept:
+            for reader, writer in opened:
+                writer.write(REQUEST)
+                await reader.readuntil(b'done')
+        for _reader, writer in opened:
+            writer.write(REQUEST)
+        closing = asyncio.create_task(listener.close(timeout_s=LONG_S))
+        answers = await asyncio.gather(
+            *(reader.read() for reader, _writer in opened),
+            return_exceptions=True,
+        )
+        await asyncio.wait_for(closing, 10.0)
+        whole = [
+            answer
+            for answer in answers
+            if isinstance(answer, bytes) and answer.endswith(b'done')
+        ]
+        assert len(whole) == connections
+
+    asyncio.run(check())
