Let a watch wait while there is no state yet

Found in the last read: since watches are gathered, one with index 0 was answered at once also when there is nothing to send. While a fleet is founded, every entry host then asked again without a pause. The new test failed before (answered after 0 s instead of 0.8 s) and passes.

--- a/src/skylarkpitch/fleet/watches.py
+++ b/src/skylarkpitch/fleet/watches.py
@@ -65,13 +65,13 @@
         return self._response(request)
 
     def _has_to_wait(self, request: messages.WatchRequest) -> bool:
-        if request.wait_s <= 0 or not request.index:
+        if request.wait_s <= 0:
             return False
         if request.cluster != self._replicated_log.cluster:
             return False
-        return (
-            request.index >= self._state.index or self._gathering is not None
-        )
+        if request.index >= self._state.index:
+            return True
+        return request.index > 0 and self._gathering is not None
 
     def _response(
         self, request: messages.WatchRequest
--- a/tests/test_fleet_watches.py
+++ b/tests/test_fleet_watches.py
@@ -121,6 +121,19 @@
     assert virtual_time.run(run()) == (1, 1)
 
 
+# Guards against hosts that ask without a pause until there is a state: while
+# a fleet starts, all entry hosts wait for the first part of it.
+def test_watch_waits_while_there_is_no_state():
+    async def run():
+        control = Control()
+        started_s = asyncio.get_running_loop().time()
+        response = await control.watch(0)
+        return response.index, asyncio.get_running_loop().time() - started_s
+
+    index, took_s = virtual_time.run(run())
+    assert (index, took_s) == (0, pytest.approx(0.8))
+
+
 # Guards against the traffic between regions of watches that use a control
 # host far away although there is one nearby.
 @pytest.mark.parametrize(
