--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -154,8 +154,16 @@
                 )
             reason = 'answered' if status < 500 else 'upstream_failed'
             return await http_messages.relay_response(
-                request, result, finish=self._close_if_stopping
+                request,
+                result,
+                finish=self._close_if_stopping,
+                left_s=call.deadline_s - self._clock(),
             )
+        except TimeoutError:
+            # The connection is aborted, so that the caller does not take the
+            # part that it has for the whole response.
+            reason, detail = 'too_late', 'the response did not end in time'
+            raise
         finally:
             self.running -= 1
             self._report_outcome(call, status, reason, detail)
@@ -251,11 +259,13 @@
         finally:
             self._scheduler.release(call, candidate)
         now_s = self._clock()
+        took_s = now_s - sent_s
         if isinstance(result, senders.UpstreamResponse):
             self._record_load(candidate, result, now_s=now_s)
             if result.status < 400:
-                took_s = now_s - sent_s
                 self._scheduler.record_response(call, candidate, took_s=took_s)
+        elif result.reason is refusals.Reason.TOO_LATE:
+            self._scheduler.record_timeout(call, candidate, took_s=took_s)
         return result
 
     def _record_load(
