--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -190,3 +190,41 @@
             await stopped.wait()
 
     asyncio.run(serve())
+
+
+# Guards against messages that are dropped without a trace, and against
+# traffic that nobody can attribute to a kind of message.
+def test_messages_are_counted_by_kind_and_dropped_ones_too(monkeypatch):
+    async def check():
+        hosts, secrets = make_hosts(['a', 'b'])
+        may_end = asyncio.Event()
+
+        async def wait(sender, message):
+            await may_end.wait()
+            return EchoResponse(text='late')
+
+        async with (
+            make_network('a', hosts, secrets) as asking,
+            make_network('b', hosts, secrets) as answering,
+        ):
+            answering.handle(EchoRequest, echo)
+            await request_until_connected(asking, 'b', EchoRequest(text='x'))
+            before = asking.counters()['messages_sent/test.question']
+            assert before >= 1
+            assert asking.counters()['bytes_sent/test.question'] > 0
+            assert answering.counters()['messages_sent/test.answer'] == 1
+            answering.handle(EchoRequest, wait)
+            monkeypatch.setattr(network, 'MAX_CONCURRENT_HANDLERS', 2)
+            responses = asyncio.gather(
+                *(
+                    asking.request('b', EchoRequest(text='y'), timeout_s=3.0)
+                    for _number in range(5)
+                )
+            )
+            await asyncio.sleep(1.0)
+            may_end.set()
+            found = [str(item) for item in await responses]
+            assert found.count('peer_timeout') == 3
+            assert answering.counters()['messages_dropped'] == 3
+
+    asyncio.run(check())
