Log what an upstream was selected by with the end of a request

Change: request_answered and request_not_answered carry the affinity key, how long the upstream should have worked, and whether it should have had the key cached.

--- a/src/skylarkpitch/forwarding/calls.py
+++ b/src/skylarkpitch/forwarding/calls.py
@@ -19,7 +19,9 @@
     ``exchanges`` the times that the request was sent. ``may_have_run`` is
     set once an upstream may have run it. ``queued_s`` is the total time in
     queues. ``fingerprint`` is the same for repetitions of a request. Of
-    queued requests, the lowest ``rank`` is served first.
+    queued requests, the lowest ``rank`` is served first. ``expected_s`` is
+    how long the last upstream in ``tried`` should have worked on it, and
+    ``expected_warm`` whether it should have had the data cached.
     """
 
     request: web.BaseRequest
@@ -37,6 +39,8 @@
     exchanges: int = 0
     may_have_run: bool = False
     queued_s: float = 0.0
+    expected_s: float = 0.0
+    expected_warm: bool = False
 
     @property
     def target(self) -> str:
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -46,7 +46,8 @@
     ``status`` is 0 when the caller closed the connection. ``reason`` is
     ``answered``, ``upstream_failed`` for a response with status 500 or more,
     ``caller_gone``, or the reason of the refusal. ``left_s`` is the time
-    that was left to the deadline.
+    that was left to the deadline. ``expected_s`` and ``expected_warm`` are
+    what the last upstream was selected by.
     """
 
     request_id: str | None
@@ -59,6 +60,9 @@
     queued_s: float
     took_s: float
     left_s: float
+    affinity_key: str
+    expected_s: float
+    expected_warm: bool
 
 
 class RequestHandler:
@@ -186,6 +190,11 @@
                 queued_s=call.queued_s,
                 took_s=now_s - call.started_s,
                 left_s=call.deadline_s - now_s,
+                affinity_key=call.request.headers.get(
+                    self._names.affinity, ''
+                ),
+                expected_s=call.expected_s,
+                expected_warm=call.expected_warm,
             )
         )
 
@@ -247,6 +256,8 @@
     ) -> senders.UpstreamResponse | senders.Failure:
         upstream = candidate.load.upstream
         call.tried.append(upstream.upstream_id)
+        call.expected_s = candidate.expected_s
+        call.expected_warm = candidate.is_warm
         sent_s = self._clock()
         try:
             result = await self._sender.send(
