Give each route its own share of a short region

Change: hosts report load and late responses by route; the leader adds them up over all hosts, gives local slots to the routes with the least slack first, and lowers a route's share while more of its responses are late at home than elsewhere.

--- a/src/skylarkpitch/fleet/control_requests.py
+++ b/src/skylarkpitch/fleet/control_requests.py
@@ -11,6 +11,7 @@
 from skylarkpitch import errors
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import model
+from skylarkpitch.fleet import route_plan
 from skylarkpitch.messages import fleet as messages
 
 __all__ = [
@@ -63,7 +64,8 @@
     identifies.
     ``offered_slots`` is the load by service, as the number of slots that it
     occupies, and ``own_shares`` the share of it that the host sends to its
-    own region, by service. ``relative_times`` has the mean times of responses
+    own region, by service. ``route_loads`` and ``route_shares`` have both by
+    service and route. ``relative_times`` has the mean times of responses
     from its own region and from others, by service, as fractions of the
     latency objective.
     """
@@ -76,6 +78,8 @@
     passed: dict[str, int] = {}
     incarnation: str = ''
     relative_times: dict[str, tuple[float, float]] = {}
+    route_loads: dict[str, dict[str, route_plan.RouteLoad]] = {}
+    route_shares: dict[str, dict[str, float]] = {}
 
 
 class EntryGrant(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,13 +87,15 @@
 
     ``rate_per_s`` are the rates that it may use, by organisation, and
     ``own_shares`` the shares of the load that it sends to its own region,
-    by service. ``admitted_shares`` are the shares of the requests to admit
-    of organisations that are over their rate.
+    by service; ``route_shares`` has them by service and route.
+    ``admitted_shares`` are the shares of the requests to admit of
+    organisations that are over their rate.
     """
 
     rate_per_s: dict[str, float]
     own_shares: dict[str, float] = {}
     admitted_shares: dict[str, float] = {}
+    route_shares: dict[str, dict[str, float]] = {}
 
 
 ControlRequest = (
--- a/src/skylarkpitch/fleet/grants.py
+++ b/src/skylarkpitch/fleet/grants.py
@@ -51,9 +51,16 @@
             host_count=len(self._state.entry_hosts),
             now_s=now_s,
         )
+        local_shares = self._local_shares(report, now_s)
         return control_requests.EntryGrant(
             rate_per_s=granted.rate_per_s,
-            own_shares=self._local_shares(report, now_s),
+            own_shares=local_shares,
+            route_shares=self._region_plan.route_shares(
+                report.entry_host.region,
+                service_shares=local_shares,
+                slots=self._usable_slots(),
+                now_s=now_s,
+            ),
             admitted_shares=granted.admitted_shares,
         )
 
@@ -67,6 +74,8 @@
             offered_slots=report.offered_slots,
             own_shares=report.own_shares,
             relative_times=report.relative_times,
+            route_loads=report.route_loads,
+            route_shares=report.route_shares,
             now_s=now_s,
         )
         return self._region_plan.local_shares(
--- a/src/skylarkpitch/fleet/region_plan.py
+++ b/src/skylarkpitch/fleet/region_plan.py
@@ -15,6 +15,8 @@
 from collections.abc import Mapping
 import dataclasses
 
+from skylarkpitch.fleet import route_plan
+
 __all__ = [
     'RegionPlan',
     'initial_local_share',
@@ -90,6 +92,7 @@
     region: str
     offered_slots: Mapping[str, float]
     relative_times: Mapping[str, tuple[float, float]]
+    route_loads: route_plan.Loads
     received_s: float
 
 
@@ -108,6 +111,14 @@
     local_time: float = 0.0
     remote_time: float = 0.0
     timed_hosts: int = 0
+    routes: dict[str, route_plan.RouteLoad] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add_route(self, route: str, load: route_plan.RouteLoad) -> None:
+        """Add the load of a route on one host."""
+        before = self.routes.get(route)
+        self.routes[route] = load if before is None else before.plus(load)
 
 
 class RegionPlan:
@@ -116,6 +127,7 @@
     def __init__(self) -> None:
         self._reports: dict[str, _Report] = {}
         self._shares: dict[tuple[str, str], _LocalShare] = {}
+        self._route_plan = route_plan.RoutePlan()
         self._totals: dict[str, dict[str, _Total]] = {}
         self._totalled_s = float('-inf')
 
@@ -123,6 +135,7 @@
         """Discard reports and shares, as when this process becomes leader."""
         self._reports.clear()
         self._shares.clear()
+        self._route_plan.reset()
         self._totals.clear()
         self._totalled_s = float('-inf')
 
@@ -135,23 +148,28 @@
         own_shares: Mapping[str, float],
         now_s: float,
         relative_times: Mapping[str, tuple[float, float]] | None = None,
+        route_loads: route_plan.Loads | None = None,
+        route_shares: Mapping[str, Mapping[str, float]] | None = None,
     ) -> None:
         """Record the load that callers offer to an entry host, by service.
 
         ``relative_times`` are the mean times of responses from the region of
         the host and from others, as fractions of the latency objective.
         ``own_shares`` are the local shares that the host applies now. A new
-        leader, which has no shares yet, starts from them.
+        leader, which has no shares yet, starts from them. ``route_loads``
+        and ``route_shares`` are the same by service and route.
         """
         self._reports[host] = _Report(
             region=region,
             offered_slots=offered_slots,
             relative_times=relative_times or {},
+            route_loads=route_loads or {},
             received_s=now_s,
         )
         for service, share in own_shares.items():
             current = _LocalShare(share=share, updated_s=now_s)
             self._shares.setdefault((region, service), current)
+        self._route_plan.record_shares(region, route_shares or {}, now_s=now_s)
 
     def local_shares(
         self,
@@ -176,6 +194,45 @@
                 shares[service] = current.share
         return shares
 
+    def route_shares(
+        self,
+        region: str,
+        *,
+        service_shares: Mapping[str, float],
+        slots: Mapping[str, ByRegion],
+        now_s: float,
+    ) -> dict[str, dict[str, float]]:
+        """Return the local shares of a region by service and route.
+
+        ``service_shares`` are those of :meth:`local_shares`, and ``slots``
+        the same as there.
+        """
+        loads = {
+            service: by_region[region].routes
+            for service, by_region in self._totals.items()
+            if region in by_region
+        }
+        fuller_services = {
+            service
+            for service in loads
+            if is_fuller_than_others(
+                region,
+                offered_slots=self._offered_slots(service),
+                slots=slots.get(service, {}),
+            )
+        }
+        return self._route_plan.update(
+            region,
+            service_shares=service_shares,
+            loads=loads,
+            fuller_services=fuller_services,
+            now_s=now_s,
+        )
+
+    def _offered_slots(self, service: str) -> dict[str, float]:
+        totals = self._totals.get(service, {})
+        return {name: item.offered_slots for name, item in totals.items()}
+
     def _update(
         self,
         current: _LocalShare,
@@ -188,7 +245,7 @@
         max_change = MAX_SHARE_CHANGE_PER_S * elapsed_s
         current.updated_s = now_s
         totals = self._totals.get(service, {})
-        offered = {name: item.offered_slots for name, item in totals.items()}
+        offered = self._offered_slots(service)
         if sum(offered.values()) < MIN_OFFERED_SLOTS:
             current.share = initial_local_share(region, slots=slots)
             return
@@ -221,6 +278,10 @@
             for service, offered_slots in report.offered_slots.items():
                 total = self._total(service, report.region)
                 total.offered_slots += offered_slots
+            for service, by_route in report.route_loads.items():
+                total = self._total(service, report.region)
+                for route, load in by_route.items():
+                    total.add_route(route, load)
             for service, times in report.relative_times.items():
                 total = self._total(service, report.region)
                 total.local_time += times[0]
--- a/src/skylarkpitch/forwarding/regions.py
+++ b/src/skylarkpitch/forwarding/regions.py
@@ -4,10 +4,20 @@
 towards it by at most ``step_per_s`` per second. Requests with the same
 affinity key go to the same region, so that only few upstreams have to cache
 its data. Requests without a key are divided by a counter rather than at
-random.
+random. Each route has a share of its own, so that routes which cannot afford
+the way to another region stay.
 """
 
-__all__ = ['LOCAL', 'OTHER_REMOTE', 'REMOTE', 'RegionShares']
+from collections.abc import Mapping
+
+__all__ = [
+    'LOCAL',
+    'OTHER_REMOTE',
+    'REMOTE',
+    'RegionShares',
+    'RouteShares',
+    'SpillTokens',
+]
 
 # Region groups: the local region, the planned remote region of a request, and
 # the other remote regions.
@@ -20,22 +30,44 @@
 MAX_SPILL_TOKENS = 1.0
 
 
+class SpillTokens:
+    """Limit on the requests that run in another region group than planned."""
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+
+    def refill(self) -> None:
+        """Add ``SPILL_SHARE`` of a token, for one request."""
+        self._tokens = min(MAX_SPILL_TOKENS, self._tokens + SPILL_SHARE)
+
+    def has_token(self) -> bool:
+        """Return whether a request may spill over now."""
+        return self._tokens >= 1.0
+
+    def consume(self) -> bool:
+        """Consume a token; return False if there is none."""
+        if not self.has_token():
+            return False
+        self._tokens -= 1.0
+        return True
+
+
 class RegionShares:
-    """Division of one service's requests among regions, on one entry host.
+    """Division of one route's requests among regions, on one entry host.
 
-    ``local_share`` is the fraction that runs in the local region now. Spill
-    tokens limit how many requests run in another region group than planned.
+    ``local_share`` is the fraction that runs in the local region now.
     """
 
-    def __init__(self, *, step_per_s: float, now_s: float) -> None:
+    def __init__(
+        self, *, step_per_s: float, now_s: float, local_share: float = 1.0
+    ) -> None:
         self._step_per_s = step_per_s
         self._region_groups: frozenset[str] = frozenset()
         self._granted: float | None = None
         self._has_routed = False
-        self._spill_tokens = 0.0
         self._local_credit = 0.0
         self._moved_at_s = now_s
-        self.local_share = 1.0
+        self.local_share = local_share
 
     def set_region_groups(self, region_groups: frozenset[str]) -> None:
         """Set which of ``LOCAL`` and ``REMOTE`` have upstreams.
@@ -55,6 +87,10 @@
         self._granted = local_share
         self._move_share(now_s)
 
+    def mark_routed(self) -> None:
+        """Record that requests are routed by this share."""
+        self._has_routed = True
+
     def choose(self, *, affinity_fraction: float | None, now_s: float) -> str:
         """Return the region group of a request, ``LOCAL`` or ``REMOTE``.
 
@@ -62,7 +98,7 @@
         without a key.
         """
         self._move_share(now_s)
-        self._has_routed = True
+        self.mark_routed()
         if len(self._region_groups) < 2:
             return next(iter(self._region_groups), LOCAL)
         if affinity_fraction is not None:
@@ -73,26 +109,74 @@
             return LOCAL
         return REMOTE
 
-    def refill_spill_tokens(self) -> None:
-        """Add ``SPILL_SHARE`` of a spill token, for one request."""
-        self._spill_tokens = min(
-            MAX_SPILL_TOKENS, self._spill_tokens + SPILL_SHARE
-        )
-
-    def has_spill_token(self) -> bool:
-        """Return whether a request may spill over now."""
-        return self._spill_tokens >= 1.0
-
-    def consume_spill_token(self) -> bool:
-        """Consume a spill token; return False if there is none."""
-        if not self.has_spill_token():
-            return False
-        self._spill_tokens -= 1.0
-        return True
-
     def _move_share(self, now_s: float) -> None:
         step = self._step_per_s * max(0.0, now_s - self._moved_at_s)
         self._moved_at_s = now_s
         if self._granted is not None:
             difference = self._granted - self.local_share
             self.local_share += max(-step, min(step, difference))
+
+
+class RouteShares:
+    """The shares of all routes to one service, on one entry host.
+
+    A route that no grant names yet has the share of the service.
+    """
+
+    def __init__(self, *, step_per_s: float, now_s: float) -> None:
+        self._step_per_s = step_per_s
+        self._region_groups: frozenset[str] = frozenset()
+        self._by_route: dict[str, RegionShares] = {}
+        self._service = RegionShares(step_per_s=step_per_s, now_s=now_s)
+
+    @property
+    def local_share(self) -> float:
+        """Return the share of the service."""
+        return self._service.local_share
+
+    def by_route(self) -> dict[str, float]:
+        """Return the share of each route in use."""
+        return {
+            route: shares.local_share
+            for route, shares in self._by_route.items()
+        }
+
+    def set_region_groups(self, region_groups: frozenset[str]) -> None:
+        """Set which of ``LOCAL`` and ``REMOTE`` have upstreams."""
+        self._region_groups = region_groups
+        for shares in (self._service, *self._by_route.values()):
+            shares.set_region_groups(region_groups)
+
+    def apply_grant(
+        self,
+        local_share: float,
+        by_route: Mapping[str, float],
+        *,
+        now_s: float,
+    ) -> None:
+        """Move towards the granted share of the service and of routes."""
+        self._service.apply_grant(local_share, now_s=now_s)
+        for route, shares in self._by_route.items():
+            if route not in by_route:
+                shares.apply_grant(local_share, now_s=now_s)
+        for route, share in by_route.items():
+            self._shares_of(route, now_s).apply_grant(share, now_s=now_s)
+
+    def choose(
+        self, route: str, *, affinity_fraction: float | None, now_s: float
+    ) -> str:
+        """Return the region group of a request, ``LOCAL`` or ``REMOTE``."""
+        shares = self._shares_of(route, now_s)
+        self._service.mark_routed()
+        return shares.choose(affinity_fraction=affinity_fraction, now_s=now_s)
+
+    def _shares_of(self, route: str, now_s: float) -> RegionShares:
+        shares = self._by_route.get(route)
+        if shares is None:
+            shares = self._by_route[route] = RegionShares(
+                step_per_s=self._step_per_s,
+                now_s=now_s,
+                local_share=self._service.local_share,
+            )
+            shares.set_region_groups(self._region_groups)
+        return shares
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -134,7 +134,9 @@
         self.rates.apply_grant(
             grant.rate_per_s, grant.admitted_shares, now_s=now_s
         )
-        self.selector.apply_grant(grant.own_shares, now_s=now_s)
+        self.selector.apply_grant(
+            grant.own_shares, grant.route_shares, now_s=now_s
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request of a caller and return the response."""
@@ -215,7 +217,9 @@
             )
         now_s = self._clock()
         self._retry_budgets.add_request(call.service, now_s=now_s)
-        self.selector.record_request(call.service, now_s=now_s)
+        self.selector.record_request(
+            call.service, call.route.name, now_s=now_s
+        )
         return await self._send_until_response(call)
 
     async def _send_until_response(
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -162,6 +162,8 @@
             incarnation=usage.incarnation,
             offered_slots=self._handler.selector.offered_slots(now_s=now_s),
             own_shares=self._handler.selector.local_shares(),
+            route_loads=self._handler.selector.route_loads(now_s=now_s),
+            route_shares=self._handler.selector.route_shares(),
             relative_times=self._handler.selector.relative_times(now_s=now_s),
         )
 
--- a/src/skylarkpitch/forwarding/service_pool.py
+++ b/src/skylarkpitch/forwarding/service_pool.py
@@ -22,7 +22,9 @@
 MAX_PREFERRED = 8
 # Maximum number of upstreams of a region that a request samples.
 SAMPLE_SIZE = 16
-SHARE_STEP_PER_S = 0.06
+# Control grants shares that move slowly; this spreads each step over the
+# time until the next grant.
+SHARE_STEP_PER_S = 0.25
 # Entries of each cache below, which is cleared when it is full.
 MAX_CACHED_KEYS = 4096
 
@@ -95,9 +97,10 @@
     def __init__(self, *, local_region: str, now_s: float) -> None:
         self._local_region = local_region
         self.loads: Loads = {}
-        self.shares = regions.RegionShares(
+        self.shares = regions.RouteShares(
             step_per_s=SHARE_STEP_PER_S, now_s=now_s
         )
+        self.spill_tokens = regions.SpillTokens()
         self._by_region: dict[str, _RegionUpstreams] = {}
         self._region_of_upstream: dict[str, str] = {}
         self._first_remote_regions: dict[str, str | None] = {}
--- a/src/skylarkpitch/forwarding/upstream_selector.py
+++ b/src/skylarkpitch/forwarding/upstream_selector.py
@@ -14,9 +14,11 @@
 import functools
 
 from skylarkpitch.fleet import model
+from skylarkpitch.fleet import route_plan
 from skylarkpitch.forwarding import arrivals
 from skylarkpitch.forwarding import region_times
 from skylarkpitch.forwarding import regions
+from skylarkpitch.forwarding import route_loads
 from skylarkpitch.forwarding import service_pool
 from skylarkpitch.forwarding import upstream_load
 from skylarkpitch.forwarding import work_times
@@ -93,6 +95,7 @@
         self._pools: dict[str, service_pool.ServicePool] = {}
         self._times = work_times.WorkTimes()
         self._offered_load = arrivals.OfferedLoad()
+        self._route_loads = route_loads.RouteLoads()
         self._region_times = region_times.RegionTimes()
         self._draining: frozenset[str] = frozenset()
 
@@ -202,7 +205,7 @@
             for _cost, _name, candidate in score(group_regions):
                 if not self._has_capacity(candidate, cold_rate, now_s):
                     continue
-                if number > 0 and not pool.shares.consume_spill_token():
+                if number > 0 and not pool.spill_tokens.consume():
                     break
                 return candidate
         return sentinels.Absent('no_room')
@@ -397,11 +400,11 @@
             return [by_group[group] for group in best]
         affinity_fraction = pool.affinity_fraction(criteria.affinity_key)
         chosen = pool.shares.choose(
-            affinity_fraction=affinity_fraction, now_s=now_s
+            criteria.route, affinity_fraction=affinity_fraction, now_s=now_s
         )
         order = [chosen, regions.LOCAL, regions.REMOTE, regions.OTHER_REMOTE]
         present = [g for g in dict.fromkeys(order) if g in by_group]
-        if not pool.shares.has_spill_token():
+        if not pool.spill_tokens.has_token():
             present = present[:1]
         return [by_group[group] for group in present]
 
@@ -467,6 +470,12 @@
             is_warm=candidate.is_warm,
             work_s=work_s,
         )
+        self._route_loads.record_work(
+            criteria.service,
+            criteria.route,
+            took_s=work_s,
+            slack_s=criteria.objective_s - self._times_of(criteria).warm_s,
+        )
         if candidate.is_warm:
             candidate.load.record_success(
                 took_s=work_s, expected_s=candidate.expected_s
@@ -490,13 +499,21 @@
         took_s: float,
         now_s: float,
     ) -> None:
+        is_local = self._is_local(candidate)
         self._region_times.record(
             criteria.service,
-            is_local=self._is_local(candidate),
+            is_local=is_local,
             took_s=took_s,
             objective_s=criteria.objective_s,
             now_s=now_s,
         )
+        self._route_loads.record_response(
+            criteria.service,
+            criteria.route,
+            is_local=is_local,
+            is_late=took_s > criteria.objective_s,
+            now_s=now_s,
+        )
 
     def _is_local(self, candidate: Candidate) -> bool:
         return self.region_of(candidate.load) == self._region
@@ -516,17 +533,26 @@
             criteria.route, objective_s=criteria.objective_s
         )
 
-    def record_request(self, service: str, *, now_s: float) -> None:
+    def record_request(
+        self, service: str, route: str, *, now_s: float
+    ) -> None:
         """Count a request for a service, whether or not it is served."""
         self._offered_load.record_arrival(service, now_s=now_s)
+        self._route_loads.record_arrival(service, route, now_s=now_s)
         pool = self._pools.get(service)
         if pool is not None:
-            pool.shares.refill_spill_tokens()
+            pool.spill_tokens.refill()
 
     def offered_slots(self, *, now_s: float) -> dict[str, float]:
         """Return the offered load of each service, in slots."""
         return self._offered_load.slots(now_s=now_s)
 
+    def route_loads(
+        self, *, now_s: float
+    ) -> dict[str, dict[str, route_plan.RouteLoad]]:
+        """Return the load of each route, by service."""
+        return self._route_loads.by_service(now_s=now_s)
+
     def local_shares(self) -> dict[str, float]:
         """Return the share of each service that runs in the local region."""
         return {
@@ -535,10 +561,28 @@
             if pool.loads
         }
 
+    def route_shares(self) -> dict[str, dict[str, float]]:
+        """Return the share of each route in the local region, by service."""
+        return {
+            service: pool.shares.by_route()
+            for service, pool in self._pools.items()
+            if pool.loads
+        }
+
     def apply_grant(
-        self, local_shares: Mapping[str, float], *, now_s: float
+        self,
+        local_shares: Mapping[str, float],
+        route_shares: Mapping[str, Mapping[str, float]],
+        *,
+        now_s: float,
     ) -> None:
-        """Move towards the local shares that control grants."""
+        """Move towards the local shares that control grants.
+
+        ``local_shares`` are by service, ``route_shares`` by service and
+        route.
+        """
         for service, share in local_shares.items():
             if service in self._pools:
-                self._pools[service].shares.apply_grant(share, now_s=now_s)
+                self._pools[service].shares.apply_grant(
+                    share, route_shares.get(service, {}), now_s=now_s
+                )
--- a/tests/stand_ins/virtual_time.py
+++ b/tests/stand_ins/virtual_time.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+MIN_DELAY_S = 1e-9
+
 
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Advance ``time()`` only when no callback is ready."""
@@ -13,6 +15,13 @@
     def time(self):
         return self._virtual_s
 
+    def call_later(self, delay, callback, *args, context=None):
+        # A shorter delay could be lost to rounding, and a task that waits
+        # for the rest of a time would wait for ever.
+        if delay > 0:
+            delay = max(delay, MIN_DELAY_S)
+        return super().call_later(delay, callback, *args, context=context)
+
     def _run_once(self):
         if not self._ready and self._scheduled:
             due_s = self._scheduled[0]._when
--- a/tests/test_fleet_regions.py
+++ b/tests/test_fleet_regions.py
@@ -136,19 +136,19 @@
 
 def test_spills_are_limited_to_the_spill_share():
     """Requests that leave a full region count against the cap on shifts."""
-    region_shares = regions.RegionShares(step_per_s=0.06, now_s=0.0)
+    tokens = regions.SpillTokens()
     spilled = 0
     for _number in range(1000):
-        region_shares.refill_spill_tokens()
-        spilled += region_shares.consume_spill_token()
+        tokens.refill()
+        spilled += tokens.consume()
     assert spilled == pytest.approx(1000 * regions.SPILL_SHARE, abs=1)
 
 
 def test_unused_spill_tokens_do_not_accumulate():
-    region_shares = regions.RegionShares(step_per_s=0.06, now_s=0.0)
+    tokens = regions.SpillTokens()
     for _number in range(1000):
-        region_shares.refill_spill_tokens()
-    assert [region_shares.consume_spill_token() for _number in range(3)] == [
+        tokens.refill()
+    assert [tokens.consume() for _number in range(3)] == [
         True,
         False,
         False,
