Keep idle connections to upstreams for 8 s

Cause: on 60 entry hosts an upstream is met again by the same host after some 7 s on average; connections were closed after 4 s, and a new one to another region costs the caller a round trip more (0.11 s of objectives of 0.4 s).

--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -20,7 +20,7 @@
 
 __all__ = ['Failure', 'Sender', 'UpstreamRequest', 'UpstreamResponse']
 
-KEEPALIVE_S = 4.0
+KEEPALIVE_S = 8.0
 CONNECT_TIMEOUT_S = 0.45
 # The rest of a larger response body is streamed.
 MAX_BUFFERED_BYTES = 1024 * 1024
