--- a/tests/stand_ins/fake_peers.py
+++ b/tests/stand_ins/fake_peers.py
@@ -11,11 +11,13 @@
     """Network of the fake peers of one test.
 
     ``cut_pairs`` are the pairs of sender and receiver without connection, and
-    ``sent`` lists sender, receiver and message of all requests.
+    ``sent`` lists sender, receiver and message of all requests. Each message
+    takes ``delay_s``.
     """
 
-    def __init__(self, *, hosts):
+    def __init__(self, *, hosts, delay_s=0.0):
         self.hosts = tuple(hosts)
+        self.delay_s = delay_s
         self.cut_pairs = set()
         self.sent = []
         self._peers = {}
@@ -68,7 +70,7 @@
     async def request(self, host, message, *, timeout_s):
         own_name = self.directory.local_host.name
         self._network.sent.append((own_name, host, message))
-        await asyncio.sleep(0)
+        await asyncio.sleep(self._network.delay_s)
         peer = self._network.peer(own_name, host)
         if peer is None:
             return sentinels.Absent('peer_timeout')
@@ -80,6 +82,8 @@
         )
         if response is None:
             return sentinels.Absent('peer_refused')
+        if self._network.delay_s:
+            await asyncio.sleep(self._network.delay_s)
         if self._network.peer(host, own_name) is None:
             return sentinels.Absent('peer_timeout')
         return codec.decode(*codec.encode(response))
--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch.consensus import state as consensus_state
@@ -9,6 +10,7 @@
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import state as fleet_state
 from tests.stand_ins import fake_peers
+from tests.stand_ins import log_cluster
 
 TIMING = consensus_state.Timing(
     heartbeat_s=0.02, election_min_s=0.2, election_max_s=0.4
@@ -19,15 +21,29 @@
 class FleetCluster:
     """Start, stop and wipe control hosts by name.
 
-    The default seeds are a, b and c. ``tolerated_disks`` is 2.
+    The default seeds are a, b and c. ``tolerated_disks`` is 2. With a
+    ``disk_delay_s`` it runs in a loop with virtual time: each sync takes
+    that long, and each message ``message_delay_s``.
     """
 
-    def __init__(self, *, folder, names='abcdef', seeds='abc'):
+    def __init__(
+        self,
+        *,
+        folder,
+        names='abcdef',
+        seeds='abc',
+        timing=TIMING,
+        message_delay_s=0.0,
+        disk_delay_s=None,
+    ):
         self.folder = folder
         self.seeds = tuple(seeds)
         self.network = fake_peers.FakeNetwork(
-            hosts=[fake_peers.host(name, roles=()) for name in names]
+            hosts=[fake_peers.host(name, roles=()) for name in names],
+            delay_s=message_delay_s,
         )
+        self._timing = timing
+        self._disk_delay_s = disk_delay_s
         self.logs = {}
         self.states = {}
         self.control_services = {}
@@ -48,13 +64,15 @@
                 is_control=lambda name: True,
                 rng=random.Random(self._rng.random()),
                 on_applied=lambda name=name: self._applied(name),
-                timing=TIMING,
+                timing=self._timing,
+                **self._log_options(),
             )
             member = self.memberships[name] = memberships.Membership(
                 peers=peers,
                 log=log,
                 seeds=lambda names=seed_names: names,
                 tolerated_disks=2,
+                clock=self._clock(),
             )
             self.control_services[name] = control_services.ControlService(
                 peers=peers,
@@ -63,11 +81,26 @@
                 state=state,
                 heartbeat_s=1.5,
                 region_of=lambda domain: domain[:4],
+                clock=self._clock(),
             )
             await log.start()
             await member.start()
             await self.control_services[name].start()
 
+    def _clock(self):
+        if self._disk_delay_s is None:
+            return time.monotonic
+        return asyncio.get_running_loop().time
+
+    def _log_options(self):
+        if self._disk_delay_s is None:
+            return {}
+        delay_s = self._disk_delay_s
+        return {
+            'clock': self._clock(),
+            'threads': log_cluster.InlineThreads(delay_s=lambda: delay_s),
+        }
+
     def _applied(self, name):
         if name in self.control_services:
             self.control_services[name].notify_applied()
