Ignore all of a response of another cluster

Change: a response of another cluster is a failure of its source.

Result: two of two cases of the test failed before and pass.

--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -143,6 +143,12 @@
         if sentinels.is_absent(response):
             self._record_failure(source, now_s, str(response))
             return False
+        if self._view.cluster and response.cluster != self._view.cluster:
+            _log.error(
+                'cluster_mismatch', source=source, cluster=response.cluster
+            )
+            self._record_failure(source, now_s, 'cluster_mismatch')
+            return False
         if response.whole:
             self._sources.record_round_trip(
                 source, round_trip_s=now_s - sent_s
@@ -163,11 +169,6 @@
         return True
 
     def _apply(self, source: str, response: messages.WatchResponse) -> None:
-        if self._view.cluster and response.cluster != self._view.cluster:
-            _log.error(
-                'cluster_mismatch', source=source, cluster=response.cluster
-            )
-            return
         before = self._view.version
         changed = self._view.apply(response)
         if not changed:
--- a/tests/test_fleet_subscriber.py
+++ b/tests/test_fleet_subscriber.py
@@ -26,10 +26,15 @@
 
 
 class ControlHosts:
-    """Three control hosts with the same state; some do not respond."""
+    """Three control hosts with the same state; some do not respond.
 
-    def __init__(self, *, silent=()):
+    The ``strangers`` belong to another cluster from the moment on at which
+    an entry host has its first view, and name hosts of that one.
+    """
+
+    def __init__(self, *, silent=(), strangers=()):
         self.silent = frozenset(silent)
+        self.strangers = frozenset(strangers)
         self.asked = []
         self.state = fleet_fixtures.applied(
             fleet_fixtures.put(1),
@@ -60,6 +65,15 @@
         if message.index >= self.state.index:
             await asyncio.sleep(message.wait_s)
         response = fleet_fixtures.watch_response(self.state, message.index)
+        if host in self.strangers and message.cluster:
+            return messages.WatchResponse(
+                cluster='other',
+                index=message.index,
+                whole=False,
+                heard_age_s=0.0,
+                rows=(),
+                control_hosts=('x1', 'x2'),
+            )
         return messages.WatchResponse(
             cluster=response.cluster,
             index=response.index,
@@ -169,3 +183,21 @@
     )
     delay_s = found_s - control_hosts.changed_s
     assert delay_s <= subscribers.POLL_INTERVAL_S + 2 * ROUND_TRIP_S
+
+
+# Guards against a host that takes the control hosts of another cluster for
+# its own, and its view for current, after an address was used again.
+@pytest.mark.parametrize('strangers', [('c3',), ('c2', 'c3')])
+def test_responses_of_another_cluster_change_nothing(strangers):
+    control_hosts = ControlHosts(strangers=strangers)
+    view, _started_s = asked_of(control_hosts, duration_s=12.0)
+    assert view.index == control_hosts.state.index
+    assert {host for host, _message, _at_s in control_hosts.asked} <= set(
+        DOMAINS
+    )
+    watches = [
+        host
+        for host, message, _at_s in control_hosts.asked[-8:]
+        if isinstance(message, messages.WatchRequest)
+    ]
+    assert set(watches) - set(strangers)
