--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -18,6 +18,7 @@
 from skylarkpitch.forwarding import admission
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
+from skylarkpitch.forwarding import candidates
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import http_messages
 from skylarkpitch.forwarding import refusals
@@ -256,7 +257,7 @@
         )
 
     async def _send(
-        self, call: calls.Call, candidate: selectors.Candidate
+        self, call: calls.Call, candidate: candidates.Candidate
     ) -> senders.UpstreamResponse | senders.Failure:
         upstream = candidate.load.upstream
         call.tried.append(upstream.upstream_id)
@@ -285,7 +286,7 @@
 
     def _record_load(
         self,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         response: senders.UpstreamResponse,
         *,
         now_s: float,
@@ -309,7 +310,7 @@
     def _after_failure(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         failure: senders.Failure,
     ) -> refusals.Refusal | None:
         """Handle an exchange without a usable response.
@@ -347,7 +348,7 @@
     def _after_response(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         response: senders.UpstreamResponse,
     ) -> senders.UpstreamResponse | refusals.Refusal | None:
         """Handle the response of an upstream.
@@ -402,7 +403,7 @@
     def _log_failure(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         failure: senders.Failure,
     ) -> None:
         _log.info(
--- a/src/skylarkpitch/forwarding/scheduler.py
+++ b/src/skylarkpitch/forwarding/scheduler.py
@@ -7,6 +7,7 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import calls
+from skylarkpitch.forwarding import candidates
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import refusals
 from skylarkpitch.forwarding import request_queue
@@ -74,7 +75,7 @@
 
     async def reserve(
         self, call: calls.Call
-    ) -> selectors.Candidate | refusals.Refusal:
+    ) -> candidates.Candidate | refusals.Refusal:
         """Return a candidate with a slot reserved for a call, or a refusal.
 
         Waits in the queue of the service while no slot is free, for as long
@@ -105,7 +106,7 @@
         return self._refuse(call, queue, sentinels.Absent('no_room'))
 
     def release(
-        self, call: calls.Call, candidate: selectors.Candidate
+        self, call: calls.Call, candidate: candidates.Candidate
     ) -> None:
         """Release the slot of a call and wake the head of the queue."""
         self._selector.release(candidate)
@@ -116,7 +117,7 @@
     def record_response(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         *,
         took_s: float,
     ) -> None:
@@ -131,7 +132,7 @@
     def record_timeout(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         *,
         took_s: float,
     ) -> None:
@@ -151,10 +152,10 @@
     def _try_reserve(
         self,
         call: calls.Call,
-        criteria: selectors.SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         *,
         is_final: bool = False,
-    ) -> selectors.Candidate | sentinels.Absent:
+    ) -> candidates.Candidate | sentinels.Absent:
         configured = self._view.service(call.service)
         now_s = self._clock()
         candidate = self._selector.select(
@@ -174,14 +175,14 @@
     async def _wait_in_queue(
         self,
         call: calls.Call,
-        criteria: selectors.SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         queue: request_queue.RequestQueue,
         absent: sentinels.Absent,
-    ) -> selectors.Candidate | refusals.Refusal:
+    ) -> candidates.Candidate | refusals.Refusal:
         now_s = self._clock()
         max_wait_s = request_queue.max_wait_s(
             objective_s=criteria.objective_s,
-            expected_s=self._selector.expected_warm_s(criteria),
+            expected_s=self._selector.measurements.times_of(criteria).warm_s,
             spent_s=now_s - call.started_s,
             left_s=call.deadline_s - now_s,
         )
@@ -204,10 +205,10 @@
     async def _wait_for_slot(
         self,
         call: calls.Call,
-        criteria: selectors.SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         queue: request_queue.RequestQueue,
         waiter: request_queue.Waiter,
-    ) -> selectors.Candidate | sentinels.Absent:
+    ) -> candidates.Candidate | sentinels.Absent:
         candidate = sentinels.Absent('no_room')
         interval_s = min(
             MAX_POLL_INTERVAL_S,
@@ -244,7 +245,7 @@
             ),
         )
 
-    def _criteria(self, call: calls.Call) -> selectors.SelectionCriteria:
+    def _criteria(self, call: calls.Call) -> candidates.SelectionCriteria:
         homes = None
         for allowed in (
             call.route.homes,
@@ -262,7 +263,7 @@
             affinity_key = call.request.headers.get(self._names.affinity)
             if affinity_key is not None:
                 affinity_key = f'{call.route.name} {affinity_key}'
-        return selectors.SelectionCriteria(
+        return candidates.SelectionCriteria(
             service=call.service,
             route=call.route.name,
             affinity_key=affinity_key,
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -153,6 +153,7 @@
 
     def _build_report(self) -> control_requests.EntryReport:
         now_s = self._clock()
+        measurements = self._handler.selector.measurements
         usage = self._handler.rates.usage(now_s=now_s)
         return control_requests.EntryReport(
             entry_host=self._settings.entry_host,
@@ -160,11 +161,11 @@
             demand_per_s=dict(usage.demand_per_s),
             passed=dict(usage.passed),
             incarnation=usage.incarnation,
-            offered_slots=self._handler.selector.offered_slots(now_s=now_s),
+            offered_slots=measurements.offered_slots(now_s=now_s),
             own_shares=self._handler.selector.local_shares(),
-            route_loads=self._handler.selector.route_loads(now_s=now_s),
+            route_loads=measurements.route_loads(now_s=now_s),
             route_shares=self._handler.selector.route_shares(),
-            relative_times=self._handler.selector.relative_times(now_s=now_s),
+            relative_times=measurements.relative_times(now_s=now_s),
         )
 
     async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
--- a/src/skylarkpitch/forwarding/upstream_selector.py
+++ b/src/skylarkpitch/forwarding/upstream_selector.py
@@ -10,21 +10,18 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import functools
 
 from skylarkpitch.fleet import model
-from skylarkpitch.fleet import route_plan
-from skylarkpitch.forwarding import arrivals
-from skylarkpitch.forwarding import region_times
+from skylarkpitch.forwarding import candidates
+from skylarkpitch.forwarding import measurements
 from skylarkpitch.forwarding import regions
-from skylarkpitch.forwarding import route_loads
 from skylarkpitch.forwarding import service_pool
 from skylarkpitch.forwarding import upstream_load
 from skylarkpitch.forwarding import work_times
 from skylarkpitch import sentinels
 
-__all__ = ['Candidate', 'SelectionCriteria', 'UpstreamSelector']
+__all__ = ['UpstreamSelector']
 
 # Costs of another failure domain or region: a penalty for the bytes that cross
 # the link, and the round trip.
@@ -45,39 +42,6 @@
 QUEUE_SHARE = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SelectionCriteria:
-    """What a request requires of an upstream.
-
-    ``affinity_key`` identifies the data that upstreams cache for the
-    request, if any. ``homes`` are the regions that may run it; None allows
-    all. ``excluded`` are the upstreams that it was sent to before.
-    """
-
-    service: str
-    route: str
-    affinity_key: str | None
-    homes: frozenset[str] | None
-    objective_s: float
-    excluded: frozenset[str] = frozenset()
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Candidate:
-    """An upstream that a request could use.
-
-    ``expected_s`` is how long the upstream should work on the request.
-    ``is_preferred`` is set for the upstreams that rendezvous hashing assigns
-    to the affinity key, ``is_warm`` for one that should have the data of the
-    key cached now.
-    """
-
-    load: upstream_load.UpstreamLoad
-    expected_s: float
-    is_preferred: bool
-    is_warm: bool
-
-
 class UpstreamSelector:
     """The upstreams of all services, as measured by one entry host."""
 
@@ -93,10 +57,7 @@
         self._region_of = region_of
         self._loads: dict[str, upstream_load.UpstreamLoad] = {}
         self._pools: dict[str, service_pool.ServicePool] = {}
-        self._times = work_times.WorkTimes()
-        self._offered_load = arrivals.OfferedLoad()
-        self._route_loads = route_loads.RouteLoads()
-        self._region_times = region_times.RegionTimes()
+        self.measurements = measurements.Measurements()
         self._draining: frozenset[str] = frozenset()
 
     def update_upstreams(
@@ -158,14 +119,14 @@
 
     def select(
         self,
-        criteria: SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         *,
         cold_rate_per_s: float | None,
         entry_hosts: int,
         now_s: float,
         host_position: int | None = 0,
         is_final_attempt: bool = False,
-    ) -> Candidate | sentinels.Absent:
+    ) -> candidates.Candidate | sentinels.Absent:
         """Return the candidate of the lowest cost that has capacity.
 
         An upstream that is not preferred takes several times as long, so a
@@ -211,7 +172,9 @@
         return sentinels.Absent('no_room')
 
     def _regions_by_group(
-        self, pool: service_pool.ServicePool, criteria: SelectionCriteria
+        self,
+        pool: service_pool.ServicePool,
+        criteria: candidates.SelectionCriteria,
     ) -> dict[str, list[str]]:
         """Return the regions of each region group, as a request sees them.
 
@@ -244,19 +207,19 @@
     def _scored(
         self,
         pool: service_pool.ServicePool,
-        criteria: SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         group_regions: Iterable[str],
         *,
         now_s: float,
         with_others: bool,
-    ) -> list[tuple[float, str, Candidate]]:
+    ) -> list[tuple[float, str, candidates.Candidate]]:
         """Return candidates with their costs, in ascending order.
 
         Upstreams that are not preferred for the affinity key are included
         if ``with_others`` is set, or if all preferred ones are excluded or
         failed recently.
         """
-        times = self._times_of(criteria)
+        times = self.measurements.times_of(criteria)
         scored = []
         for region in group_regions:
             first, preferred = self._preferred(pool, criteria, region)
@@ -278,7 +241,7 @@
     def _names_to_score(
         self,
         pool: service_pool.ServicePool,
-        criteria: SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         region: str,
         preferred: list[str],
         now_s: float,
@@ -296,7 +259,7 @@
     def _preferred(
         self,
         pool: service_pool.ServicePool,
-        criteria: SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         region: str,
     ) -> tuple[str | None, list[str]]:
         """Return the upstream of a region to send a request to first.
@@ -320,7 +283,7 @@
     def _eligible(
         self,
         pool: service_pool.ServicePool,
-        criteria: SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         names: Iterable[str],
         now_s: float,
     ) -> list[str]:
@@ -335,13 +298,13 @@
     def _score(
         self,
         load: upstream_load.UpstreamLoad,
-        criteria: SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         times: work_times.RouteTimes,
         now_s: float,
         *,
         is_first: bool,
         is_preferred: bool,
-    ) -> tuple[float, Candidate]:
+    ) -> tuple[float, candidates.Candidate]:
         has_key = criteria.affinity_key is not None
         is_warm = (
             not has_key
@@ -353,7 +316,7 @@
         slots = max(1, load.upstream.slots)
         excess = load.occupied_slots(now_s=now_s) + 1 - slots
         # A request waits for those that run there, not for its own kind.
-        mean_s = self._offered_load.mean_work_s(criteria.service)
+        mean_s = self.measurements.mean_work_s(criteria.service)
         ahead_s = max(work_s, mean_s * load.slowness)
         wait_s = max(0.0, excess) * ahead_s / slots
         # A small cost of upstreams that are over half full, whose last slots
@@ -363,7 +326,7 @@
         cost_s += DEGRADED_PENALTY_S * load.failure_share
         if has_key and not is_first:
             cost_s += EVICTION_COST_SHARE * times.miss_penalty_s
-        return cost_s, Candidate(
+        return cost_s, candidates.Candidate(
             load=load,
             expected_s=expected_s,
             is_preferred=is_preferred,
@@ -380,9 +343,11 @@
     def _group_order(
         self,
         pool: service_pool.ServicePool,
-        criteria: SelectionCriteria,
+        criteria: candidates.SelectionCriteria,
         by_group: Mapping[str, list[str]],
-        score: Callable[[list[str]], list[tuple[float, str, Candidate]]],
+        score: Callable[
+            [list[str]], list[tuple[float, str, candidates.Candidate]]
+        ],
         now_s: float,
     ) -> list[list[str]]:
         """Return the regions of the groups to try, in this order.
@@ -410,7 +375,7 @@
 
     def _has_capacity(
         self,
-        candidate: Candidate,
+        candidate: candidates.Candidate,
         cold_rate: upstream_load.ColdRate | None,
         now_s: float,
     ) -> bool:
@@ -429,8 +394,8 @@
 
     def reserve(
         self,
-        candidate: Candidate,
-        criteria: SelectionCriteria,
+        candidate: candidates.Candidate,
+        criteria: candidates.SelectionCriteria,
         *,
         now_s: float,
     ) -> None:
@@ -441,20 +406,19 @@
         if criteria.affinity_key is not None:
             candidate.load.record_affinity(criteria.affinity_key, now_s=now_s)
 
-    def release(self, candidate: Candidate) -> None:
+    def release(self, candidate: candidates.Candidate) -> None:
         """Release the slot of a request that has ended."""
         candidate.load.running -= 1
 
     def record_response(
         self,
-        candidate: Candidate,
-        criteria: SelectionCriteria,
+        candidate: candidates.Candidate,
+        criteria: candidates.SelectionCriteria,
         *,
         took_s: float,
         now_s: float,
     ) -> None:
         """Update the measured times with those of a successful response."""
-        self._record_region_time(candidate, criteria, took_s, now_s)
         round_trip_s = 0.0
         if candidate.load.upstream.failure_domain != self._failure_domain:
             round_trip_s = (
@@ -463,18 +427,13 @@
                 else REGION_ROUND_TRIP_S
             )
         work_s = max(0.001, took_s - round_trip_s)
-        self._offered_load.record_work(criteria.service, took_s=work_s)
-        self._times.record(
-            criteria.route,
-            objective_s=criteria.objective_s,
+        self.measurements.record_response(
+            criteria,
+            is_local=self._is_local(candidate),
             is_warm=candidate.is_warm,
+            took_s=took_s,
             work_s=work_s,
-        )
-        self._route_loads.record_work(
-            criteria.service,
-            criteria.route,
-            took_s=work_s,
-            slack_s=criteria.objective_s - self._times_of(criteria).warm_s,
+            now_s=now_s,
         )
         if candidate.is_warm:
             candidate.load.record_success(
@@ -483,76 +442,32 @@
 
     def record_timeout(
         self,
-        candidate: Candidate,
-        criteria: SelectionCriteria,
+        candidate: candidates.Candidate,
+        criteria: candidates.SelectionCriteria,
         *,
         took_s: float,
         now_s: float,
     ) -> None:
         """Record that an upstream did not respond before the deadline."""
-        self._record_region_time(candidate, criteria, took_s, now_s)
-
-    def _record_region_time(
-        self,
-        candidate: Candidate,
-        criteria: SelectionCriteria,
-        took_s: float,
-        now_s: float,
-    ) -> None:
-        is_local = self._is_local(candidate)
-        self._region_times.record(
-            criteria.service,
-            is_local=is_local,
+        self.measurements.record_time(
+            criteria,
+            is_local=self._is_local(candidate),
             took_s=took_s,
-            objective_s=criteria.objective_s,
-            now_s=now_s,
-        )
-        self._route_loads.record_response(
-            criteria.service,
-            criteria.route,
-            is_local=is_local,
-            is_late=took_s > criteria.objective_s,
             now_s=now_s,
         )
 
-    def _is_local(self, candidate: Candidate) -> bool:
+    def _is_local(self, candidate: candidates.Candidate) -> bool:
         return self.region_of(candidate.load) == self._region
 
-    def relative_times(
-        self, *, now_s: float
-    ) -> dict[str, tuple[float, float]]:
-        """Return the local and the remote mean times, by service."""
-        return self._region_times.relative_times(now_s=now_s)
-
-    def expected_warm_s(self, criteria: SelectionCriteria) -> float:
-        """Return how long a warm upstream should work on a request."""
-        return self._times_of(criteria).warm_s
-
-    def _times_of(self, criteria: SelectionCriteria) -> work_times.RouteTimes:
-        return self._times.for_route(
-            criteria.route, objective_s=criteria.objective_s
-        )
-
     def record_request(
         self, service: str, route: str, *, now_s: float
     ) -> None:
         """Count a request for a service, whether or not it is served."""
-        self._offered_load.record_arrival(service, now_s=now_s)
-        self._route_loads.record_arrival(service, route, now_s=now_s)
+        self.measurements.record_request(service, route, now_s=now_s)
         pool = self._pools.get(service)
         if pool is not None:
             pool.spill_tokens.refill()
 
-    def offered_slots(self, *, now_s: float) -> dict[str, float]:
-        """Return the offered load of each service, in slots."""
-        return self._offered_load.slots(now_s=now_s)
-
-    def route_loads(
-        self, *, now_s: float
-    ) -> dict[str, dict[str, route_plan.RouteLoad]]:
-        """Return the load of each route, by service."""
-        return self._route_loads.by_service(now_s=now_s)
-
     def local_shares(self) -> dict[str, float]:
         """Return the share of each service that runs in the local region."""
         return {
--- a/tests/stand_ins/load_fleet.py
+++ b/tests/stand_ins/load_fleet.py
@@ -263,15 +263,16 @@
     async def _report(self, host):
         await asyncio.sleep(self.rng.uniform(0.0, REPORT_INTERVAL_S))
         region = region_of(host.domain)
+        measurements = host.selector.measurements
         while True:
             now_s = self.now_s()
             self.plan.record_report(
                 host.name,
                 region=region,
-                offered_slots=host.selector.offered_slots(now_s=now_s),
+                offered_slots=measurements.offered_slots(now_s=now_s),
                 own_shares=host.selector.local_shares(),
-                relative_times=host.selector.relative_times(now_s=now_s),
-                route_loads=host.selector.route_loads(now_s=now_s),
+                relative_times=measurements.relative_times(now_s=now_s),
+                route_loads=measurements.route_loads(now_s=now_s),
                 route_shares=host.selector.route_shares(),
                 now_s=now_s,
             )
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -6,6 +6,7 @@
 
 from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import callers
+from skylarkpitch.forwarding import candidates
 from skylarkpitch.forwarding import regions
 from skylarkpitch.forwarding import request_queue
 from skylarkpitch.forwarding import retry_budget
@@ -184,7 +185,7 @@
         'objective_s': 0.3,
         **fields,
     }
-    return selectors.SelectionCriteria(**values)
+    return candidates.SelectionCriteria(**values)
 
 
 def select(
