--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -18,6 +18,7 @@
 from skylarkpitch.forwarding import admission
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
+from skylarkpitch.forwarding import candidates
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import http_messages
 from skylarkpitch.forwarding import refusals
@@ -46,7 +47,8 @@
     ``status`` is 0 when the caller closed the connection. ``reason`` is
     ``answered``, ``upstream_failed`` for a response with status 500 or more,
     ``caller_gone``, or the reason of the refusal. ``left_s`` is the time
-    that was left to the deadline.
+    that was left to the deadline. ``expected_s`` and ``expected_warm`` are
+    what the last upstream was selected by.
     """
 
     request_id: str | None
@@ -59,6 +61,9 @@
     queued_s: float
     took_s: float
     left_s: float
+    affinity_key: str
+    expected_s: float
+    expected_warm: bool
 
 
 class RequestHandler:
@@ -130,7 +135,9 @@
         self.rates.apply_grant(
             grant.rate_per_s, grant.admitted_shares, now_s=now_s
         )
-        self.selector.apply_grant(grant.own_shares, now_s=now_s)
+        self.selector.apply_grant(
+            grant.own_shares, grant.route_shares, now_s=now_s
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request of a caller and return the response."""
@@ -186,6 +193,11 @@
                 queued_s=call.queued_s,
                 took_s=now_s - call.started_s,
                 left_s=call.deadline_s - now_s,
+                affinity_key=call.request.headers.get(
+                    self._names.affinity, ''
+                ),
+                expected_s=call.expected_s,
+                expected_warm=call.expected_warm,
             )
         )
 
@@ -206,7 +218,9 @@
             )
         now_s = self._clock()
         self._retry_budgets.add_request(call.service, now_s=now_s)
-        self.selector.record_request(call.service, now_s=now_s)
+        self.selector.record_request(
+            call.service, call.route.name, now_s=now_s
+        )
         return await self._send_until_response(call)
 
     async def _send_until_response(
@@ -243,10 +257,12 @@
         )
 
     async def _send(
-        self, call: calls.Call, candidate: selectors.Candidate
+        self, call: calls.Call, candidate: candidates.Candidate
     ) -> senders.UpstreamResponse | senders.Failure:
         upstream = candidate.load.upstream
         call.tried.append(upstream.upstream_id)
+        call.expected_s = candidate.expected_s
+        call.expected_warm = candidate.is_warm
         sent_s = self._clock()
         try:
             result = await self._sender.send(
@@ -270,7 +286,7 @@
 
     def _record_load(
         self,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         response: senders.UpstreamResponse,
         *,
         now_s: float,
@@ -294,7 +310,7 @@
     def _after_failure(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         failure: senders.Failure,
     ) -> refusals.Refusal | None:
         """Handle an exchange without a usable response.
@@ -332,7 +348,7 @@
     def _after_response(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         response: senders.UpstreamResponse,
     ) -> senders.UpstreamResponse | refusals.Refusal | None:
         """Handle the response of an upstream.
@@ -387,7 +403,7 @@
     def _log_failure(
         self,
         call: calls.Call,
-        candidate: selectors.Candidate,
+        candidate: candidates.Candidate,
         failure: senders.Failure,
     ) -> None:
         _log.info(
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -153,6 +153,7 @@
 
     def _build_report(self) -> control_requests.EntryReport:
         now_s = self._clock()
+        measurements = self._handler.selector.measurements
         usage = self._handler.rates.usage(now_s=now_s)
         return control_requests.EntryReport(
             entry_host=self._settings.entry_host,
@@ -160,9 +161,11 @@
             demand_per_s=dict(usage.demand_per_s),
             passed=dict(usage.passed),
             incarnation=usage.incarnation,
-            offered_slots=self._handler.selector.offered_slots(now_s=now_s),
+            offered_slots=measurements.offered_slots(now_s=now_s),
             own_shares=self._handler.selector.local_shares(),
-            relative_times=self._handler.selector.relative_times(now_s=now_s),
+            route_loads=measurements.route_loads(now_s=now_s),
+            route_shares=self._handler.selector.route_shares(),
+            relative_times=measurements.relative_times(now_s=now_s),
         )
 
     async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
@@ -191,6 +194,9 @@
             reason=outcome.reason,
             detail=outcome.detail[:160],
             upstreams=','.join(outcome.upstreams),
+            affinity=outcome.affinity_key[:32],
+            expected_ms=round(outcome.expected_s * MS_PER_S),
+            expected_warm=outcome.expected_warm,
             held_ms=round(outcome.queued_s * MS_PER_S),
             took_ms=round(outcome.took_s * MS_PER_S),
             left_ms=round(outcome.left_s * MS_PER_S),
