Use the share that matches the slots before the first grant

After a restart of all hosts a short region fills up at once, and a new leader takes the shares of those hosts for granted ones and leaves them slowly, 5 in 100 a second.

Change: until the first grant a host uses the share that control starts with, from the slots of its own view; it reports shares of routes once it has a grant.

--- a/src/skylarkpitch/forwarding/regions.py
+++ b/src/skylarkpitch/forwarding/regions.py
@@ -120,7 +120,8 @@
 class RouteShares:
     """The shares of all routes to one service, on one entry host.
 
-    A route that no grant names yet has the share of the service.
+    A route that no grant names yet has the share of the service. Before the
+    first grant that is the share which control would start with.
     """
 
     def __init__(self, *, step_per_s: float, now_s: float) -> None:
@@ -128,6 +129,7 @@
         self._region_groups: frozenset[str] = frozenset()
         self._by_route: dict[str, RegionShares] = {}
         self._service = RegionShares(step_per_s=step_per_s, now_s=now_s)
+        self._has_grant = False
 
     @property
     def local_share(self) -> float:
@@ -135,7 +137,13 @@
         return self._service.local_share
 
     def by_route(self) -> dict[str, float]:
-        """Return the share of each route in use."""
+        """Return the share of each route in use, once there is a grant.
+
+        A new leader starts from these shares, so that those of a host which
+        has just started must not be among them.
+        """
+        if not self._has_grant:
+            return {}
         return {
             route: shares.local_share
             for route, shares in self._by_route.items()
@@ -147,6 +155,12 @@
         for shares in (self._service, *self._by_route.values()):
             shares.set_region_groups(region_groups)
 
+    def set_initial_share(self, local_share: float) -> None:
+        """Set the share to use before the first grant."""
+        if not self._has_grant:
+            for shares in (self._service, *self._by_route.values()):
+                shares.local_share = local_share
+
     def apply_grant(
         self,
         local_share: float,
@@ -155,6 +169,7 @@
         now_s: float,
     ) -> None:
         """Move towards the granted share of the service and of routes."""
+        self._has_grant = True
         self._service.apply_grant(local_share, now_s=now_s)
         for route, shares in self._by_route.items():
             if route not in by_route:
--- a/src/skylarkpitch/forwarding/service_pool.py
+++ b/src/skylarkpitch/forwarding/service_pool.py
@@ -9,6 +9,7 @@
 import bisect
 from collections.abc import Iterable
 
+from skylarkpitch.fleet import region_plan
 from skylarkpitch.forwarding import regions
 from skylarkpitch.forwarding import upstream_load
 from skylarkpitch.peers import rendezvous
@@ -143,6 +144,13 @@
                 for region in self._by_region
             )
         )
+        slots = {
+            region: float(upstreams.slots)
+            for region, upstreams in self._by_region.items()
+        }
+        self.shares.set_initial_share(
+            region_plan.initial_local_share(self._local_region, slots=slots)
+        )
 
     def preferred(self, affinity_key: str, *, region: str) -> list[str]:
         """Return the upstreams of a region preferred for a key, in order."""
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -477,6 +477,41 @@
     assert shares.local_share == pytest.approx(0.304)
 
 
+def local_fraction(selector, *, route='r', keys=200):
+    """Return the part of the keys whose requests run in the local region."""
+    ran_in = [
+        select(selector, affinity_key=f'{route} {number}', route=route)
+        for number in range(keys)
+    ]
+    return sum(
+        item.load.upstream.failure_domain.startswith('east') for item in ran_in
+    ) / len(ran_in)
+
+
+def short_region_selector():
+    return new_selector(
+        [
+            upstream('e1', 'east-a', slots=50),
+            *(upstream(f'w{n}', 'west-a', slots=50) for n in range(9)),
+        ]
+    )
+
+
+# Guards against a short region that fills up after all hosts have restarted:
+# requests arrive before the first grant, and none of them left the region.
+def test_host_without_a_grant_keeps_what_matches_the_slots():
+    selector = short_region_selector()
+    assert local_fraction(selector) == pytest.approx(0.2, abs=0.07)
+    assert selector.route_shares() == {'desk': {}}
+
+
+def test_new_leader_is_told_only_shares_that_were_granted():
+    selector = short_region_selector()
+    select(selector, affinity_key='k', route='r')
+    selector.apply_grant({'desk': 0.5}, {'desk': {'r': 0.4}}, now_s=1.0)
+    assert set(selector.route_shares()['desk']) == {'r'}
+
+
 def test_requests_with_one_affinity_key_go_to_one_region():
     shares = regions.RegionShares(step_per_s=0.0, now_s=0.0)
     shares.set_region_groups(BOTH_GROUPS)
