Let requests return slowly to a region that was lost

Change: without upstreams the share of a region is 0, at hosts and at the leader, and it grows from there at 5 in 100 a second.

--- a/src/skylarkpitch/fleet/region_plan.py
+++ b/src/skylarkpitch/fleet/region_plan.py
@@ -20,6 +20,7 @@
 __all__ = [
     'RegionPlan',
     'initial_local_share',
+    'is_lost',
     'is_fuller_than_others',
     'target_local_share',
 ]
@@ -76,6 +77,16 @@
     return min(1.0, utilisation * local / offered)
 
 
+def is_lost(region: str, *, slots: ByRegion) -> bool:
+    """Return whether a region has lost all its upstreams, and others not.
+
+    Entry hosts then send all its requests elsewhere at once. When upstreams
+    return they have nothing cached and may be limited to a cold rate, so the
+    share grows again from 0.
+    """
+    return not slots.get(region) and any(slots.values())
+
+
 def is_fuller_than_others(
     region: str, *, offered_slots: ByRegion, slots: ByRegion
 ) -> bool:
@@ -221,6 +232,9 @@
                 slots=slots.get(service, {}),
             )
         }
+        for service, by_region in slots.items():
+            if is_lost(region, slots=by_region):
+                self._route_plan.record_lost(region, service)
         return self._route_plan.update(
             region,
             service_shares=service_shares,
@@ -244,6 +258,9 @@
         elapsed_s = now_s - current.updated_s
         max_change = MAX_SHARE_CHANGE_PER_S * elapsed_s
         current.updated_s = now_s
+        if is_lost(region, slots=slots):
+            current.share = 0.0
+            return
         totals = self._totals.get(service, {})
         offered = self._offered_slots(service)
         if sum(offered.values()) < MIN_OFFERED_SLOTS:
--- a/src/skylarkpitch/fleet/route_plan.py
+++ b/src/skylarkpitch/fleet/route_plan.py
@@ -172,6 +172,11 @@
                 if route not in known:
                     known[route] = _Share(share, now_s)
 
+    def record_lost(self, region: str, service: str) -> None:
+        """Set the shares of a service without upstreams in a region to 0."""
+        for item in self._shares.get((region, service), {}).values():
+            item.share = 0.0
+
     def update(
         self,
         region: str,
--- a/src/skylarkpitch/forwarding/regions.py
+++ b/src/skylarkpitch/forwarding/regions.py
@@ -72,9 +72,13 @@
     def set_region_groups(self, region_groups: frozenset[str]) -> None:
         """Set which of ``LOCAL`` and ``REMOTE`` have upstreams.
 
-        While only one of them has any, all requests go there at once.
+        While only one of them has any, all requests go there at once. The
+        share starts from there when the other returns, as its upstreams have
+        nothing cached.
         """
         self._region_groups = region_groups
+        if len(region_groups) == 1 and self._has_routed:
+            self.local_share = 1.0 if LOCAL in region_groups else 0.0
 
     def apply_grant(self, local_share: float, *, now_s: float) -> None:
         """Move towards the local share that control grants.
--- a/tests/stand_ins/load_fleet.py
+++ b/tests/stand_ins/load_fleet.py
@@ -23,6 +23,7 @@
 from skylarkpitch.forwarding import upstream_selector as selectors
 
 REPORT_INTERVAL_S = 0.5
+COLD_S = 3.0
 SAME_DOMAIN_ONE_WAY_S = 0.0001
 DOMAIN_ONE_WAY_S = 0.001
 WORK_SPREAD = 0.15
@@ -125,6 +126,15 @@
             self.running -= 1
         return True
 
+    def restart(self):
+        """Empty the cache, and start a new incarnation that is cold."""
+        self._cached.clear()
+        self.item = dataclasses.replace(
+            self.item,
+            born_ms=self.item.born_ms + 1,
+            cold_left_ms=COLD_S * 1000,
+        )
+
     @property
     def waiting(self):
         return len(self._queue)
@@ -156,7 +166,9 @@
 
     ``callers`` returns the weight of a failure domain at a time. A request
     to another region takes ``region_one_way_s`` each way, and as long again
-    without a connection from an earlier request.
+    without a connection from an earlier request. Each of the ``outages``
+    names a region and two times, between which its upstreams are gone; they
+    return with nothing cached, and a cold rate for ``COLD_S``.
     """
 
     def __init__(
@@ -167,6 +179,8 @@
         seed,
         region_one_way_s=0.02,
         callers=None,
+        cold_rate_per_s=None,
+        outages=(),
     ):
         self.services = {item.name: item for item in services}
         self._routes = [
@@ -187,35 +201,65 @@
             for domain, count in hosts_by_domain.items()
             for number in range(count)
         ]
+        positions = {
+            f'{domain}-{number}': position
+            for position, (domain, number) in enumerate(domains)
+        }
+        self._outages = outages
         self.view = types.SimpleNamespace(
             upstreams=[item.item for item in self.upstreams.values()],
             draining_domains=frozenset(),
             entry_host_count=len(domains),
-            entry_host_position=lambda name: 0,
-            service=lambda name: None,
+            entry_host_position=positions.__getitem__,
+            service=lambda name: model.Service(
+                name=name,
+                health_path='/',
+                cold_ms=COLD_S * 1000,
+                cold_rate_per_s=cold_rate_per_s,
+            ),
             upstream=lambda name: self.upstreams[name].item,
         )
         self.plan = region_plan.RegionPlan()
-        self._slots = {
-            item.name: dict(
-                sum(
-                    (
-                        collections.Counter(
-                            {region_of(domain): count * item.slots}
-                        )
-                        for domain, count in item.upstreams.items()
-                    ),
-                    collections.Counter(),
-                )
-            )
-            for item in services
-        }
         self.hosts = collections.defaultdict(list)
         for domain, number in domains:
             self.hosts[domain].append(
                 Host(f'{domain}-{number}', domain, self, self.rng)
             )
 
+    @property
+    def _slots(self):
+        """The slots of the upstreams in the view, by service and region."""
+        slots = {name: collections.Counter() for name in self.services}
+        for item in self.view.upstreams:
+            slots[item.service][region_of(item.failure_domain)] += item.slots
+        return slots
+
+    async def _play_outage(self, region, gone_s, back_s):
+        await asyncio.sleep(gone_s)
+        gone = [
+            upstream
+            for upstream in self.upstreams.values()
+            if region_of(upstream.item.failure_domain) == region
+        ]
+        names = {upstream.item.upstream_id for upstream in gone}
+        self.view.upstreams = [
+            item
+            for item in self.view.upstreams
+            if item.upstream_id not in names
+        ]
+        self._apply_view()
+        await asyncio.sleep(back_s - gone_s)
+        for upstream in gone:
+            upstream.restart()
+        self.view.upstreams = [item.item for item in self.upstreams.values()]
+        self._apply_view()
+
+    def _apply_view(self):
+        changes = views.Changes(kinds=frozenset(('upstream',)), upstreams=None)
+        for hosts in self.hosts.values():
+            for host in hosts:
+                host.scheduler.apply_view_changes(changes)
+
     def _add_upstream(self, load, domain, number):
         item = model.Upstream(
             upstream_id=f'{load.name}-{domain}-{number}',
@@ -243,6 +287,10 @@
         # Control has granted the first shares before the first request.
         await asyncio.sleep(1.0)
         running = set()
+        outages = [
+            asyncio.ensure_future(self._play_outage(*outage))
+            for outage in self._outages
+        ]
         ends_s = self.now_s() + duration_s
         self.begins_s = self.now_s()
         domains = sorted(self.hosts)
@@ -257,7 +305,7 @@
             running.add(task)
             task.add_done_callback(running.discard)
         await asyncio.gather(*running)
-        for task in reports:
+        for task in reports + outages:
             task.cancel()
 
     async def _report(self, host):
--- a/tests/test_fleet_regions.py
+++ b/tests/test_fleet_regions.py
@@ -261,3 +261,24 @@
     def values(self):
         self._visited.append(len(self))
         return super().values()
+
+
+# Guards against callers that are refused while other regions have room: all
+# upstreams of a region are lost and return cold, and all requests return to
+# them at once.
+def test_share_of_a_region_that_was_lost_grows_from_nothing():
+    plan = region_plan.RegionPlan()
+    lost = {'east': 72.0, 'west': 72.0}
+    before = 0.0
+    for step in range(80):
+        now_s = step * 0.25
+        slots = lost if 4.0 <= now_s < 6.0 else UNEVEN
+        report(plan, 'e1', share=1.0, offered=9.0, now_s=now_s)
+        (share,) = shares(plan, now_s, slots).values()
+        if slots is lost:
+            assert share == 0.0
+        elif now_s >= 6.0:
+            step_share = region_plan.MAX_SHARE_CHANGE_PER_S * 0.25
+            assert share <= before + step_share + 1e-9
+        before = share
+    assert before > 0.5
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -643,3 +643,17 @@
     selected = select(selector, **fields)
     is_first = selected.load is first.load
     assert is_first == (expected == 'first')
+
+
+def test_requests_return_slowly_to_a_region_that_was_lost():
+    shares = regions.RegionShares(step_per_s=0.25, now_s=0.0)
+    both = frozenset((regions.LOCAL, regions.REMOTE))
+    shares.set_region_groups(both)
+    shares.apply_grant(1.0, now_s=0.0)
+    assert shares.choose(affinity_fraction=0.5, now_s=0.0) == regions.LOCAL
+    shares.set_region_groups(frozenset((regions.REMOTE,)))
+    assert shares.choose(affinity_fraction=0.5, now_s=1.0) == regions.REMOTE
+    shares.set_region_groups(both)
+    shares.apply_grant(0.1, now_s=1.0)
+    assert shares.choose(affinity_fraction=0.5, now_s=1.1) == regions.REMOTE
+    assert shares.choose(affinity_fraction=0.05, now_s=2.0) == regions.LOCAL
