Bound what a pause moves, and log the shares that the leader grants

Result: test_a_pause_moves_no_more_than_a_second_does and test_loads_without_requests_add_up fail without it.

--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -430,6 +430,8 @@
                         for kind, count in now.items()
                     },
                 )
+                for region, shares in self._grants.describe_shares().items():
+                    _log.info('local_shares', region=region, shares=shares)
             before = now
 
     async def _remove_expired(self) -> None:
--- a/src/skylarkpitch/fleet/grants.py
+++ b/src/skylarkpitch/fleet/grants.py
@@ -82,6 +82,10 @@
             host.region, slots=self._usable_slots(), now_s=now_s
         )
 
+    def describe_shares(self) -> dict[str, str]:
+        """Return the local shares of each region in words, for logs."""
+        return self._region_plan.describe()
+
     def _usable_slots(self) -> dict[str, dict[str, float]]:
         """Return the slots of ready upstreams, by service and region.
 
--- a/src/skylarkpitch/fleet/region_plan.py
+++ b/src/skylarkpitch/fleet/region_plan.py
@@ -269,6 +269,16 @@
             now_s=now_s,
         )
 
+    def describe(self) -> dict[str, str]:
+        """Return the shares of each region in words, for logs."""
+        described: dict[str, list[str]] = {}
+        for (region, service), current in sorted(self._shares.items()):
+            routes = self._route_plan.describe(region, service)
+            described.setdefault(region, []).append(
+                f'{service}={current.share:.2f}{routes}'
+            )
+        return {name: ' '.join(words) for name, words in described.items()}
+
     def _offered_slots(self, service: str) -> dict[str, float]:
         totals = self._totals.get(service, {})
         return {name: item.offered_slots for name, item in totals.items()}
@@ -282,6 +292,7 @@
         now_s: float,
     ) -> None:
         elapsed_s = now_s - current.updated_s
+        elapsed_s = min(elapsed_s, route_plan.MAX_ELAPSED_S)
         max_change = MAX_SHARE_CHANGE_PER_S * elapsed_s
         current.updated_s = now_s
         current.record_slots(slots.get(region, 0.0), now_s=now_s)
--- a/src/skylarkpitch/fleet/route_plan.py
+++ b/src/skylarkpitch/fleet/route_plan.py
@@ -31,6 +31,9 @@
 LATE_MARGIN = 0.1
 MIN_RESPONSES = 4.0
 MIN_CEILING = 0.05
+# After a pause of the leader, or of the reports of a region, shares move no
+# more than they do within this time.
+MAX_ELAPSED_S = 1.0
 # The share of a route without load is forgotten after this time.
 MAX_IDLE_S = 60.0
 
@@ -76,7 +79,7 @@
     def plus(self, other: 'RouteLoad') -> 'RouteLoad':
         """Return the load of both hosts; the slacks are averaged."""
         rate_per_s = self.rate_per_s + other.rate_per_s
-        weight = other.rate_per_s / rate_per_s
+        weight = other.rate_per_s / rate_per_s if rate_per_s else 0.0
         return RouteLoad(
             rate_per_s=rate_per_s,
             offered_slots=self.offered_slots + other.offered_slots,
@@ -197,6 +200,7 @@
         region has just lost slots: what no longer fits leaves at once.
         """
         elapsed_s = now_s - self._updated_s.get(region, now_s)
+        elapsed_s = min(elapsed_s, MAX_ELAPSED_S)
         self._updated_s[region] = now_s
         self._move_ceilings(region, loads, fuller_services, elapsed_s)
         moves = []
@@ -205,26 +209,21 @@
                 move.current.share += move.change
             else:
                 moves.append(move)
-        total_per_s = sum(
-            load.rate_per_s
-            for by_route in loads.values()
-            for load in by_route.values()
-        )
-        max_step = MAX_ROUTE_CHANGE_PER_S * elapsed_s
-        steps = [max(-max_step, min(max_step, m.change)) for m in moves]
-        wished_per_s = sum(
-            abs(step) * move.rate_per_s
-            for step, move in zip(steps, moves, strict=True)
-        )
-        allowed_per_s = MAX_MOVED_PER_S * elapsed_s * total_per_s
-        scale = min(1.0, allowed_per_s / wished_per_s) if wished_per_s else 1.0
-        for step, move in zip(steps, moves, strict=True):
-            move.current.share += scale * step
+        _apply(moves, total_per_s=_total_per_s(loads), elapsed_s=elapsed_s)
         return {
             service: self._recent(region, service, now_s)
             for service in service_shares
         }
 
+    def describe(self, region: str, service: str) -> str:
+        """Return the shares of routes and their ceilings, for logs."""
+        known = self._shares.get((region, service), {})
+        words = [
+            f'{route}={item.share:.2f}/{item.ceiling:.2f}'
+            for route, item in sorted(known.items())
+        ]
+        return f'({",".join(words)})' if words else ''
+
     def _move_ceilings(
         self,
         region: str,
@@ -277,3 +276,27 @@
             if now_s - known[route].loaded_s > MAX_IDLE_S:
                 del known[route]
         return {route: item.share for route, item in known.items()}
+
+
+def _total_per_s(loads: Loads) -> float:
+    return sum(
+        load.rate_per_s
+        for by_route in loads.values()
+        for load in by_route.values()
+    )
+
+
+def _apply(
+    moves: list[_Move], *, total_per_s: float, elapsed_s: float
+) -> None:
+    """Move shares, all by the same part of what they may move alone."""
+    max_step = MAX_ROUTE_CHANGE_PER_S * elapsed_s
+    steps = [max(-max_step, min(max_step, move.change)) for move in moves]
+    wished_per_s = sum(
+        abs(step) * move.rate_per_s
+        for step, move in zip(steps, moves, strict=True)
+    )
+    allowed_per_s = MAX_MOVED_PER_S * elapsed_s * total_per_s
+    scale = min(1.0, allowed_per_s / wished_per_s) if wished_per_s else 1.0
+    for step, move in zip(steps, moves, strict=True):
+        move.current.share += scale * step
--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -161,3 +161,22 @@
             now_s=now_s,
         )
         assert set(shares['desk']) == routes
+
+
+def test_a_pause_moves_no_more_than_a_second_does():
+    plan = route_plan.RoutePlan()
+    plan.record_shares('north', {'desk': {'long': 0.0}}, now_s=0.0)
+    for now_s in (0.0, 30.0):
+        shares = plan.update(
+            'north',
+            service_shares={'desk': 1.0},
+            loads={'desk': {'long': LONG}},
+            fuller_services=(),
+            now_s=now_s,
+        )
+    assert shares['desk']['long'] == pytest.approx(route_plan.MAX_MOVED_PER_S)
+
+
+def test_loads_without_requests_add_up():
+    idle = route_plan.RouteLoad(rate_per_s=0.0, offered_slots=0.0, slack_s=0.1)
+    assert idle.plus(idle).rate_per_s == 0.0
