Bound the routes of a report and of a grant

Change: a report has the 16 routes with the highest load, a grant only those whose share differs from that of their service; routes without a request for 60 s are forgotten.

--- a/src/skylarkpitch/fleet/route_plan.py
+++ b/src/skylarkpitch/fleet/route_plan.py
@@ -34,6 +34,8 @@
 # After a pause of the leader, or of the reports of a region, shares move no
 # more than they do within this time.
 MAX_ELAPSED_S = 1.0
+# A route whose share differs less has that of the service.
+MIN_DIFFERENCE = 0.005
 # The share of a route without load is forgotten after this time.
 MAX_IDLE_S = 60.0
 
@@ -190,7 +192,7 @@
         now_s: float,
         leaving_services: Collection[str] = (),
     ) -> dict[str, dict[str, float]]:
-        """Move the shares of a region and return them.
+        """Move the shares of a region, and return those to grant.
 
         ``service_shares`` are the shares of the load that the region keeps,
         and ``loads`` what its callers offer, by service and route. In
@@ -211,8 +213,8 @@
                 moves.append(move)
         _apply(moves, total_per_s=_total_per_s(loads), elapsed_s=elapsed_s)
         return {
-            service: self._recent(region, service, now_s)
-            for service in service_shares
+            service: self._differing(region, service, share, now_s)
+            for service, share in service_shares.items()
         }
 
     def describe(self, region: str, service: str) -> str:
@@ -267,15 +269,22 @@
                     ),
                 )
 
-    def _recent(
-        self, region: str, service: str, now_s: float
+    def _differing(
+        self, region: str, service: str, service_share: float, now_s: float
     ) -> dict[str, float]:
-        """Forget the routes without load, and return the other shares."""
+        """Return the shares that differ from that of the service.
+
+        Routes without load are forgotten.
+        """
         known = self._shares.get((region, service), {})
         for route in list(known):
             if now_s - known[route].loaded_s > MAX_IDLE_S:
                 del known[route]
-        return {route: item.share for route, item in known.items()}
+        return {
+            route: item.share
+            for route, item in known.items()
+            if abs(item.share - service_share) > MIN_DIFFERENCE
+        }
 
 
 def _total_per_s(loads: Loads) -> float:
--- a/src/skylarkpitch/forwarding/regions.py
+++ b/src/skylarkpitch/forwarding/regions.py
@@ -28,6 +28,9 @@
 # than planned, because the planned one has no capacity.
 SPILL_SHARE = 0.03
 MAX_SPILL_TOKENS = 1.0
+# Shares of routes that a host keeps, which are dropped when there are more;
+# control grants those in use again.
+MAX_ROUTES = 4096
 
 
 class SpillTokens:
@@ -134,6 +137,7 @@
         self._by_route: dict[str, RegionShares] = {}
         self._service = RegionShares(step_per_s=step_per_s, now_s=now_s)
         self._has_grant = False
+        self._granted_routes: frozenset[str] = frozenset()
 
     @property
     def local_share(self) -> float:
@@ -141,16 +145,14 @@
         return self._service.local_share
 
     def by_route(self) -> dict[str, float]:
-        """Return the share of each route in use, once there is a grant.
+        """Return the granted share of each route that has one.
 
         A new leader starts from these shares, so that those of a host which
         has just started must not be among them.
         """
-        if not self._has_grant:
-            return {}
         return {
-            route: shares.local_share
-            for route, shares in self._by_route.items()
+            route: self._by_route[route].local_share
+            for route in self._granted_routes & self._by_route.keys()
         }
 
     def set_region_groups(self, region_groups: frozenset[str]) -> None:
@@ -174,6 +176,7 @@
     ) -> None:
         """Move towards the granted share of the service and of routes."""
         self._has_grant = True
+        self._granted_routes = frozenset(by_route)
         self._service.apply_grant(local_share, now_s=now_s)
         for route, shares in self._by_route.items():
             if route not in by_route:
@@ -192,6 +195,8 @@
     def _shares_of(self, route: str, now_s: float) -> RegionShares:
         shares = self._by_route.get(route)
         if shares is None:
+            if len(self._by_route) >= MAX_ROUTES:
+                self._by_route.clear()
             shares = self._by_route[route] = RegionShares(
                 step_per_s=self._step_per_s,
                 now_s=now_s,
--- a/src/skylarkpitch/forwarding/route_loads.py
+++ b/src/skylarkpitch/forwarding/route_loads.py
@@ -8,8 +8,12 @@
 
 __all__ = ['RouteLoads']
 
-# A route whose requests are fewer is not reported.
+# A route whose requests are fewer is not reported, nor one that is not among
+# this many with the highest load: a report has to stay small.
 MIN_RATE_PER_S = 0.01
+MAX_REPORTED_ROUTES = 16
+# A route without a request for this long is forgotten.
+MAX_IDLE_S = 60.0
 # Time constant by which responses count less.
 RESPONSE_DECAY_S = 3.0
 
@@ -41,6 +45,7 @@
 @dataclasses.dataclass(slots=True)
 class _Route:
     rate: arrivals.ArrivalRate
+    arrived_s: float
     work_s: float = 0.0
     slack_s: float = 0.0
     local: _Responses = dataclasses.field(default_factory=_Responses)
@@ -60,9 +65,10 @@
         item = self._routes.get((service, route))
         if item is None:
             item = self._routes[service, route] = _Route(
-                arrivals.ArrivalRate(now_s=now_s)
+                arrivals.ArrivalRate(now_s=now_s), now_s
             )
         item.rate.add()
+        item.arrived_s = now_s
 
     def record_work(
         self, service: str, route: str, *, took_s: float, slack_s: float
@@ -94,16 +100,32 @@
     def by_service(
         self, *, now_s: float
     ) -> dict[str, dict[str, route_plan.RouteLoad]]:
-        """Return the loads of the routes with known work, by service."""
-        loads: dict[str, dict[str, route_plan.RouteLoad]] = {}
-        for (service, route), item in self._routes.items():
-            rate_per_s = item.rate.per_s(now_s=now_s)
-            if item.work_s and rate_per_s > MIN_RATE_PER_S:
-                loads.setdefault(service, {})[route] = route_plan.RouteLoad(
-                    rate_per_s=rate_per_s,
-                    offered_slots=rate_per_s * item.work_s,
-                    slack_s=item.slack_s,
-                    local=item.local.timeliness(now_s=now_s),
-                    remote=item.remote.timeliness(now_s=now_s),
-                )
-        return loads
+        """Return the highest loads of routes with known work, by service."""
+        self._routes = {
+            key: item
+            for key, item in self._routes.items()
+            if now_s - item.arrived_s <= MAX_IDLE_S
+        }
+        loads = [
+            (service, route, load)
+            for (service, route), item in self._routes.items()
+            if (load := _load_of(item, now_s)) is not None
+        ]
+        loads.sort(key=lambda entry: -entry[2].offered_slots)
+        by_service: dict[str, dict[str, route_plan.RouteLoad]] = {}
+        for service, route, load in loads[:MAX_REPORTED_ROUTES]:
+            by_service.setdefault(service, {})[route] = load
+        return by_service
+
+
+def _load_of(item: _Route, now_s: float) -> route_plan.RouteLoad | None:
+    rate_per_s = item.rate.per_s(now_s=now_s)
+    if not item.work_s or rate_per_s <= MIN_RATE_PER_S:
+        return None
+    return route_plan.RouteLoad(
+        rate_per_s=rate_per_s,
+        offered_slots=rate_per_s * item.work_s,
+        slack_s=item.slack_s,
+        local=item.local.timeliness(now_s=now_s),
+        remote=item.remote.timeliness(now_s=now_s),
+    )
