--- a/tests/stand_ins/load_fleet.py
+++ b/tests/stand_ins/load_fleet.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import collections
-import dataclasses
-import math
 import random
 import types
 
@@ -21,12 +19,11 @@
 from skylarkpitch.forwarding import scheduler as schedulers
 from skylarkpitch.forwarding import sender as senders
 from skylarkpitch.forwarding import upstream_selector as selectors
+from tests.stand_ins import caching_upstream
 
 REPORT_INTERVAL_S = 0.5
-COLD_S = 3.0
 SAME_DOMAIN_ONE_WAY_S = 0.0001
 DOMAIN_ONE_WAY_S = 0.001
-WORK_SPREAD = 0.15
 NAMES = header_names.HeaderNames()
 
 
@@ -35,111 +32,6 @@
     return failure_domain.partition('-')[0]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RouteLoad:
-    """Requests of one route, which are for ``keys`` objects in each region.
-
-    ``miss_s`` is the work on a request whose key is not cached, ``warm_s``
-    on another.
-    """
-
-    name: str
-    keys: int
-    miss_s: float
-    warm_s: float
-    objective_s: float
-    timeout_s: float
-    per_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServiceLoad:
-    """A service, its upstreams by failure domain, and its routes.
-
-    An upstream caches the last ``cached_keys`` keys.
-    """
-
-    name: str
-    upstreams: dict[str, int]
-    slots: int
-    queue: int
-    cached_keys: int
-    routes: tuple[RouteLoad, ...]
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Record:
-    """What became of one request."""
-
-    arrived_s: float
-    service: str
-    route: str
-    region: str
-    ran_in: str = ''
-    upstream: str = ''
-    status: str = ''
-    was_cached: bool = False
-    queued_s: float = 0.0
-    upstream_queue_s: float = 0.0
-    took_s: float = 0.0
-    in_time: bool = False
-
-
-class Upstream:
-    """An upstream with slots, a queue and a cache of affinity keys."""
-
-    def __init__(self, item, load, rng, slowness=1.0):
-        self.item = item
-        self._load = load
-        self._rng = rng
-        self.slowness = slowness
-        self.running = 0
-        self._queue = collections.deque()
-        self._cached = collections.OrderedDict()
-        self.requests = 0
-
-    async def run(self, route, key, record):
-        """Run a request; return whether it was not rejected."""
-        self.requests += 1
-        loop = asyncio.get_running_loop()
-        if self.running >= self._load.slots:
-            if len(self._queue) >= self._load.queue:
-                return False
-            arrived_s = loop.time()
-            turn = loop.create_future()
-            self._queue.append(turn)
-            await turn
-            record.upstream_queue_s += loop.time() - arrived_s
-        else:
-            self.running += 1
-        record.was_cached = key in self._cached
-        self._cached[key] = True
-        self._cached.move_to_end(key)
-        while len(self._cached) > self._load.cached_keys:
-            self._cached.popitem(last=False)
-        mean_s = route.warm_s if record.was_cached else route.miss_s
-        factor = math.exp(self._rng.gauss(0.0, WORK_SPREAD))
-        await asyncio.sleep(mean_s * factor * self.slowness)
-        if self._queue:
-            self._queue.popleft().set_result(None)
-        else:
-            self.running -= 1
-        return True
-
-    def restart(self):
-        """Empty the cache, and start a new incarnation that is cold."""
-        self._cached.clear()
-        self.item = dataclasses.replace(
-            self.item,
-            born_ms=self.item.born_ms + 1,
-            cold_left_ms=COLD_S * 1000,
-        )
-
-    @property
-    def waiting(self):
-        return len(self._queue)
-
-
 class Host:
     """An entry host: its view, selection and scheduler."""
 
@@ -169,7 +61,7 @@
     without a connection from an earlier request. Each of the ``outages``
     names a region or a failure domain and two times, between which its
     upstreams are gone; they return with nothing cached, and a cold rate for
-    ``COLD_S``.
+    their cold time.
     """
 
     def __init__(
@@ -215,7 +107,7 @@
             service=lambda name: model.Service(
                 name=name,
                 health_path='/',
-                cold_ms=COLD_S * 1000,
+                cold_ms=caching_upstream.COLD_S * 1000,
                 cold_rate_per_s=cold_rate_per_s,
             ),
             upstream=lambda name: self.upstreams[name].item,
@@ -271,7 +163,9 @@
             failure_domain=domain,
             slots=load.slots,
         )
-        self.upstreams[item.upstream_id] = Upstream(item, load, self.rng)
+        self.upstreams[item.upstream_id] = caching_upstream.Upstream(
+            item, load, self.rng
+        )
 
     def now_s(self):
         return asyncio.get_running_loop().time() - self._started_s
@@ -342,7 +236,7 @@
         number = self.rng.randrange(load.keys)
         key = f'{load.name} {region_of(domain)} {number}'
         started_s = self.now_s()
-        record = Record(
+        record = caching_upstream.Record(
             arrived_s=started_s - self.begins_s,
             service=service.name,
             route=load.name,
--- a/tests/test_load_domain_drained.py
+++ b/tests/test_load_domain_drained.py
@@ -6,13 +6,14 @@
 
 import pytest
 
+from tests.stand_ins import caching_upstream
 from tests.stand_ins import load_fleet
 from tests.stand_ins import virtual_time
 
 DOMAINS = ('east-a', 'east-b', 'north-a', 'north-b', 'west-a', 'west-b')
 LOST_S, END_S = 10.0, 18.0
 
-LOOK_UP = load_fleet.RouteLoad(
+LOOK_UP = caching_upstream.RouteLoad(
     name='look-up',
     keys=60,
     miss_s=0.88,
@@ -26,7 +27,7 @@
 def played(seed):
     fleet = load_fleet.LoadFleet(
         services=[
-            load_fleet.ServiceLoad(
+            caching_upstream.ServiceLoad(
                 name='status',
                 upstreams={
                     domain: 3 if domain.startswith('west') else 9
--- a/tests/test_load_region_returns.py
+++ b/tests/test_load_region_returns.py
@@ -7,13 +7,14 @@
 
 import pytest
 
+from tests.stand_ins import caching_upstream
 from tests.stand_ins import load_fleet
 from tests.stand_ins import virtual_time
 
 DOMAINS = ('east-a', 'east-b', 'north-a', 'north-b', 'west-a', 'west-b')
 LOST_S, BACK_S, END_S = 10.0, 12.0, 22.0
 
-LOOK_UP = load_fleet.RouteLoad(
+LOOK_UP = caching_upstream.RouteLoad(
     name='look-up',
     keys=40,
     miss_s=0.64,
@@ -27,7 +28,7 @@
 def played(seed):
     fleet = load_fleet.LoadFleet(
         services=[
-            load_fleet.ServiceLoad(
+            caching_upstream.ServiceLoad(
                 name='stock',
                 upstreams=dict.fromkeys(DOMAINS, 5),
                 slots=4,
--- a/tests/test_load_short_region.py
+++ b/tests/test_load_short_region.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests.stand_ins import caching_upstream
 from tests.stand_ins import load_fleet
 from tests.stand_ins import virtual_time
 
@@ -32,7 +33,7 @@
     }
 
 
-PICKUP = load_fleet.RouteLoad(
+PICKUP = caching_upstream.RouteLoad(
     name='pickup',
     keys=30,
     miss_s=0.44,
@@ -41,7 +42,7 @@
     timeout_s=1.5,
     per_s=40.0,
 )
-SHEET = load_fleet.RouteLoad(
+SHEET = caching_upstream.RouteLoad(
     name='sheet',
     keys=28,
     miss_s=2.56,
@@ -55,7 +56,7 @@
 def played(seed):
     fleet = load_fleet.LoadFleet(
         services=[
-            load_fleet.ServiceLoad(
+            caching_upstream.ServiceLoad(
                 name='dispatch',
                 upstreams=upstreams(9, 2, 8),
                 slots=4,
