--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -141,6 +141,21 @@
     assert 0 < retries <= 0.2 * 1000 + 60 / hosts
 
 
+# The part of a fleet's budget that does not depend on its requests is divided
+# by the hosts, and can be less than one retry.
+@pytest.mark.parametrize(
+    ('hosts', 'extra'), [(8, 62.0), (89, 218.0), (182, 404.0), (1000, 404.0)]
+)
+def test_host_with_few_requests_may_still_retry(hosts, extra):
+    budgets = retry_budget.RetryBudgets(
+        limits=retry_budget.RetryLimits(ratio=0.2, extra=extra, window_s=10.0)
+    )
+    requests = 10 * 135 // hosts
+    for number in range(requests):
+        budgets.add_request('desk', now_s=number * 10.0 / requests)
+    assert budgets.consume('desk', entry_hosts=hosts, now_s=10.0)
+
+
 def upstream(name='u1', domain='east-a', **fields):
     values = {
         'upstream_id': name,
