Log what is counted as a crash against a request

No line said whether an exchange without a response was counted as a crash, against which request, or when a count was removed, so that the four hypotheses could not be told apart. New lines crash_suspected (with its verdict), suspicion_removed and quarantine_started share the fingerprint of the request; three counters. No decision changes.

--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -14,11 +14,13 @@
 import structlog
 
 from skylarkpitch.fleet import control_requests
+from skylarkpitch.fleet import model
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import admission
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import candidates
+from skylarkpitch.forwarding import crash_tracker
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import http_messages
 from skylarkpitch.forwarding import refusals
@@ -26,14 +28,11 @@
 from skylarkpitch.forwarding import scheduler as schedulers
 from skylarkpitch.forwarding import sender as senders
 from skylarkpitch.forwarding import upstream_selector as selectors
-from skylarkpitch.requests import crash_suspicion
 
 __all__ = ['RequestHandler', 'RequestOutcome']
 
 MAX_CONNECT_FAILURES = 4
 RETRY_AFTER_S = 0.2
-# How long a request is refused that several upstreams crashed on.
-QUARANTINE_S = 60.0
 MS_PER_S = 1000
 STATUS_MISDIRECTED_REQUEST = 421
 
@@ -81,6 +80,7 @@
         is_ready: Callable[[], bool],
         is_stopping: Callable[[], bool],
         on_finished: Callable[[RequestOutcome], None],
+        sender: senders.Sender | None = None,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
@@ -107,8 +107,8 @@
             rng=rng or random.Random(),
         )
         self._retry_budgets = retry_budget.RetryBudgets(limits=retry_limits)
-        self._suspicions = crash_suspicion.Suspicions()
-        self._sender = senders.Sender(names=names)
+        self._crash_tracker = crash_tracker.CrashTracker()
+        self._sender = sender or senders.Sender(names=names)
         self.running = 0
 
     def open(self) -> None:
@@ -124,11 +124,35 @@
         self._admission.apply_view_changes(changes.kinds)
         self._scheduler.apply_view_changes(changes)
 
+    def counters(self) -> dict[str, float]:
+        """Return the counters since the start and the current gauges."""
+        return {'running': self.running, **self._crash_tracker.counts}
+
     @property
     def rates(self) -> callers.RateLimits:
         """Return the rate limits of organisations on this host."""
         return self._admission.rates
 
+    def report(
+        self, entry_host: model.EntryHost, *, leaving: bool
+    ) -> control_requests.EntryReport:
+        """Return the report of this host to the leader of control."""
+        now_s = self._clock()
+        measurements = self.selector.measurements
+        usage = self.rates.usage(now_s=now_s)
+        return control_requests.EntryReport(
+            entry_host=entry_host,
+            leaving=leaving,
+            demand_per_s=dict(usage.demand_per_s),
+            passed=dict(usage.passed),
+            incarnation=usage.incarnation,
+            offered_slots=measurements.offered_slots(now_s=now_s),
+            own_shares=self.selector.local_shares(),
+            route_loads=measurements.route_loads(now_s=now_s),
+            route_shares=self.selector.route_shares(),
+            relative_times=measurements.relative_times(now_s=now_s),
+        )
+
     def apply_grant(self, grant: control_requests.EntryGrant) -> None:
         """Apply the rates and local shares that control grants."""
         now_s = self._clock()
@@ -207,8 +231,8 @@
         refusal = await self._admission.admit(call)
         if refusal is not None:
             return refusal
-        left_s = self._suspicions.quarantine_left_s(
-            call.fingerprint, now_s=self._clock()
+        left_s = self._crash_tracker.quarantine_left_s(
+            call, now_s=self._clock()
         )
         if left_s > 0:
             return refusals.refuse(
@@ -334,13 +358,12 @@
             return self._refusal_after_sending(call, refusal)
         call.exchanges += 1
         call.may_have_run = True
-        if failure.reason is refusals.Reason.UPSTREAM_BROKE_OFF:
-            self._suspicions.record_crash(
-                call.fingerprint,
-                candidate.load.upstream.upstream_id,
-                now_s=now_s,
-                quarantine_s=QUARANTINE_S,
-            )
+        self._crash_tracker.record_failure(
+            call,
+            candidate.load.upstream.upstream_id,
+            reason=failure.reason,
+            now_s=now_s,
+        )
         if call.route.repeatable and not timed_out and self._claim_retry(call):
             return None
         return refusals.refuse(failure.reason, failure.detail)
@@ -363,7 +386,12 @@
         )
         now_s = self._clock()
         if not not_run:
-            self._suspicions.record_response(call.fingerprint)
+            self._crash_tracker.record_response(
+                call,
+                candidate.load.upstream.upstream_id,
+                status=response.status,
+                now_s=now_s,
+            )
             if response.status < 500:
                 return response
             candidate.load.record_failure()
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -144,7 +144,7 @@
         """Return the counters since the start and the current gauges."""
         return {
             **self.counts,
-            'running': self._handler.running,
+            **self._handler.counters(),
             'view_age_s': min(self._subscriber.age_s(), MAX_VIEW_AGE_S),
             'view_index': self._view.index,
             'configuration_version': self._view.version,
@@ -152,20 +152,8 @@
         }
 
     def _build_report(self) -> control_requests.EntryReport:
-        now_s = self._clock()
-        measurements = self._handler.selector.measurements
-        usage = self._handler.rates.usage(now_s=now_s)
-        return control_requests.EntryReport(
-            entry_host=self._settings.entry_host,
-            leaving=self._subscriber.is_leaving,
-            demand_per_s=dict(usage.demand_per_s),
-            passed=dict(usage.passed),
-            incarnation=usage.incarnation,
-            offered_slots=measurements.offered_slots(now_s=now_s),
-            own_shares=self._handler.selector.local_shares(),
-            route_loads=measurements.route_loads(now_s=now_s),
-            route_shares=self._handler.selector.route_shares(),
-            relative_times=measurements.relative_times(now_s=now_s),
+        return self._handler.report(
+            self._settings.entry_host, leaving=self._subscriber.is_leaving
         )
 
     async def _handle_ready(self, request: web.BaseRequest) -> web.Response:
