Count the crashes of a harmful request over all entry hosts

What callers saw (BUDGET): a request under which three upstreams had crashed was sent on, and crashed more. Cause: each entry host counted crashes for itself; N hosts together lost 3 x N upstreams.

Hosts now report the crashes that they see, repeated in each report, and the leader grants the quarantines that follow: known to all hosts within two report intervals (1 s). A new leader learns it from the next reports, a new host from its first grant.

Counting together must not refuse what is only popular. Upstreams that crash together count as two at most; a host that has had a response to a suspect says so at once; an upstream that answers within 1 s after it broke off has not crashed.

An upstream is named by its incarnation, since one may come back with its id.

--- a/src/skylarkpitch/fleet/control_requests.py
+++ b/src/skylarkpitch/fleet/control_requests.py
@@ -10,6 +10,7 @@
 
 from skylarkpitch import errors
 from skylarkpitch.fleet import commands
+from skylarkpitch.fleet import crash_reports
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import route_plan
 from skylarkpitch.messages import fleet as messages
@@ -67,7 +68,8 @@
     own region, by service. ``route_loads`` and ``route_shares`` have both by
     service and route. ``relative_times`` has the mean times of responses
     from its own region and from others, by service, as fractions of the
-    latency objective.
+    latency objective. ``crash_report`` is about requests that crash
+    upstreams.
     """
 
     entry_host: model.EntryHost
@@ -80,6 +82,7 @@
     relative_times: dict[str, tuple[float, float]] = {}
     route_loads: dict[str, dict[str, route_plan.RouteLoad]] = {}
     route_shares: dict[str, dict[str, float]] = {}
+    crash_report: crash_reports.CrashReport = crash_reports.CrashReport()
 
 
 class EntryGrant(msgspec.Struct, frozen=True, kw_only=True):
@@ -89,13 +92,15 @@
     ``own_shares`` the shares of the load that it sends to its own region,
     by service; ``route_shares`` has them by service and route.
     ``admitted_shares`` are the shares of the requests to admit of
-    organisations that are over their rate.
+    organisations that are over their rate. ``crash_grant`` is about requests
+    that crash upstreams.
     """
 
     rate_per_s: dict[str, float]
     own_shares: dict[str, float] = {}
     admitted_shares: dict[str, float] = {}
     route_shares: dict[str, dict[str, float]] = {}
+    crash_grant: crash_reports.CrashGrant = crash_reports.CrashGrant()
 
 
 ControlRequest = (
--- /dev/null
+++ b/src/skylarkpitch/fleet/crash_suspicion.py
@@ -0,0 +1,296 @@
+"""Detection of requests that crash the upstreams which run them.
+
+A request is identified by its fingerprint. Each upstream that crashes while
+running it counts once against it, until the request gets a response from
+any upstream. Of runs that began before the first of their crashes at most
+``MAX_CRASHES_PER_ROUND`` count, since upstreams that crash together may have
+another cause in common. A crash does not count if the same upstream has
+crashed within the last ``CRASH_RETENTION_S`` and only while this request was
+not running, since the upstream itself may then be the cause.
+
+When an upstream crashes, at most one of the requests that it was running is
+the cause. All of them become suspects, and a host runs no two suspects on the
+same upstream at a time, so that the next crash identifies the cause.
+"""
+
+import collections
+import dataclasses
+
+__all__ = ['Crash', 'Suspicions']
+
+CRASH_RETENTION_S = 120.0
+CRASHES_TO_QUARANTINE = 3
+MAX_CRASHES_PER_ROUND = 2
+# Crash reports of one upstream within this time are taken as one crash.
+SAME_CRASH_WINDOW_S = 2.0
+MAX_SUSPECTS = 10_000
+MAX_CRASHES_PER_UPSTREAM = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crash:
+    """Crash of an upstream while it ran a request.
+
+    ``sent_s`` is when the request was sent to it.
+    """
+
+    fingerprint: bytes
+    upstream: str
+    sent_s: float
+    crashed_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Suspect:
+    """Request under suspicion, with its last crash on each upstream."""
+
+    crashes: dict[str, Crash] = dataclasses.field(default_factory=dict)
+    quarantined_until_s: float = 0.0
+    quarantined: bool = False
+
+
+class Suspicions:
+    """Suspected requests and the recent crashes of upstreams.
+
+    All ``now_s`` are times of the same monotonic clock.
+    """
+
+    def __init__(self) -> None:
+        self._suspects: collections.OrderedDict[bytes, _Suspect] = (
+            collections.OrderedDict()
+        )
+        self._crashes: dict[str, collections.deque[tuple[float, bytes]]] = {}
+        self._responses: dict[bytes, float] = {}
+        self._alive: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._suspects)
+
+    def quarantine_left_s(self, fingerprint: bytes, *, now_s: float) -> float:
+        """Return how much longer a request is refused; 0 if it is not."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.quarantined:
+            return 0.0
+        if now_s < suspect.quarantined_until_s:
+            return suspect.quarantined_until_s - now_s
+        del self._suspects[fingerprint]
+        return 0.0
+
+    def crashed_upstreams(
+        self, fingerprint: bytes, *, now_s: float
+    ) -> frozenset[str]:
+        """Return the upstreams that crashed while running a request."""
+        return frozenset(
+            crash.upstream
+            for crash in self._recent_crashes(fingerprint, now_s=now_s)
+        )
+
+    def crash_count(self, fingerprint: bytes, *, now_s: float) -> int:
+        """Return how many crashes count against a request."""
+        counted = 0
+        counted_in_round = 0
+        round_began_s = float('-inf')
+        crashes = self._recent_crashes(fingerprint, now_s=now_s)
+        for crash in sorted(crashes, key=lambda item: item.crashed_s):
+            if crash.sent_s >= round_began_s:
+                round_began_s = crash.crashed_s
+                counted_in_round = 0
+            counted_in_round += 1
+            counted += counted_in_round <= MAX_CRASHES_PER_ROUND
+        return counted
+
+    def _recent_crashes(
+        self, fingerprint: bytes, *, now_s: float
+    ) -> list[Crash]:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return []
+        return [
+            crash
+            for crash in suspect.crashes.values()
+            if now_s - crash.crashed_s < CRASH_RETENTION_S
+        ]
+
+    def suspects_since(self, since_s: float) -> list[bytes]:
+        """Return the suspects with a crash since then, the latest first.
+
+        Quarantined requests are left out.
+        """
+        suspects = []
+        for fingerprint in reversed(self._suspects):
+            suspect = self._suspects[fingerprint]
+            if suspect.quarantined or not suspect.crashes:
+                continue
+            if max(c.crashed_s for c in suspect.crashes.values()) < since_s:
+                break
+            suspects.append(fingerprint)
+        return suspects
+
+    def quarantines_left_s(self, *, now_s: float) -> dict[bytes, float]:
+        """Return how much longer each quarantine lasts."""
+        return {
+            fingerprint: suspect.quarantined_until_s - now_s
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.quarantined and suspect.quarantined_until_s > now_s
+        }
+
+    def latest_crashes(self, *, now_s: float, count: int) -> list[Crash]:
+        """Return the crashes of the latest suspects, up to ``count``."""
+        latest: list[Crash] = []
+        for fingerprint in reversed(self._suspects):
+            latest += self._recent_crashes(fingerprint, now_s=now_s)
+            if len(latest) >= count:
+                break
+        return latest[:count]
+
+    def record_crash(
+        self,
+        fingerprint: bytes,
+        upstream: str,
+        *,
+        now_s: float,
+        quarantine_s: float,
+        sent_s: float | None = None,
+        crashed_s: float | None = None,
+    ) -> bool:
+        """Record a crash; return whether the request is now quarantined.
+
+        It has crashed now, and the request was sent to it at that moment,
+        unless the times say otherwise. A crash from before the last response
+        to the request, or from before the upstream was seen alive, is
+        ignored.
+        """
+        crash = Crash(
+            fingerprint=fingerprint,
+            upstream=upstream,
+            sent_s=now_s if sent_s is None else sent_s,
+            crashed_s=now_s if crashed_s is None else crashed_s,
+        )
+        if self._is_refuted(crash) or self._is_known(crash):
+            return False
+        is_unrelated = self._crashed_without(
+            fingerprint, upstream, now_s=crash.crashed_s
+        )
+        crashes = self._crashes.setdefault(
+            upstream, collections.deque(maxlen=MAX_CRASHES_PER_UPSTREAM)
+        )
+        crashes.append((crash.crashed_s, fingerprint))
+        if is_unrelated:
+            return False
+        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        suspect.crashes[upstream] = crash
+        self._suspects.move_to_end(fingerprint)
+        self._trim(now_s=now_s)
+        if suspect.quarantined:
+            return False
+        count = self.crash_count(fingerprint, now_s=now_s)
+        if count < CRASHES_TO_QUARANTINE:
+            return False
+        self.quarantine(fingerprint, now_s=now_s, quarantine_s=quarantine_s)
+        return True
+
+    def quarantine(
+        self, fingerprint: bytes, *, now_s: float, quarantine_s: float
+    ) -> None:
+        """Refuse a request for at least ``quarantine_s`` from now on."""
+        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        suspect.quarantined = True
+        suspect.quarantined_until_s = max(
+            suspect.quarantined_until_s, now_s + quarantine_s
+        )
+        self._trim(now_s=now_s)
+
+    def record_response(self, fingerprint: bytes) -> bool:
+        """Clear a suspect that got a response; return whether it was one.
+
+        A quarantined request remains quarantined.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.quarantined:
+            return False
+        del self._suspects[fingerprint]
+        return True
+
+    def record_response_elsewhere(
+        self, fingerprint: bytes, *, responded_s: float, now_s: float
+    ) -> None:
+        """Clear a request that got a response at another host.
+
+        Crashes from before are ignored even if they are reported later.
+        """
+        self._responses[fingerprint] = responded_s
+        self._forget_refutations(now_s=now_s)
+        self.record_response(fingerprint)
+
+    def record_alive(
+        self, upstream: str, *, alive_s: float, now_s: float
+    ) -> bool:
+        """Ignore the crashes of an upstream before it responded.
+
+        The upstream then broke off an exchange without having crashed.
+        Returns whether there was such a crash.
+        """
+        self._alive[upstream] = alive_s
+        self._forget_refutations(now_s=now_s)
+        recorded = self._crashes.pop(upstream, None)
+        if recorded is None:
+            return False
+        for _crashed_s, fingerprint in recorded:
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None or suspect.quarantined:
+                continue
+            suspect.crashes.pop(upstream, None)
+            if not suspect.crashes:
+                del self._suspects[fingerprint]
+        return True
+
+    def last_crash_s(self, upstream: str) -> float | None:
+        """Return when an upstream crashed last, None if it did not."""
+        crashes = self._crashes.get(upstream)
+        return crashes[-1][0] if crashes else None
+
+    def _is_known(self, crash: Crash) -> bool:
+        suspect = self._suspects.get(crash.fingerprint)
+        known = suspect and suspect.crashes.get(crash.upstream)
+        if not known:
+            return False
+        return crash.crashed_s - known.crashed_s <= SAME_CRASH_WINDOW_S
+
+    def _is_refuted(self, crash: Crash) -> bool:
+        return crash.crashed_s <= max(
+            self._responses.get(crash.fingerprint, float('-inf')),
+            self._alive.get(crash.upstream, float('-inf')),
+        )
+
+    def _forget_refutations(self, *, now_s: float) -> None:
+        for refutations in (self._responses, self._alive):
+            if len(refutations) <= MAX_SUSPECTS:
+                continue
+            for key, at_s in list(refutations.items()):
+                if now_s - at_s > CRASH_RETENTION_S:
+                    del refutations[key]
+
+    def _crashed_without(
+        self, fingerprint: bytes, upstream: str, *, now_s: float
+    ) -> bool:
+        """Return whether earlier crashes were without this request."""
+        crashes = [
+            item
+            for item in self._crashes.get(upstream, ())
+            if now_s - item[0] < CRASH_RETENTION_S
+        ]
+        earlier = [
+            item for item in crashes if now_s - item[0] > SAME_CRASH_WINDOW_S
+        ]
+        return bool(earlier) and all(
+            item[1] != fingerprint for item in earlier
+        )
+
+    def _trim(self, *, now_s: float) -> None:
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        if len(self._crashes) <= MAX_SUSPECTS:
+            return
+        for name, crashes in list(self._crashes.items()):
+            if now_s - crashes[-1][0] > CRASH_RETENTION_S:
+                del self._crashes[name]
--- a/src/skylarkpitch/fleet/grants.py
+++ b/src/skylarkpitch/fleet/grants.py
@@ -1,9 +1,10 @@
-"""Grant entry hosts their rates and local shares, as leader."""
+"""Grant entry hosts their rates, local shares and quarantines, as leader."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
 
 from skylarkpitch.fleet import control_requests
+from skylarkpitch.fleet import crash_reports
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import rate_shares
 from skylarkpitch.fleet import region_plan
@@ -13,7 +14,7 @@
 
 
 class Grants:
-    """Rates and shares granted to the entry hosts of a fleet.
+    """Rates, shares and quarantines granted to the entry hosts of a fleet.
 
     ``region_of`` returns the region of a failure domain, or None.
     """
@@ -28,6 +29,7 @@
         self._region_of = region_of
         self._rate_shares = rate_shares.RateShares()
         self._region_plan = region_plan.RegionPlan()
+        self._suspicions = crash_reports.SharedSuspicions()
         self._slots_index = -1
         self._slots: dict[str, dict[str, float]] = {}
 
@@ -35,6 +37,7 @@
         """Discard what was granted, as when this process becomes leader."""
         self._rate_shares.reset()
         self._region_plan.reset()
+        self._suspicions = crash_reports.SharedSuspicions()
 
     def grant(
         self, report: control_requests.EntryReport, *, now_s: float
@@ -52,6 +55,9 @@
             now_s=now_s,
         )
         local_shares = self._local_shares(report, now_s)
+        self._suspicions.apply_report(
+            report.entry_host.name, report.crash_report, now_s=now_s
+        )
         return control_requests.EntryGrant(
             rate_per_s=granted.rate_per_s,
             own_shares=local_shares,
@@ -62,6 +68,7 @@
                 now_s=now_s,
             ),
             admitted_shares=granted.admitted_shares,
+            crash_grant=self._suspicions.grant(now_s=now_s),
         )
 
     def _local_shares(
--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -35,6 +35,8 @@
 # Maximum age of a control host's contact with a quorum to count as current.
 MAX_QUORUM_AGE_S = 1.0
 REPORT_INTERVAL_S = 0.5
+# Delay of a report that the response to the one before it asks for.
+REPORT_AGAIN_S = 0.05
 READY_CHECK_INTERVAL_S = 0.05
 REPORT_TIMEOUT_S = 1.0
 MAX_STARTUP_WAIT_S = 4.0
@@ -47,7 +49,8 @@
 
     ``on_changed`` is called with the changes of the view,
     ``report`` returns the next report, and ``on_grant`` is called with the
-    leader's response to it. ``seeds`` returns the control hosts to use until
+    leader's response to it; it returns whether to report again at once.
+    ``seeds`` returns the control hosts to use until
     the first response lists the members of the control group. ``region_of``
     returns the region of a failure domain, or None.
     """
@@ -60,7 +63,7 @@
         seeds: Callable[[], tuple[str, ...]],
         on_changed: Callable[[views.Changes], None],
         report: Callable[[], control_requests.EntryReport],
-        on_grant: Callable[[control_requests.EntryGrant], None],
+        on_grant: Callable[[control_requests.EntryGrant], bool],
         region_of: Callable[[str], str | None],
         clock: Callable[[], float] = time.monotonic,
         **options: Any,
@@ -237,31 +240,34 @@
         """
         while not self.should_stop:
             if self.is_ready:
-                await self._report()
-                await self.sleep(REPORT_INTERVAL_S)
+                is_due = await self._report()
+                await self.sleep(
+                    REPORT_AGAIN_S if is_due else REPORT_INTERVAL_S
+                )
             else:
                 await self.sleep(READY_CHECK_INTERVAL_S)
 
-    async def _report(self) -> None:
+    async def _report(self) -> bool:
+        """Report once; return whether to report again at once."""
         request = messages.SubmitRequest(
             order=control_requests.encode(self._build_report())
         )
         for _attempt in range(REPORT_ATTEMPTS):
             source = self._sources.best(now_s=self._clock())
             if source is None:
-                return
+                return False
             response = await self._peers.request(
                 source, request, timeout_s=REPORT_TIMEOUT_S
             )
             if sentinels.is_absent(response):
                 self._sources.record_failure(source, now_s=self._clock())
                 continue
-            self._apply_grant(response)
-            return
+            return self._apply_grant(response)
+        return False
 
-    def _apply_grant(self, response: messages.SubmitResponse) -> None:
+    def _apply_grant(self, response: messages.SubmitResponse) -> bool:
         if response.outcome != 'accepted' or not response.content:
-            return
+            return False
         try:
             grant = model.decode(control_requests.EntryGrant, response.content)
         except ValueError as error:
@@ -269,4 +275,4 @@
                 f'grant is malformed ({error}); run the same '
                 'release on every host'
             ) from error
-        self._on_grant(grant)
+        return self._on_grant(grant)
--- a/src/skylarkpitch/forwarding/calls.py
+++ b/src/skylarkpitch/forwarding/calls.py
@@ -18,10 +18,11 @@
     ``connect_failures`` counts connections that could not be made,
     ``exchanges`` the times that the request was sent. ``may_have_run`` is
     set once an upstream may have run it. ``queued_s`` is the total time in
-    queues. ``fingerprint`` is the same for repetitions of a request. Of
-    queued requests, the lowest ``rank`` is served first. ``expected_s`` is
-    how long the last upstream in ``tried`` should have worked on it, and
-    ``expected_warm`` whether it should have had the data cached.
+    queues, and ``sent_s`` when it was sent last. ``fingerprint`` is the same
+    for repetitions of a request. Of queued requests, the lowest ``rank`` is
+    served first. ``expected_s`` is how long the last upstream in ``tried``
+    should have worked on it, and ``expected_warm`` whether it should have
+    had the data cached.
     """
 
     request: web.BaseRequest
@@ -39,6 +40,7 @@
     exchanges: int = 0
     may_have_run: bool = False
     queued_s: float = 0.0
+    sent_s: float = 0.0
     expected_s: float = 0.0
     expected_warm: bool = False
 
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -151,10 +151,14 @@
             route_loads=measurements.route_loads(now_s=now_s),
             route_shares=self.selector.route_shares(),
             relative_times=measurements.relative_times(now_s=now_s),
+            crash_report=self._crash_tracker.report(now_s=now_s),
         )
 
-    def apply_grant(self, grant: control_requests.EntryGrant) -> None:
-        """Apply the rates and local shares that control grants."""
+    def apply_grant(self, grant: control_requests.EntryGrant) -> bool:
+        """Apply what control grants to this host.
+
+        Returns whether this host should report again at once.
+        """
         now_s = self._clock()
         self.rates.apply_grant(
             grant.rate_per_s, grant.admitted_shares, now_s=now_s
@@ -162,6 +166,7 @@
         self.selector.apply_grant(
             grant.own_shares, grant.route_shares, now_s=now_s
         )
+        return self._crash_tracker.apply_grant(grant.crash_grant, now_s=now_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request of a caller and return the response."""
@@ -287,11 +292,11 @@
         call.tried.append(upstream.upstream_id)
         call.expected_s = candidate.expected_s
         call.expected_warm = candidate.is_warm
-        sent_s = self._clock()
+        call.sent_s = self._clock()
         try:
             result = await self._sender.send(
                 http_messages.upstream_request(
-                    call, upstream, names=self._names, now_s=sent_s
+                    call, upstream, names=self._names, now_s=call.sent_s
                 ),
                 address=upstream.address,
                 deadline_s=call.deadline_s,
@@ -299,7 +304,7 @@
         finally:
             self._scheduler.release(call, candidate)
         now_s = self._clock()
-        took_s = now_s - sent_s
+        took_s = now_s - call.sent_s
         if isinstance(result, senders.UpstreamResponse):
             self._record_load(candidate, result, now_s=now_s)
             if result.status < 400:
@@ -360,8 +365,9 @@
         call.may_have_run = True
         self._crash_tracker.record_failure(
             call,
-            candidate.load.upstream.upstream_id,
+            candidate.load.upstream,
             reason=failure.reason,
+            sent_s=call.sent_s,
             now_s=now_s,
         )
         if call.route.repeatable and not timed_out and self._claim_retry(call):
@@ -388,8 +394,9 @@
         if not not_run:
             self._crash_tracker.record_response(
                 call,
-                candidate.load.upstream.upstream_id,
+                candidate.load.upstream,
                 status=response.status,
+                sent_s=call.sent_s,
                 now_s=now_s,
             )
             if response.status < 500:
--- a/src/skylarkpitch/requests/crash_watch.py
+++ b/src/skylarkpitch/requests/crash_watch.py
@@ -8,9 +8,9 @@
 
 import structlog
 
+from skylarkpitch.fleet import crash_suspicion
 from skylarkpitch.messages import requests as messages
 from skylarkpitch.peers import network
-from skylarkpitch.requests import crash_suspicion
 
 __all__ = ['CrashWatch', 'fingerprint']
 
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -17,6 +17,7 @@
 from skylarkpitch.fleet import grants
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import subscriber
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import header_names
@@ -30,7 +31,6 @@
 HOST = 'pans.example'
 NAMES = header_names.HeaderNames()
 DOMAINS = ('east-a', 'east-b', 'north-a', 'north-b', 'west-a', 'west-b')
-REPORT_INTERVAL_S = 0.5
 ONE_WAY_S = 0.001
 VIEW_DELAY_S = 0.05
 RESTART_S = 2.0
@@ -69,7 +69,8 @@
     """Upstream that answers after ``work_s``, unless a request crashes it.
 
     ``rows`` are headers of all its responses, and ``status`` is theirs; with
-    an error status it does not run requests. ``is_same_id`` keeps the id at
+    an error status it does not run requests. Of the requests that it runs it
+    breaks off ``break_off_share``. ``is_same_id`` keeps the id at
     a restart. ``crashes`` has the time and the target of each.
     """
 
@@ -81,6 +82,7 @@
         self.work_s = work_s
         self.rows = {}
         self.status = 200
+        self.break_off_share = 0.0
         self.is_same_id = False
         self.is_up = False
         self.incarnation = 0
@@ -143,6 +145,8 @@
             self.running.discard(running)
         if not self.is_up or self.incarnation != incarnation:
             return None
+        if self.fleet.rng.random() < self.break_off_share:
+            return None
         return Response(
             status=self.status, rows=self.rows, body=request.target.encode()
         )
@@ -329,16 +333,21 @@
         )
         for upstream in self.upstreams.values():
             upstream.start()
-        for number in range(self._host_count):
-            domain = DOMAINS[number % len(DOMAINS)]
-            host = Host(self, f'e{number}', domain)
-            self.hosts.append(host)
-            self.submit(commands.RecordEntryHost(entry_host=host.entry_host))
+        for _number in range(self._host_count):
+            self.add_host()
         for host in self.hosts:
             host.follow(self.state)
-            self.run_in_background(self._report_regularly(host))
         await asyncio.sleep(1.0)
 
+    def add_host(self):
+        """Start another entry host and return it."""
+        number = len(self.hosts)
+        host = Host(self, f'e{number}', DOMAINS[number % len(DOMAINS)])
+        self.hosts.append(host)
+        self.submit(commands.RecordEntryHost(entry_host=host.entry_host))
+        self.run_in_background(self._report_regularly(host))
+        return host
+
     async def stop(self):
         for task in list(self._tasks):
             task.cancel()
@@ -351,18 +360,23 @@
         return task
 
     async def _report_regularly(self, host):
-        await asyncio.sleep(self.rng.uniform(0.0, REPORT_INTERVAL_S))
+        await asyncio.sleep(
+            self.rng.uniform(0.0, subscriber.REPORT_INTERVAL_S)
+        )
         while True:
-            if host.is_connected:
-                await self._report(host)
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            is_due = host.is_connected and await self._report(host)
+            await asyncio.sleep(
+                subscriber.REPORT_AGAIN_S
+                if is_due
+                else subscriber.REPORT_INTERVAL_S
+            )
 
     async def _report(self, host):
         report = host.handler.report(host.entry_host, leaving=False)
         await asyncio.sleep(ONE_WAY_S)
         grant = self.grants.grant(report, now_s=self.now_s())
         await asyncio.sleep(ONE_WAY_S)
-        host.handler.apply_grant(grant)
+        return host.handler.apply_grant(grant)
 
     async def request(self, target, *, host=None):
         """Send a request to a host, at random unless named."""
--- a/tests/test_forwarding_harmful.py
+++ b/tests/test_forwarding_harmful.py
@@ -65,6 +65,84 @@
     assert late_retries(fleet) <= MAX_RETRIES
 
 
+# Guards against a quarantine that is lost with the leader that granted it,
+# and against an entry host that starts without it.
+def test_new_leader_and_new_host_learn_of_a_quarantine():
+    fleet = handler_fleet.HandlerFleet(hosts=8, upstreams=12, seed=7)
+
+    async def check():
+        await fleet.start()
+        ends_s = fleet.now_s() + 3.0
+        await repeat(fleet, HARMFUL, gap_s=(0.2, 0.5), ends_s=ends_s)
+        fleet.new_leader()
+        await asyncio.sleep(1.0)
+        added = fleet.add_host()
+        await asyncio.sleep(1.5)
+        arrived = len(fleet.arrivals)
+        response = await fleet.request(HARMFUL, host=added)
+        await fleet.stop()
+        assert response.status == 503
+        assert len(fleet.arrivals) == arrived
+
+    virtual_time.run(check())
+
+
+def quarantined(fleet):
+    return sum(
+        outcome.reason == 'quarantined'
+        for host in fleet.hosts
+        for outcome in host.outcomes
+    )
+
+
+# Guards against a quarantine of requests that many callers send, and that
+# upstreams were running when these crashed for another reason.
+@pytest.mark.parametrize('seed', [1, 2, 3, 4])
+@pytest.mark.parametrize('hosts', [1, 8, 89])
+def test_upstreams_that_crash_together_quarantine_no_request(hosts, seed):
+    fleet = handler_fleet.HandlerFleet(
+        hosts=hosts, upstreams=24, seed=seed, work_s=0.2
+    )
+
+    async def check():
+        await fleet.start()
+        played = fleet.run_in_background(
+            fleet.requests(per_s=150.0, duration_s=8.0, target='/pans/popular')
+        )
+        await asyncio.sleep(3.0)
+        for upstream in list(fleet.upstreams.values())[::2]:
+            upstream.crash('')
+        await played
+        await fleet.stop()
+
+    virtual_time.run(check())
+    assert quarantined(fleet) == 0
+
+
+# Guards against a quarantine of requests whose responses upstreams broke off
+# now and then without crashing.
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('hosts', [1, 8, 89])
+def test_responses_that_break_off_quarantine_no_request(hosts, seed):
+    fleet = handler_fleet.HandlerFleet(hosts=hosts, upstreams=12, seed=seed)
+    for number in range(0, 12, 2):
+        fleet.upstreams[f'u{number}'].break_off_share = 0.05
+    targets = ('/pans/popular', '/pans/{}')
+
+    async def check():
+        await fleet.start()
+        await asyncio.gather(
+            *(
+                fleet.requests(per_s=60.0, duration_s=20.0, target=target)
+                for target in targets
+            )
+        )
+        await fleet.stop()
+
+    virtual_time.run(check())
+    assert quarantined(fleet) == 0
+
+
 # Guards against a crash that is not counted because of what the connection
 # showed of it, such as a part of a response.
 @pytest.mark.parametrize(
--- a/tests/test_requests_crash.py
+++ b/tests/test_requests_crash.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from skylarkpitch.requests import crash_suspicion
+from skylarkpitch.fleet import crash_suspicion
 from skylarkpitch.requests import crash_watch
 from tests.stand_ins import fake_peers
 from tests.stand_ins import request_ports
