Keep a suspicion when an upstream responds with an error

What callers saw (BUDGET): the count of crashes began anew. Cause: any response removed it, also an error of a degraded upstream, or one at the deadline, which does not show that the request ran to its end. Now only a status below 400 removes it. The same cause stood in requests/attempts.py; both are changed.

--- a/src/skylarkpitch/forwarding/crash_tracker.py
+++ b/src/skylarkpitch/forwarding/crash_tracker.py
@@ -27,6 +27,7 @@
 # How long a sign of life is reported: several reports, in case one is lost.
 SIGN_REPORT_S = 2.0
 MAX_REPORTED_SIGNS = 32
+MIN_ERROR_STATUS = 400
 # Requests whose last successful response is remembered.
 MAX_REMEMBERED_RESPONSES = 2000
 
@@ -112,8 +113,14 @@
         sent_s: float,
         now_s: float,
     ) -> None:
-        """Remove what is counted against a request that got a response."""
+        """Remove what is counted against a request that has succeeded.
+
+        An error shows that the upstream is alive, but not that it has run
+        the request to its end.
+        """
         self._record_sign_of_life(upstream, sent_s=sent_s, now_s=now_s)
+        if status >= MIN_ERROR_STATUS:
+            return
         self._remember_response(call.fingerprint, now_s)
         crashes = self._count(call, now_s)
         if self._suspicions.record_response(call.fingerprint):
--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -18,6 +18,7 @@
 
 __all__ = ['Attempts', 'AttemptsOutcome']
 
+MIN_ERROR_STATUS = 400
 MAX_ATTEMPTS = 3
 # A key may be withdrawn while its request waits for a slot. It is checked
 # again after a wait of at least this time.
@@ -109,7 +110,10 @@
     ) -> None:
         if outcome.upstream_crashed:
             self._crash_watch.record_crash(request_id, upstream)
-        elif outcome.response is not None:
+            return
+        response = outcome.response
+        # An error does not show that the upstream has run the request.
+        if response is not None and response.status < MIN_ERROR_STATUS:
             self._crash_watch.record_response(request_id)
 
     async def _reserve_slot(
--- a/tests/test_requests_crash.py
+++ b/tests/test_requests_crash.py
@@ -148,3 +148,38 @@
         assert len(runs) == crash_suspicion.CRASHES_TO_QUARANTINE
 
     asyncio.run(asyncio.wait_for(go(), 20))
+
+
+# Guards against an error of an upstream, which has not run the request, that
+# removes the crashes counted against it.
+def test_error_status_removes_no_suspicion():
+    runs = []
+
+    async def script(reader, writer):
+        while True:
+            head, _ = await exchanges.read_request(reader)
+            runs.append(head)
+            if len(runs) % 2:
+                writer.transport.abort()
+                return
+            writer.write(b'HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n')
+
+    async def go():
+        async with contextlib.AsyncExitStack() as stack:
+            urls = [
+                await stack.enter_async_context(
+                    request_ports.raw_serving(script)
+                )
+                for _ in range(5)
+            ]
+            bench = await stack.enter_async_context(
+                test_requests_path.serve_bench(*urls)
+            )
+            statuses = []
+            for _ in range(8):
+                response, _ = await exchanges.get(bench, '/svc/poison')
+                statuses.append(response.status)
+        assert statuses[-1] == 422
+        assert len(runs) <= 2 * crash_suspicion.CRASHES_TO_QUARANTINE
+
+    asyncio.run(asyncio.wait_for(go(), 20))
