Count a crash whatever the connection showed of it

Cause: only a connection that closed before the end of a buffered response counted as a crash. An unusable part of a response did not, nor did a response that broke off while its rest was being relayed; the head of the latter even removed the count.

Both now count, and a streamed response removes a suspicion when it is complete. An upstream that answers within 1 s is known not to have crashed, so spoiled responses of live upstreams quarantine nothing. Not counted: a request that got no byte until its deadline. An upstream that broke off in a stream is avoided for a moment, like any other that breaks off.

--- a/src/skylarkpitch/forwarding/calls.py
+++ b/src/skylarkpitch/forwarding/calls.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from skylarkpitch.fleet import model
+from skylarkpitch.forwarding import candidates
 
 __all__ = ['Call']
 
@@ -20,9 +21,8 @@
     set once an upstream may have run it. ``queued_s`` is the total time in
     queues, and ``sent_s`` when it was sent last. ``fingerprint`` is the same
     for repetitions of a request. Of queued requests, the lowest ``rank`` is
-    served first. ``expected_s`` is how long the last upstream in ``tried``
-    should have worked on it, and ``expected_warm`` whether it should have
-    had the data cached.
+    served first. ``candidate`` is what the last upstream in ``tried`` was
+    selected by.
     """
 
     request: web.BaseRequest
@@ -41,8 +41,7 @@
     may_have_run: bool = False
     queued_s: float = 0.0
     sent_s: float = 0.0
-    expected_s: float = 0.0
-    expected_warm: bool = False
+    candidate: candidates.Candidate | None = None
 
     @property
     def target(self) -> str:
--- a/src/skylarkpitch/forwarding/crash_tracker.py
+++ b/src/skylarkpitch/forwarding/crash_tracker.py
@@ -12,12 +12,15 @@
 
 from skylarkpitch.fleet import crash_reports
 from skylarkpitch.fleet import crash_suspicion
-from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import refusals
 
 __all__ = ['CrashTracker']
 
+# Failures that a crash can look like, by what the connection showed.
+CRASH_REASONS = frozenset(
+    (refusals.Reason.UPSTREAM_BROKE_OFF, refusals.Reason.MALFORMED_RESPONSE)
+)
 # An upstream that responds so soon after it broke off has not crashed: one
 # that has takes longer to start again.
 ALIVE_WINDOW_S = 1.0
@@ -34,8 +37,9 @@
 _log = structlog.get_logger(__name__)
 
 
-def _incarnation(upstream: model.Upstream) -> str:
-    """Return a name for one incarnation, the same on all hosts."""
+def _incarnation(call: calls.Call) -> str:
+    """Return the incarnation of the last upstream, the same on all hosts."""
+    upstream = call.candidate.load.upstream
     return f'{upstream.upstream_id}@{upstream.born_ms}'
 
 
@@ -70,22 +74,21 @@
     def record_failure(
         self,
         call: calls.Call,
-        upstream: model.Upstream,
         *,
         reason: refusals.Reason,
-        sent_s: float,
         now_s: float,
     ) -> None:
-        """Record that an upstream sent no usable response to a request."""
+        """Record that the last upstream of a call sent no usable response."""
+        upstream = _incarnation(call)
         verdict = 'other_reason'
         before = self._count(call, now_s)
-        if reason is refusals.Reason.UPSTREAM_BROKE_OFF:
+        if reason in CRASH_REASONS:
             quarantined = self._suspicions.record_crash(
                 call.fingerprint,
-                _incarnation(upstream),
+                upstream,
                 now_s=now_s,
                 quarantine_s=crash_reports.QUARANTINE_S,
-                sent_s=sent_s,
+                sent_s=call.sent_s,
             )
             is_counted = quarantined or self._count(call, now_s) > before
             verdict = 'counted' if is_counted else 'not_counted'
@@ -98,27 +101,21 @@
             'crash_suspected',
             request_id=call.request_id,
             fingerprint=call.fingerprint.hex(),
-            upstream=_incarnation(upstream),
+            upstream=upstream,
             reason=reason.value,
             verdict=verdict,
             crashes=self._count(call, now_s),
         )
 
     def record_response(
-        self,
-        call: calls.Call,
-        upstream: model.Upstream,
-        *,
-        status: int,
-        sent_s: float,
-        now_s: float,
+        self, call: calls.Call, *, status: int, now_s: float
     ) -> None:
         """Remove what is counted against a request that has succeeded.
 
         An error shows that the upstream is alive, but not that it has run
         the request to its end.
         """
-        self._record_sign_of_life(upstream, sent_s=sent_s, now_s=now_s)
+        self._record_sign_of_life(call, now_s)
         if status >= MIN_ERROR_STATUS:
             return
         self._remember_response(call.fingerprint, now_s)
@@ -128,7 +125,7 @@
                 'suspicion_removed',
                 request_id=call.request_id,
                 fingerprint=call.fingerprint.hex(),
-                upstream=_incarnation(upstream),
+                upstream=_incarnation(call),
                 status=status,
                 crashes=crashes,
             )
@@ -139,12 +136,10 @@
         if len(self._responses) > MAX_REMEMBERED_RESPONSES:
             self._responses.popitem(last=False)
 
-    def _record_sign_of_life(
-        self, upstream: model.Upstream, *, sent_s: float, now_s: float
-    ) -> None:
-        name = _incarnation(upstream)
+    def _record_sign_of_life(self, call: calls.Call, now_s: float) -> None:
+        name = _incarnation(call)
         crashed_s = self._suspicions.last_crash_s(name)
-        if crashed_s is None or sent_s < crashed_s:
+        if crashed_s is None or call.sent_s < crashed_s:
             return
         if now_s - crashed_s > ALIVE_WINDOW_S:
             return
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -189,12 +189,11 @@
                     http_messages.refusal_response(result, names=self._names)
                 )
             reason = 'answered' if status < 500 else 'upstream_failed'
-            return await http_messages.relay_response(
-                request,
-                result,
-                finish=self._close_if_stopping,
-                left_s=call.deadline_s - self._clock(),
-            )
+            return await self._relay(call, result)
+        except senders.BROKEN_OFF_ERRORS as error:
+            reason, detail = 'upstream_broke_off', str(error)
+            self._record_broken_stream(call)
+            raise
         except TimeoutError:
             # The connection is aborted, so that the caller does not take the
             # part that it has for the whole response.
@@ -204,10 +203,35 @@
             self.running -= 1
             self._report_outcome(call, status, reason, detail)
 
+    async def _relay(
+        self, call: calls.Call, response: senders.UpstreamResponse
+    ) -> web.StreamResponse:
+        is_streamed = response.rest is not None
+        relayed = await http_messages.relay_response(
+            call.request,
+            response,
+            finish=self._close_if_stopping,
+            left_s=call.deadline_s - self._clock(),
+        )
+        if is_streamed:
+            self._crash_tracker.record_response(
+                call, status=response.status, now_s=self._clock()
+            )
+        return relayed
+
+    def _record_broken_stream(self, call: calls.Call) -> None:
+        """Record that an upstream broke off while its response was relayed."""
+        now_s = self._clock()
+        call.candidate.load.record_unreachable(now_s=now_s)
+        self._crash_tracker.record_failure(
+            call, reason=refusals.Reason.UPSTREAM_BROKE_OFF, now_s=now_s
+        )
+
     def _report_outcome(
         self, call: calls.Call, status: int, reason: str, detail: str
     ) -> None:
         now_s = self._clock()
+        candidate = call.candidate
         self._on_finished(
             RequestOutcome(
                 request_id=call.request_id,
@@ -225,8 +249,8 @@
                 affinity_key=call.request.headers.get(
                     self._names.affinity, ''
                 ),
-                expected_s=call.expected_s,
-                expected_warm=call.expected_warm,
+                expected_s=candidate.expected_s if candidate else 0.0,
+                expected_warm=candidate is not None and candidate.is_warm,
             )
         )
 
@@ -301,8 +325,7 @@
     ) -> senders.UpstreamResponse | senders.Failure:
         upstream = candidate.load.upstream
         call.tried.append(upstream.upstream_id)
-        call.expected_s = candidate.expected_s
-        call.expected_warm = candidate.is_warm
+        call.candidate = candidate
         call.sent_s = self._clock()
         try:
             result = await self._sender.send(
@@ -375,11 +398,7 @@
         call.exchanges += 1
         call.may_have_run = True
         self._crash_tracker.record_failure(
-            call,
-            candidate.load.upstream,
-            reason=failure.reason,
-            sent_s=call.sent_s,
-            now_s=now_s,
+            call, reason=failure.reason, now_s=now_s
         )
         if call.route.repeatable and not timed_out and self._claim_retry(call):
             return None
@@ -403,13 +422,10 @@
         )
         now_s = self._clock()
         if not not_run:
-            self._crash_tracker.record_response(
-                call,
-                candidate.load.upstream,
-                status=response.status,
-                sent_s=call.sent_s,
-                now_s=now_s,
-            )
+            if response.rest is None:
+                self._crash_tracker.record_response(
+                    call, status=response.status, now_s=now_s
+                )
             if response.status < 500:
                 return response
             candidate.load.record_failure()
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -18,12 +18,23 @@
 from skylarkpitch.requests import exchange_sessions as sessions
 from skylarkpitch.requests import headers as header_rules
 
-__all__ = ['Failure', 'Sender', 'UpstreamRequest', 'UpstreamResponse']
+__all__ = [
+    'BROKEN_OFF_ERRORS',
+    'Failure',
+    'Sender',
+    'UpstreamRequest',
+    'UpstreamResponse',
+]
 
 KEEPALIVE_S = 8.0
 CONNECT_TIMEOUT_S = 0.45
 # The rest of a larger response body is streamed.
 MAX_BUFFERED_BYTES = 1024 * 1024
+# What a response raises while its rest is read, if the upstream breaks off.
+BROKEN_OFF_ERRORS = (
+    aiohttp.ClientPayloadError,
+    aiohttp.ServerDisconnectedError,
+)
 _SKIPPED_AUTO_HEADERS = (
     'User-Agent',
     'Accept',
--- a/tests/stand_ins/raw_upstream.py
+++ b/tests/stand_ins/raw_upstream.py
@@ -165,3 +165,15 @@
             await asyncio.sleep(0.0005)
 
     return behave
+
+
+def close_after_bytes(count):
+    """Return a behaviour that breaks off a longer body after ``count``."""
+
+    async def behave(request_id, reader, writer):
+        rows = (f'{SEAL}: s', f'Content-Length: {2 * count}')
+        writer.write(_head(200, request_id, *rows) + b'x' * count)
+        await writer.drain()
+        writer.close()
+
+    return behave
--- a/tests/test_forwarding_faulty_upstreams.py
+++ b/tests/test_forwarding_faulty_upstreams.py
@@ -152,6 +152,32 @@
     run(check)
 
 
+# Guards against a harmful request that is not stopped since the upstreams
+# crash only after the head of their response, or a part of a long body.
+@pytest.mark.parametrize(
+    'behaviour',
+    [
+        upstreams.close_connection,
+        upstreams.close_inside_head(SEALED),
+        upstreams.close_after_half,
+        upstreams.close_after_bytes(3 * 1024 * 1024),
+    ],
+    ids=['no-head', 'inside-head', 'inside-body', 'inside-streamed-body'],
+)
+def test_request_is_refused_after_three_upstreams_broke_off(behaviour):
+    async def check():
+        lists = [[behaviour] for _number in range(5)]
+        async with forwarding(*lists, repeatable=False) as entry:
+            for _number in range(3):
+                await read(entry)
+            assert entry.runs == 3
+            assert await read(entry) == (503, True)
+            assert entry.runs == 3
+            assert entry.outcomes[-1].reason == 'quarantined'
+
+    run(check)
+
+
 async def read(entry):
     """Return the status of a response, and whether it is complete."""
     status = None
