Count a crash at an upstream that crashed under another harmful request

Cause: a crash counted for nothing if the upstream had crashed before under another request, as if the upstream were at fault. An earlier crash is now explained if one of the requests that ran then has crashed other upstreams too; an upstream that crashes with any request still counts against none.

--- a/src/skylarkpitch/fleet/crash_suspicion.py
+++ b/src/skylarkpitch/fleet/crash_suspicion.py
@@ -6,7 +6,8 @@
 ``MAX_CRASHES_PER_ROUND`` count, since upstreams that crash together may have
 another cause in common. A crash does not count if the same upstream has
 crashed within the last ``CRASH_RETENTION_S`` and only while this request was
-not running, since the upstream itself may then be the cause.
+not running, since the upstream itself may then be the cause; unless one of
+the requests that were running then has crashed other upstreams too.
 
 When an upstream crashes, at most one of the requests that it was running is
 the cause. All of them become suspects, and a host runs no two suspects on the
@@ -90,7 +91,11 @@
         counted = 0
         counted_in_round = 0
         round_began_s = float('-inf')
-        crashes = self._recent_crashes(fingerprint, now_s=now_s)
+        crashes = [
+            crash
+            for crash in self._recent_crashes(fingerprint, now_s=now_s)
+            if not self._may_be_faulty(crash)
+        ]
         for crash in sorted(crashes, key=lambda item: item.crashed_s):
             if crash.sent_s >= round_began_s:
                 round_began_s = crash.crashed_s
@@ -168,15 +173,10 @@
         )
         if self._is_refuted(crash) or self._is_known(crash):
             return False
-        is_unrelated = self._crashed_without(
-            fingerprint, upstream, now_s=crash.crashed_s
-        )
         crashes = self._crashes.setdefault(
             upstream, collections.deque(maxlen=MAX_CRASHES_PER_UPSTREAM)
         )
         crashes.append((crash.crashed_s, fingerprint))
-        if is_unrelated:
-            return False
         suspect = self._suspects.setdefault(fingerprint, _Suspect())
         suspect.crashes[upstream] = crash
         self._suspects.move_to_end(fingerprint)
@@ -270,20 +270,36 @@
                 if now_s - at_s > CRASH_RETENTION_S:
                     del refutations[key]
 
-    def _crashed_without(
-        self, fingerprint: bytes, upstream: str, *, now_s: float
-    ) -> bool:
-        """Return whether earlier crashes were without this request."""
-        crashes = [
-            item
-            for item in self._crashes.get(upstream, ())
-            if now_s - item[0] < CRASH_RETENTION_S
-        ]
+    def _may_be_faulty(self, crash: Crash) -> bool:
+        """Return whether the upstream itself may have caused a crash."""
         earlier = [
-            item for item in crashes if now_s - item[0] > SAME_CRASH_WINDOW_S
+            (crashed_s, fingerprint)
+            for crashed_s, fingerprint in self._crashes.get(crash.upstream, ())
+            if SAME_CRASH_WINDOW_S
+            < crash.crashed_s - crashed_s
+            < CRASH_RETENTION_S
+        ]
+        if any(item[1] == crash.fingerprint for item in earlier):
+            return False
+        explained_s = [
+            crashed_s
+            for crashed_s, fingerprint in earlier
+            if self._crashed_elsewhere(fingerprint, crash.upstream)
         ]
-        return bool(earlier) and all(
-            item[1] != fingerprint for item in earlier
+        return any(
+            all(
+                abs(item[0] - at_s) > SAME_CRASH_WINDOW_S
+                for at_s in explained_s
+            )
+            for item in earlier
+        )
+
+    def _crashed_elsewhere(self, fingerprint: bytes, upstream: str) -> bool:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return False
+        return suspect.quarantined or any(
+            name != upstream for name in suspect.crashes
         )
 
     def _trim(self, *, now_s: float) -> None:
--- a/tests/test_requests_crash.py
+++ b/tests/test_requests_crash.py
@@ -52,6 +52,19 @@
             + [(12, b'p', 'bad'), (13, b'p', 'u1'), (14, b'p', 'u2')],
             set(),
         ),
+        # Two harmful requests crash the same upstreams in turn.
+        (
+            [(1, b'q', 'u1'), (10, b'p', 'u1'), (12, b'q', 'u2')]
+            + [(20, b'p', 'u2'), (24, b'q', 'u3'), (30, b'p', 'u3')],
+            {b'p', b'q'},
+        ),
+        # The same, with an innocent request beside the first of them.
+        (
+            [(1, b'q', 'u1'), (1, b'n', 'u1'), (2, b'n', None)]
+            + [(10, b'p', 'u1'), (12, b'q', 'u2'), (20, b'p', 'u2')]
+            + [(24, b'q', 'u3'), (30, b'p', 'u3')],
+            {b'p', b'q'},
+        ),
         # Other requests on the crashed upstreams get a response elsewhere.
         (
             [(1, b'p', 'u1'), (1, b'n', 'u1'), (2, b'n', None)]
