--- a/src/skylarkpitch/fleet/crash_reports.py
+++ b/src/skylarkpitch/fleet/crash_reports.py
@@ -23,8 +23,8 @@
     'SharedSuspicions',
 ]
 
-# How long a request is refused that several upstreams crashed on.
-QUARANTINE_S = 60.0
+# How long the first quarantine of a request lasts.
+QUARANTINE_S = 600.0
 # Bounds of a grant, which every host receives with each of its reports.
 MAX_GRANTED_QUARANTINES = 64
 MAX_GRANTED_SUSPECTS = 32
--- a/src/skylarkpitch/fleet/crash_suspicion.py
+++ b/src/skylarkpitch/fleet/crash_suspicion.py
@@ -9,6 +9,9 @@
 not running, since the upstream itself may then be the cause; unless one of
 the requests that were running then has crashed other upstreams too.
 
+After a quarantine one crash is enough for the next, which lasts
+``QUARANTINE_GROWTH`` times as long.
+
 When an upstream crashes, at most one of the requests that it was running is
 the cause. All of them become suspects, and a host runs no two suspects on the
 same upstream at a time, so that the next crash identifies the cause.
@@ -22,6 +25,8 @@
 CRASH_RETENTION_S = 120.0
 CRASHES_TO_QUARANTINE = 3
 MAX_CRASHES_PER_ROUND = 2
+QUARANTINE_GROWTH = 2
+MAX_QUARANTINE_S = 86_400.0
 # Crash reports of one upstream within this time are taken as one crash.
 SAME_CRASH_WINDOW_S = 2.0
 MAX_SUSPECTS = 10_000
@@ -43,11 +48,25 @@
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    """Request under suspicion, with its last crash on each upstream."""
+    """Request under suspicion, with its last crash on each upstream.
+
+    ``quarantines`` counts those that began.
+    """
 
     crashes: dict[str, Crash] = dataclasses.field(default_factory=dict)
     quarantined_until_s: float = 0.0
     quarantined: bool = False
+    quarantines: int = 0
+    release_delay_s: float = 0.0
+
+    def is_quarantine_running(self, *, now_s: float) -> bool:
+        """Return whether a quarantine lasts, apart from its release delay."""
+        return self.quarantined and now_s < self.quarantined_until_s
+
+    def end_quarantine(self) -> None:
+        """Count crashes anew."""
+        self.quarantined = False
+        self.crashes.clear()
 
 
 class Suspicions:
@@ -72,9 +91,10 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.quarantined:
             return 0.0
-        if now_s < suspect.quarantined_until_s:
-            return suspect.quarantined_until_s - now_s
-        del self._suspects[fingerprint]
+        ends_s = suspect.quarantined_until_s + suspect.release_delay_s
+        if now_s < ends_s:
+            return ends_s - now_s
+        suspect.end_quarantine()
         return 0.0
 
     def crashed_upstreams(
@@ -136,7 +156,7 @@
         return {
             fingerprint: suspect.quarantined_until_s - now_s
             for fingerprint, suspect in self._suspects.items()
-            if suspect.quarantined and suspect.quarantined_until_s > now_s
+            if suspect.is_quarantine_running(now_s=now_s)
         }
 
     def latest_crashes(self, *, now_s: float, count: int) -> list[Crash]:
@@ -157,6 +177,7 @@
         quarantine_s: float,
         sent_s: float | None = None,
         crashed_s: float | None = None,
+        release_delay_s: float = 0.0,
     ) -> bool:
         """Record a crash; return whether the request is now quarantined.
 
@@ -181,19 +202,38 @@
         suspect.crashes[upstream] = crash
         self._suspects.move_to_end(fingerprint)
         self._trim(now_s=now_s)
-        if suspect.quarantined:
+        if suspect.is_quarantine_running(now_s=now_s):
             return False
         count = self.crash_count(fingerprint, now_s=now_s)
-        if count < CRASHES_TO_QUARANTINE:
+        if count < (1 if suspect.quarantines else CRASHES_TO_QUARANTINE):
             return False
-        self.quarantine(fingerprint, now_s=now_s, quarantine_s=quarantine_s)
+        quarantine_s *= QUARANTINE_GROWTH**suspect.quarantines
+        self.quarantine(
+            fingerprint,
+            now_s=now_s,
+            quarantine_s=min(quarantine_s, MAX_QUARANTINE_S),
+            release_delay_s=release_delay_s,
+        )
         return True
 
     def quarantine(
-        self, fingerprint: bytes, *, now_s: float, quarantine_s: float
+        self,
+        fingerprint: bytes,
+        *,
+        now_s: float,
+        quarantine_s: float,
+        release_delay_s: float = 0.0,
     ) -> None:
-        """Refuse a request for at least ``quarantine_s`` from now on."""
+        """Refuse a request for at least ``quarantine_s`` from now on.
+
+        This host refuses it for ``release_delay_s`` more. Hosts with
+        different delays run the request one after another, so that the
+        first can warn the others if it is still harmful.
+        """
         suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        if not suspect.is_quarantine_running(now_s=now_s):
+            suspect.quarantines += 1
+            suspect.release_delay_s = release_delay_s
         suspect.quarantined = True
         suspect.quarantined_until_s = max(
             suspect.quarantined_until_s, now_s + quarantine_s
--- a/src/skylarkpitch/forwarding/crash_tracker.py
+++ b/src/skylarkpitch/forwarding/crash_tracker.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import random
 
 import structlog
 
@@ -50,7 +51,8 @@
     that started, and of requests that were refused by one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
         self._suspicions = crash_suspicion.Suspicions()
         self._shared_suspects: frozenset[bytes] = frozenset()
         self._responses: collections.OrderedDict[bytes, float] = (
@@ -89,6 +91,7 @@
                 now_s=now_s,
                 quarantine_s=crash_reports.QUARANTINE_S,
                 sent_s=call.sent_s,
+                release_delay_s=self._release_delay_s(),
             )
             is_counted = quarantined or self._count(call, now_s) > before
             verdict = 'counted' if is_counted else 'not_counted'
@@ -205,12 +208,18 @@
         current = self._suspicions.quarantines_left_s(now_s=now_s)
         for item in grant.quarantines:
             self._suspicions.quarantine(
-                item.fingerprint, now_s=now_s, quarantine_s=item.left_s
+                item.fingerprint,
+                now_s=now_s,
+                quarantine_s=item.left_s,
+                release_delay_s=self._release_delay_s(),
             )
             if item.fingerprint not in current:
                 self._log_quarantine(item.fingerprint, 'grant', item.left_s)
         return has_news
 
+    def _release_delay_s(self) -> float:
+        return self._rng.uniform(0.0, crash_reports.QUARANTINE_S)
+
     def _count(self, call: calls.Call, now_s: float) -> int:
         return self._suspicions.crash_count(call.fingerprint, now_s=now_s)
 
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -84,6 +84,7 @@
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
+        rng = rng or random.Random()
         self._view = view
         self._names = names
         self._is_stopping = is_stopping
@@ -104,10 +105,10 @@
             selector=selector,
             names=names,
             clock=clock,
-            rng=rng or random.Random(),
+            rng=rng,
         )
         self._retry_budgets = retry_budget.RetryBudgets(limits=retry_limits)
-        self._crash_tracker = crash_tracker.CrashTracker()
+        self._crash_tracker = crash_tracker.CrashTracker(rng=rng)
         self._sender = sender or senders.Sender(names=names)
         self.running = 0
 
--- a/src/skylarkpitch/requests/crash_watch.py
+++ b/src/skylarkpitch/requests/crash_watch.py
@@ -14,8 +14,6 @@
 
 __all__ = ['CrashWatch', 'fingerprint']
 
-MAX_QUARANTINE_S = 86_400.0
-
 _log = structlog.get_logger(__name__)
 
 
@@ -154,5 +152,7 @@
             self._suspicions.quarantine(
                 report.fingerprint,
                 now_s=self._clock(),
-                quarantine_s=min(report.quarantine_s, MAX_QUARANTINE_S),
+                quarantine_s=min(
+                    report.quarantine_s, crash_suspicion.MAX_QUARANTINE_S
+                ),
             )
