--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -14,6 +14,7 @@
 import multidict
 
 from skylarkpitch.fleet import commands
+from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import grants
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
@@ -373,10 +374,16 @@
 
     async def _report(self, host):
         report = host.handler.report(host.entry_host, leaving=False)
+        sent = control_requests.encode(report)
         await asyncio.sleep(ONE_WAY_S)
-        grant = self.grants.grant(report, now_s=self.now_s())
+        grant = self.grants.grant(
+            control_requests.decode(sent), now_s=self.now_s()
+        )
+        sent = model.encode(grant)
         await asyncio.sleep(ONE_WAY_S)
-        return host.handler.apply_grant(grant)
+        return host.handler.apply_grant(
+            model.decode(control_requests.EntryGrant, sent)
+        )
 
     async def request(self, target, *, host=None):
         """Send a request to a host, at random unless named."""
