Read and log what upstreams say of themselves in their responses

The heads of all responses, also of errors and of those that break off later, are now read for the three headers of a notice; a value that cannot be read changes nothing, and is counted and logged. No decision uses them yet.

--- a/src/skylarkpitch/forwarding/header_names.py
+++ b/src/skylarkpitch/forwarding/header_names.py
@@ -18,8 +18,11 @@
     Upstreams send ``seal``, which marks a response as made by the upstream
     itself rather than by an intermediary, ``not_run`` if they did not run
     the request, and ``load``, the numbers of running requests, waiting
-    requests and slots. ``cold_ms`` is not read. Refusals carry
-    ``retry_after`` in seconds.
+    requests and slots. ``cold_ms`` is not read. Upstreams may also send
+    ``max_rate``, the requests a second that they take from all entry hosts
+    together, ``leaving`` with the value 1 before they stop, and with status
+    503 ``retry_after``, the seconds for which they want no request of this
+    host. Refusals carry ``retry_after`` in seconds, too.
 
     No name may begin with ``Skylark-``: such headers are removed from the
     messages of callers and upstreams.
@@ -36,3 +39,5 @@
     load: str = 'Upstream-Load'
     cold_ms: str = 'Upstream-Cold-Ms'
     retry_after: str = 'Retry-After'
+    max_rate: str = 'Upstream-Max-Rate'
+    leaving: str = 'Upstream-Leaving'
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -27,6 +27,7 @@
 from skylarkpitch.forwarding import retry_budget
 from skylarkpitch.forwarding import scheduler as schedulers
 from skylarkpitch.forwarding import sender as senders
+from skylarkpitch.forwarding import upstream_notices
 from skylarkpitch.forwarding import upstream_selector as selectors
 
 __all__ = ['RequestHandler', 'RequestOutcome']
@@ -109,6 +110,8 @@
         )
         self._retry_budgets = retry_budget.RetryBudgets(limits=retry_limits)
         self._crash_tracker = crash_tracker.CrashTracker(rng=rng)
+        self._notice_reader = upstream_notices.NoticeReader(names=names)
+        self._notices = upstream_notices.UpstreamNotices()
         self._sender = sender or senders.Sender(names=names)
         self.running = 0
 
@@ -127,7 +130,12 @@
 
     def counters(self) -> dict[str, float]:
         """Return the counters since the start and the current gauges."""
-        return {'running': self.running, **self._crash_tracker.counts}
+        return {
+            'running': self.running,
+            'notices_malformed': self._notice_reader.malformed,
+            **self._notices.counts(),
+            **self._crash_tracker.counts,
+        }
 
     @property
     def rates(self) -> callers.RateLimits:
@@ -335,6 +343,7 @@
                 ),
                 address=upstream.address,
                 deadline_s=call.deadline_s,
+                on_head=lambda head: self._record_head(call, head),
             )
         finally:
             self._scheduler.release(call, candidate)
@@ -348,6 +357,24 @@
             self._scheduler.record_timeout(call, candidate, took_s=took_s)
         return result
 
+    def _record_head(
+        self, call: calls.Call, head: senders.ResponseHead
+    ) -> None:
+        """Record what an upstream says of itself in the head of a response.
+
+        Another incarnation may be at its address by now: it says nothing of
+        the one that the request was sent to.
+        """
+        if head.status == STATUS_MISDIRECTED_REQUEST:
+            return
+        upstream = call.candidate.load.upstream
+        notice = self._notice_reader.read(
+            head.values, status=head.status, upstream=upstream
+        )
+        self._notices.record(
+            upstream, notice, sent_s=call.sent_s, now_s=self._clock()
+        )
+
     def _record_load(
         self,
         candidate: candidates.Candidate,
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -7,6 +7,8 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import time
 
@@ -21,6 +23,7 @@
 __all__ = [
     'BROKEN_OFF_ERRORS',
     'Failure',
+    'ResponseHead',
     'Sender',
     'UpstreamRequest',
     'UpstreamResponse',
@@ -66,6 +69,18 @@
     detail: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ResponseHead:
+    """Status of a response, and ``values`` to look up its headers."""
+
+    status: int
+    values: Callable[[str], Sequence[str]]
+
+
+def _ignore_head(head: ResponseHead) -> None:
+    """Do nothing with the head of a response."""
+
+
 class UpstreamResponse:
     """Response of an upstream.
 
@@ -125,10 +140,17 @@
                 await session.close()
 
     async def send(
-        self, request: UpstreamRequest, *, address: str, deadline_s: float
+        self,
+        request: UpstreamRequest,
+        *,
+        address: str,
+        deadline_s: float,
+        on_head: Callable[[ResponseHead], None] = _ignore_head,
     ) -> UpstreamResponse | Failure:
         """Send a request and return its response or a failure.
 
+        ``on_head`` is called with the head of the response to this request,
+        before its body is read, and also if the response is not usable.
         The connection is closed on a time-out, on cancellation and after a
         response that is incomplete or belongs to another request.
         """
@@ -137,7 +159,7 @@
         left_s = deadline_s - time.monotonic()
         try:
             async with asyncio.timeout(left_s):
-                return await self._exchange(request, address)
+                return await self._exchange(request, address, on_head)
         except (TimeoutError, aiohttp.ServerTimeoutError) as error:
             if not progress.connected:
                 return _unsent(f'no connection in time ({error})')
@@ -160,7 +182,10 @@
             )
 
     async def _exchange(
-        self, request: UpstreamRequest, address: str
+        self,
+        request: UpstreamRequest,
+        address: str,
+        on_head: Callable[[ResponseHead], None],
     ) -> UpstreamResponse | Failure:
         url = yarl.URL(f'http://{address}{request.target}', encoded=True)
         session = self._session
@@ -175,6 +200,8 @@
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
         )
         try:
+            if self._belongs_to(response, request):
+                on_head(_head(response))
             return await self._read(response, request)
         except BaseException:
             response.close()
@@ -209,6 +236,12 @@
             rest=None if is_complete else _rest(response),
         )
 
+    def _belongs_to(
+        self, response: aiohttp.ClientResponse, request: UpstreamRequest
+    ) -> bool:
+        echoed = response.headers.get(self._names.request_id)
+        return request.request_id in (None, echoed)
+
     def _check_response(
         self, response: aiohttp.ClientResponse, request: UpstreamRequest
     ) -> str:
@@ -218,14 +251,20 @@
         problem = header_rules.check_framing(response.headers)
         if problem is not None:
             return problem.detail
-        echoed = response.headers.get(self._names.request_id)
-        if request.request_id is not None and echoed != request.request_id:
+        if not self._belongs_to(response, request):
             return 'the answer belongs to another request'
         if response.status < 300 and self._names.seal not in response.headers:
             return 'the answer bears no seal'
         return ''
 
 
+def _head(response: aiohttp.ClientResponse) -> ResponseHead:
+    return ResponseHead(
+        status=response.status,
+        values=lambda name: response.headers.getall(name, ()),
+    )
+
+
 async def _rest(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     while chunk := await response.content.readany():
         yield chunk
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -62,6 +62,12 @@
     def header(self, name):
         return self._rows.get(name)
 
+    def head(self):
+        return senders.ResponseHead(
+            status=self.status,
+            values=lambda name: self._rows.getall(name, ()),
+        )
+
     def close(self):
         pass
 
@@ -160,16 +166,16 @@
         self._fleet = fleet
         self._host = host
 
-    async def send(self, request, *, address, deadline_s):
+    async def send(self, request, *, address, deadline_s, on_head):
         try:
             async with asyncio.timeout(deadline_s - self._fleet.now_s()):
-                return await self._exchange(request, address)
+                return await self._exchange(request, address, on_head)
         except TimeoutError:
             return senders.Failure(
                 sent=True, reason=refusals.Reason.TOO_LATE, detail=''
             )
 
-    async def _exchange(self, request, address):
+    async def _exchange(self, request, address, on_head):
         await asyncio.sleep(ONE_WAY_S)
         upstream = self._fleet.upstreams[address]
         if not upstream.is_up:
@@ -192,6 +198,7 @@
                 reason=self._fleet.crash_reason,
                 detail='broke off',
             )
+        on_head(response.head())
         return response
 
 
