--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -275,6 +275,7 @@
         objective_s=0.3,
     ):
         self.rng = random.Random(seed)
+        self.work_s = work_s
         self.crash_after_s = crash_after_s
         self.crash_reason = crash_reason
         self.arrivals = []
