Keep the rate that an upstream names, over all entry hosts

The limit is of the same kind as the rate of a cold upstream: it belongs to the fleet, and the part of one host is below one request a second. Both now use one module, fleet_rate.py: hosts take turns, by the time of day, so that all count the same turn, whenever they were told. A request that waits, or is sent again, needs a token like a new one.

--- a/src/skylarkpitch/fleet/view.py
+++ b/src/skylarkpitch/fleet/view.py
@@ -4,6 +4,7 @@
 import dataclasses
 from typing import Any
 
+from skylarkpitch.fleet import host_parts
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.messages import fleet as messages
@@ -43,7 +44,7 @@
         self._tables: dict[str, dict[tuple[str, ...], Any]] = {
             kind: {} for kind in fleet_state.KINDS
         }
-        self._positions: dict[str, int] = {}
+        self._host_parts: dict[str | None, dict[str, host_parts.HostPart]] = {}
 
     @property
     def version(self) -> int:
@@ -106,15 +107,18 @@
         """Return an upstream by its id, or None."""
         return self._tables[fleet_state.UPSTREAM].get((upstream_id,))
 
-    def entry_host_position(self, name: str) -> int | None:
-        """Return the position of an entry host among all, in their order.
+    def host_part(
+        self, name: str, *, favoured_region: str | None = None
+    ) -> host_parts.HostPart | None:
+        """Return the part of an entry host in what belongs to the fleet.
 
         Returns None for a host that control has not recorded.
         """
-        if not self._positions:
-            names = sorted(self._tables[fleet_state.ENTRY_HOST])
-            self._positions = {key[0]: i for i, key in enumerate(names)}
-        return self._positions.get(name)
+        if favoured_region not in self._host_parts:
+            self._host_parts[favoured_region] = host_parts.divide(
+                self.entry_hosts, favoured_region=favoured_region
+            )
+        return self._host_parts[favoured_region].get(name)
 
     def apply(self, response: messages.WatchResponse) -> Changes:
         """Apply the response of a control host; return what it changed."""
@@ -135,7 +139,7 @@
         self.cluster = response.cluster
         self.index = response.index
         if fleet_state.ENTRY_HOST in changed:
-            self._positions = {}
+            self._host_parts.clear()
         return Changes(
             kinds=frozenset(changed),
             upstreams=None if response.whole else frozenset(upstreams),
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -83,6 +83,7 @@
         on_finished: Callable[[RequestOutcome], None],
         sender: senders.Sender | None = None,
         clock: Callable[[], float] = time.monotonic,
+        unix_clock: Callable[[], float] = time.time,
         rng: random.Random | None = None,
     ) -> None:
         rng = rng or random.Random()
@@ -106,12 +107,13 @@
             selector=selector,
             names=names,
             clock=clock,
+            unix_clock=unix_clock,
             rng=rng,
         )
         self._retry_budgets = retry_budget.RetryBudgets(limits=retry_limits)
         self._crash_tracker = crash_tracker.CrashTracker(rng=rng)
         self._notice_reader = upstream_notices.NoticeReader(names=names)
-        self._notices = upstream_notices.UpstreamNotices()
+        self._notices = selector.notices
         self._sender = sender or senders.Sender(names=names)
         self.running = 0
 
--- a/src/skylarkpitch/forwarding/scheduler.py
+++ b/src/skylarkpitch/forwarding/scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import random
 
+from skylarkpitch.fleet import host_parts
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import calls
@@ -43,6 +44,7 @@
         selector: selectors.UpstreamSelector,
         names: header_names.HeaderNames,
         clock: Callable[[], float],
+        unix_clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._view = view
@@ -50,6 +52,7 @@
         self._selector = selector
         self._names = names
         self._clock = clock
+        self._unix_clock = unix_clock
         self._rng = rng
         self._queues: dict[str, request_queue.RequestQueue] = {}
 
@@ -170,9 +173,9 @@
             cold_rate_per_s=None
             if configured is None
             else configured.cold_rate_per_s,
-            entry_hosts=self._view.entry_host_count,
-            host_position=self._view.entry_host_position(self._host),
+            part_of=self._part,
             now_s=now_s,
+            time_of_day_s=self._unix_clock(),
             is_final_attempt=is_final,
         )
         if not sentinels.is_absent(candidate):
@@ -252,6 +255,11 @@
             ),
         )
 
+    def _part(self, favoured_region: str | None) -> host_parts.HostPart | None:
+        return self._view.host_part(
+            self._host, favoured_region=favoured_region
+        )
+
     def _criteria(self, call: calls.Call) -> candidates.SelectionCriteria:
         homes = None
         for allowed in (
--- a/src/skylarkpitch/forwarding/upstream_load.py
+++ b/src/skylarkpitch/forwarding/upstream_load.py
@@ -6,13 +6,13 @@
 """
 
 import collections
-import dataclasses
 import math
-import zlib
 
 from skylarkpitch.fleet import model
+from skylarkpitch.forwarding import fleet_rate
+from skylarkpitch.forwarding import upstream_notices
 
-__all__ = ['ColdRate', 'UpstreamLoad']
+__all__ = ['UpstreamLoad']
 
 # Time constants of the load of other hosts: the decay of a report towards the
 # mean of reports, the average of that mean, and its decay without a report.
@@ -31,44 +31,10 @@
 WARM_KEY_TTL_S = 4.0
 # Weight of one response in the moving average of failures.
 FAILURE_SMOOTHING = 0.15
-# Duration of the turns in which hosts may use the rate of a cold upstream.
+# Turns in which hosts use the rate of a cold upstream, which holds in every
+# second, and the rate that an upstream names, which holds over some seconds.
 COLD_TURN_S = 1.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ColdRate:
-    """Request rate of a cold upstream over all entry hosts.
-
-    The share of one host can be far below one request. Hosts then take
-    turns: in each turn of ``COLD_TURN_S``, as many hosts as the rate allows
-    have one whole request each. ``host_position`` is that of this host among
-    the ``entry_hosts``; None, for a host that is not recorded yet, has none.
-    A host that is cut off keeps to the positions that it knows.
-    """
-
-    rate_per_s: float
-    entry_hosts: int
-    host_position: int | None
-
-    @property
-    def share_per_s(self) -> float:
-        """Return an equal share of the rate."""
-        return self.rate_per_s / self.entry_hosts
-
-    def has_turn(self, number: int, *, offset: int) -> bool:
-        """Return whether this host may send a request in a turn.
-
-        ``offset`` differs between upstreams, so that the same hosts do not
-        have the first turns of all of them.
-        """
-        if self.host_position is None:
-            return False
-        per_turn = self.rate_per_s * COLD_TURN_S
-        position = (self.host_position + offset) % self.entry_hosts
-        start = math.floor(number * per_turn) % self.entry_hosts
-        end = start + math.floor((number + 1) * per_turn)
-        end -= math.floor(number * per_turn)
-        return start <= position < end or position + self.entry_hosts < end
+MAX_RATE_TURN_S = 2.0
 
 
 class UpstreamLoad:
@@ -77,11 +43,20 @@
     ``running`` counts the requests of this host. ``slowness`` is the ratio
     of measured to expected times. ``failure_share`` is the moving average of
     failed requests, which shows an upstream that is degraded while its
-    health check passes.
+    health check passes. ``notices`` is what the incarnation says of itself,
+    and ``cold_bucket`` and ``max_rate_bucket`` are this host's parts of the
+    rates that a cold upstream bears, and that one names.
     """
 
-    def __init__(self, upstream: model.Upstream, *, now_s: float) -> None:
+    def __init__(
+        self,
+        upstream: model.Upstream,
+        *,
+        notices: upstream_notices.UpstreamState,
+        now_s: float,
+    ) -> None:
         self.upstream = upstream
+        self.notices = notices
         self.running = 0
         self._other_hosts_load = 0.0
         self._mean_other_hosts_load = 0.0
@@ -92,10 +67,13 @@
         self.backoff_until_s = float('-inf')
         self.full_until_s = float('-inf')
         self.cold_until_s = float('-inf')
-        self._cold_tokens = 0.0
-        self._cold_refilled_s = now_s
-        self._cold_since_s = now_s
-        self._cold_turn = -1
+        name = upstream.upstream_id
+        self.cold_bucket = fleet_rate.RateBucket(
+            name, turn_s=COLD_TURN_S, now_s=now_s
+        )
+        self.max_rate_bucket = fleet_rate.RateBucket(
+            name, turn_s=MAX_RATE_TURN_S, now_s=now_s
+        )
         self._warm_keys: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
@@ -115,10 +93,7 @@
         Its cache is assumed to be empty.
         """
         if self.cold_until_s <= now_s:
-            self._cold_tokens = 0.0
-            self._cold_refilled_s = now_s
-            self._cold_since_s = now_s
-            self._cold_turn = -1
+            self.cold_bucket.reset(now_s=now_s)
             self._warm_keys.clear()
         self.cold_until_s = max(self.cold_until_s, now_s + left_s)
 
@@ -126,32 +101,6 @@
         """Return whether the cold rate limits requests."""
         return now_s < self.cold_until_s
 
-    def has_cold_token(self, rate: ColdRate, *, now_s: float) -> bool:
-        """Refill tokens; return whether the cold rate allows a request."""
-        if rate.share_per_s * COLD_TURN_S < 1.0:
-            self._take_turn(rate, now_s)
-            return self._cold_tokens >= 1.0
-        elapsed_s = now_s - self._cold_refilled_s
-        self._cold_refilled_s = now_s
-        self._cold_tokens = min(
-            1.0, self._cold_tokens + rate.share_per_s * elapsed_s
-        )
-        return self._cold_tokens >= 1.0
-
-    def _take_turn(self, rate: ColdRate, now_s: float) -> None:
-        """Set the token of the current turn; those of earlier ones lapse."""
-        turn = int((now_s - self._cold_since_s) / COLD_TURN_S)
-        if turn == self._cold_turn:
-            return
-        self._cold_turn = turn
-        offset = zlib.crc32(self.upstream.upstream_id.encode())
-        has_turn = rate.has_turn(turn, offset=offset)
-        self._cold_tokens = 1.0 if has_turn else 0.0
-
-    def consume_cold_token(self) -> None:
-        """Count a request against the cold rate."""
-        self._cold_tokens -= 1.0
-
     def occupied_slots(self, *, now_s: float) -> float:
         """Return an estimate of the slots that all entry hosts occupy."""
         age_s = now_s - self._reported_s
--- a/src/skylarkpitch/forwarding/upstream_notices.py
+++ b/src/skylarkpitch/forwarding/upstream_notices.py
@@ -17,7 +17,13 @@
 from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import header_names
 
-__all__ = ['Notice', 'NoticeReader', 'UpstreamNotices', 'incarnation_of']
+__all__ = [
+    'Notice',
+    'NoticeReader',
+    'UpstreamNotices',
+    'UpstreamState',
+    'incarnation_of',
+]
 
 STATUS_UNAVAILABLE = 503
 # Plain decimals only: no sign, exponent, infinity or date.
--- a/src/skylarkpitch/forwarding/upstream_selector.py
+++ b/src/skylarkpitch/forwarding/upstream_selector.py
@@ -12,12 +12,15 @@
 from collections.abc import Mapping
 import functools
 
+from skylarkpitch.fleet import host_parts
 from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import candidates
+from skylarkpitch.forwarding import fleet_rate
 from skylarkpitch.forwarding import measurements
 from skylarkpitch.forwarding import regions
 from skylarkpitch.forwarding import service_pool
 from skylarkpitch.forwarding import upstream_load
+from skylarkpitch.forwarding import upstream_notices
 from skylarkpitch.forwarding import work_times
 from skylarkpitch import sentinels
 
@@ -41,6 +44,8 @@
 # key, as a fraction of its slots.
 QUEUE_SHARE = 0.5
 
+PartOf = Callable[[str | None], host_parts.HostPart | None]
+
 
 class UpstreamSelector:
     """The upstreams of all services, as measured by one entry host."""
@@ -58,6 +63,7 @@
         self._loads: dict[str, upstream_load.UpstreamLoad] = {}
         self._pools: dict[str, service_pool.ServicePool] = {}
         self.measurements = measurements.Measurements()
+        self.notices = upstream_notices.UpstreamNotices()
         self._draining: frozenset[str] = frozenset()
 
     def update_upstreams(
@@ -98,7 +104,9 @@
             return
         load = before
         if load is None or load.upstream.born_ms != item.born_ms:
-            load = upstream_load.UpstreamLoad(item, now_s=now_s)
+            load = upstream_load.UpstreamLoad(
+                item, notices=self.notices.state_of(item), now_s=now_s
+            )
         elif load.upstream != item:
             load.update(item, now_s=now_s)
         self._loads[name] = load
@@ -122,9 +130,9 @@
         criteria: candidates.SelectionCriteria,
         *,
         cold_rate_per_s: float | None,
-        entry_hosts: int,
+        part_of: PartOf,
         now_s: float,
-        host_position: int | None = 0,
+        time_of_day_s: float,
         is_final_attempt: bool = False,
     ) -> candidates.Candidate | sentinels.Absent:
         """Return the candidate of the lowest cost that has capacity.
@@ -134,8 +142,9 @@
         the others, and of those only upstreams with few occupied slots (see
         ``NON_PREFERRED_FILL``).
         ``cold_rate_per_s`` bounds the requests for a cold upstream over all
-        ``entry_hosts``; None sets no bound. ``host_position`` is that of
-        this host among them, None if it is not recorded yet.
+        entry hosts; None sets no bound. ``part_of`` returns this host's part
+        of such a rate, in which the hosts of a region are favoured; hosts
+        take turns by ``time_of_day_s``.
 
         Returns ``Absent`` with ``no_upstream`` when the service has no
         usable upstream, or ``no_room`` when all of them are full.
@@ -146,13 +155,13 @@
         by_group = self._regions_by_group(pool, criteria)
         if not by_group:
             return sentinels.Absent('no_upstream', 'all are excluded')
-        cold_rate = None
-        if cold_rate_per_s is not None:
-            cold_rate = upstream_load.ColdRate(
-                rate_per_s=cold_rate_per_s,
-                entry_hosts=max(1, entry_hosts),
-                host_position=host_position,
-            )
+        has_token = functools.partial(
+            self._has_rate_token,
+            part_of=part_of,
+            cold_rate_per_s=cold_rate_per_s,
+            now_s=now_s,
+            time_of_day_s=time_of_day_s,
+        )
         score = functools.partial(
             self._scored,
             pool,
@@ -164,7 +173,9 @@
             self._group_order(pool, criteria, by_group, score, now_s)
         ):
             for _cost, _name, candidate in score(group_regions):
-                if not self._has_capacity(candidate, cold_rate, now_s):
+                if not self._has_slot(candidate, now_s):
+                    continue
+                if not has_token(candidate.load):
                     continue
                 if number > 0 and not pool.spill_tokens.consume():
                     break
@@ -373,12 +384,7 @@
             present = present[:1]
         return [by_group[group] for group in present]
 
-    def _has_capacity(
-        self,
-        candidate: candidates.Candidate,
-        cold_rate: upstream_load.ColdRate | None,
-        now_s: float,
-    ) -> bool:
+    def _has_slot(self, candidate: candidates.Candidate, now_s: float) -> bool:
         load = candidate.load
         if now_s < load.full_until_s:
             return False
@@ -386,11 +392,40 @@
         max_occupied = slots + max(1.0, QUEUE_SHARE * slots)
         if not candidate.is_preferred:
             max_occupied = max(1.0, NON_PREFERRED_FILL * slots)
-        if load.occupied_slots(now_s=now_s) + 1 > max_occupied:
+        return load.occupied_slots(now_s=now_s) + 1 <= max_occupied
+
+    def _has_rate_token(
+        self,
+        load: upstream_load.UpstreamLoad,
+        *,
+        part_of: PartOf,
+        cold_rate_per_s: float | None,
+        now_s: float,
+        time_of_day_s: float,
+    ) -> bool:
+        """Return whether the rates that bound an upstream allow a request.
+
+        Most requests for an upstream come from hosts of its region, so these
+        have more of the rate that it names.
+        """
+        max_rate_per_s = load.notices.max_rate_per_s
+        if max_rate_per_s is not None and not load.max_rate_bucket.has_token(
+            fleet_rate.FleetRate(
+                rate_per_s=max_rate_per_s, part=part_of(self.region_of(load))
+            ),
+            now_s=now_s,
+            time_of_day_s=time_of_day_s,
+        ):
             return False
-        if cold_rate is None or not load.is_cold(now_s=now_s):
+        if cold_rate_per_s is None or not load.is_cold(now_s=now_s):
             return True
-        return load.has_cold_token(cold_rate, now_s=now_s)
+        return load.cold_bucket.has_token(
+            fleet_rate.FleetRate(
+                rate_per_s=cold_rate_per_s, part=part_of(None)
+            ),
+            now_s=now_s,
+            time_of_day_s=time_of_day_s,
+        )
 
     def reserve(
         self,
@@ -402,7 +437,9 @@
         """Reserve a slot of a candidate for a request."""
         candidate.load.running += 1
         if candidate.load.is_cold(now_s=now_s):
-            candidate.load.consume_cold_token()
+            candidate.load.cold_bucket.consume()
+        if candidate.load.notices.max_rate_per_s is not None:
+            candidate.load.max_rate_bucket.consume()
         if criteria.affinity_key is not None:
             candidate.load.record_affinity(criteria.affinity_key, now_s=now_s)
 
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -232,6 +232,7 @@
             on_finished=self.outcomes.append,
             sender=_Sender(fleet, name),
             clock=fleet.now_s,
+            unix_clock=fleet.now_s,
             rng=fleet.rng,
         )
 
--- a/tests/stand_ins/load_fleet.py
+++ b/tests/stand_ins/load_fleet.py
@@ -10,6 +10,7 @@
 import random
 import types
 
+from skylarkpitch.fleet import host_parts
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import region_plan
 from skylarkpitch.fleet import view as views
@@ -49,6 +50,7 @@
             selector=self.selector,
             names=NAMES,
             clock=fleet.now_s,
+            unix_clock=fleet.now_s,
             rng=rng,
         )
 
@@ -94,16 +96,24 @@
             for domain, count in hosts_by_domain.items()
             for number in range(count)
         ]
-        positions = {
-            f'{domain}-{number}': position
-            for position, (domain, number) in enumerate(domains)
-        }
+        parts = host_parts.divide(
+            [
+                model.EntryHost(
+                    name=f'{domain}-{number}',
+                    callers_address='',
+                    region=region_of(domain),
+                    failure_domain=domain,
+                )
+                for domain, number in domains
+            ],
+            favoured_region=None,
+        )
         self._outages = outages
         self.view = types.SimpleNamespace(
             upstreams=[item.item for item in self.upstreams.values()],
             draining_domains=frozenset(),
             entry_host_count=len(domains),
-            entry_host_position=positions.__getitem__,
+            host_part=lambda name, favoured_region: parts[name],
             service=lambda name: model.Service(
                 name=name,
                 health_path='/',
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from skylarkpitch.fleet import host_parts
 from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import candidates
@@ -12,6 +13,7 @@
 from skylarkpitch.forwarding import retry_budget
 from skylarkpitch.forwarding import routing
 from skylarkpitch.forwarding import upstream_load
+from skylarkpitch.forwarding import upstream_notices
 from skylarkpitch.forwarding import upstream_selector as selectors
 from skylarkpitch import sentinels
 
@@ -211,12 +213,15 @@
     host_position=0,
     **fields,
 ):
+    part = host_parts.HostPart(
+        position=host_position or 0, weight=1, total_weight=entry_hosts
+    )
     return selector.select(
         criteria(**fields),
         cold_rate_per_s=cold_rate_per_s,
-        entry_hosts=entry_hosts,
-        host_position=host_position,
+        part_of=lambda region: None if host_position is None else part,
         now_s=now_s,
+        time_of_day_s=now_s,
     )
 
 
@@ -583,8 +588,14 @@
     assert order == [first, second, third]
 
 
+def new_load():
+    return upstream_load.UpstreamLoad(
+        upstream(), notices=upstream_notices.UpstreamState(), now_s=0.0
+    )
+
+
 def test_cache_misses_do_not_raise_slowness():
-    load = upstream_load.UpstreamLoad(upstream(), now_s=0.0)
+    load = new_load()
     for number in range(100):
         took_s = 0.88 if number % 4 == 0 else 0.26
         load.record_success(took_s=took_s, expected_s=0.4)
@@ -592,7 +603,7 @@
 
 
 def test_upstream_that_becomes_cold_is_not_warm():
-    load = upstream_load.UpstreamLoad(upstream(), now_s=0.0)
+    load = new_load()
     load.record_affinity('r 1', now_s=0.5)
     load.become_cold(2.0, now_s=1.0)
     assert not load.is_warm('r 1', now_s=1.0)
--- a/tests/test_forwarding_max_rate.py
+++ b/tests/test_forwarding_max_rate.py
@@ -78,3 +78,41 @@
         count <= allowed(LIMITS[name]) for name, count in most.items()
     ), most
     assert statuses.count(200) > 0.99 * len(statuses)
+
+
+# Guards against a host that no longer reaches control and takes the whole
+# rate for itself, and against hosts that start again without having been
+# told.
+def test_rate_holds_for_hosts_that_are_cut_off_or_new():
+    fleet = handler_fleet.HandlerFleet(hosts=8, upstreams=12, seed=3)
+
+    async def disturb():
+        await asyncio.sleep(6.0)
+        for host in fleet.hosts[:4]:
+            host.is_connected = False
+        await asyncio.sleep(3.0)
+        fleet.add_host()
+
+    async def check():
+        disturbed = asyncio.ensure_future(disturb())
+        named_s, _statuses = await play(fleet, LIMITS)
+        await disturbed
+        return named_s
+
+    named_s = virtual_time.run(check())
+    for name, rate_per_s in LIMITS.items():
+        most = most_in_window(fleet, name, named_s=named_s)
+        assert most <= allowed(rate_per_s)
+
+
+# Guards against upstreams that get little of the rate which they name, since
+# most of their requests come from hosts nearby. The bound is half of the
+# rate.
+@pytest.mark.parametrize('hosts', [8, 89, 182])
+def test_upstreams_with_a_limit_still_get_requests(hosts):
+    fleet = handler_fleet.HandlerFleet(hosts=hosts, upstreams=12, seed=4)
+    limits = dict.fromkeys(fleet.upstreams, 6.0)
+    named_s, _statuses = virtual_time.run(play(fleet, limits))
+    later = [a.at_s for a in fleet.arrivals if a.at_s > named_s + CONTACT_S]
+    per_s = len(later) / (later[-1] - named_s - CONTACT_S)
+    assert 0.5 * sum(limits.values()) <= per_s <= 1.5 * sum(limits.values())
