Count a crash only if the upstream no longer listens

An exchange that breaks off now counts if the upstream does not accept a connection right afterwards: a crashed one takes seconds to come back. A retry waits for that, a round trip; the caller of a request that is not sent again does not.

test_upstreams_that_still_listen_have_not_crashed fails before this commit. test_request_is_refused_after_three_upstreams_crashed now lets the upstreams stop listening, as a crash does, and asks the same otherwise.

--- a/src/skylarkpitch/fleet/crash_reports.py
+++ b/src/skylarkpitch/fleet/crash_reports.py
@@ -19,7 +19,6 @@
     'QUARANTINE_S',
     'ReportedCrash',
     'ReportedResponse',
-    'ReportedSign',
     'SharedSuspicions',
 ]
 
@@ -54,13 +53,6 @@
     age_s: float
 
 
-class ReportedSign(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Response of an upstream that seemed to have crashed just before."""
-
-    upstream: str
-    age_s: float
-
-
 class Quarantine(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """How much longer a request is refused."""
 
@@ -73,7 +65,6 @@
 
     crashes: tuple[ReportedCrash, ...] = ()
     responses: tuple[ReportedResponse, ...] = ()
-    signs_of_life: tuple[ReportedSign, ...] = ()
     quarantines: tuple[Quarantine, ...] = ()
 
 
@@ -104,10 +95,6 @@
                 responded_s=now_s - response.age_s,
                 now_s=now_s,
             )
-        for sign in report.signs_of_life:
-            self._suspicions.record_alive(
-                sign.upstream, alive_s=now_s - sign.age_s, now_s=now_s
-            )
         for quarantine in report.quarantines:
             self._suspicions.quarantine(
                 quarantine.fingerprint,
--- a/src/skylarkpitch/fleet/crash_suspicion.py
+++ b/src/skylarkpitch/fleet/crash_suspicion.py
@@ -81,7 +81,6 @@
         )
         self._crashes: dict[str, collections.deque[tuple[float, bytes]]] = {}
         self._responses: dict[bytes, float] = {}
-        self._alive: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._suspects)
@@ -183,8 +182,7 @@
 
         It has crashed now, and the request was sent to it at that moment,
         unless the times say otherwise. A crash from before the last response
-        to the request, or from before the upstream was seen alive, is
-        ignored.
+        to the request is ignored.
         """
         crash = Crash(
             fingerprint=fingerprint,
@@ -259,35 +257,12 @@
         Crashes from before are ignored even if they are reported later.
         """
         self._responses[fingerprint] = responded_s
-        self._forget_refutations(now_s=now_s)
+        self._forget_responses(now_s=now_s)
         self.record_response(fingerprint)
 
-    def record_alive(
-        self, upstream: str, *, alive_s: float, now_s: float
-    ) -> bool:
-        """Ignore the crashes of an upstream before it responded.
-
-        The upstream then broke off an exchange without having crashed.
-        Returns whether there was such a crash.
-        """
-        self._alive[upstream] = alive_s
-        self._forget_refutations(now_s=now_s)
-        recorded = self._crashes.pop(upstream, None)
-        if recorded is None:
-            return False
-        for _crashed_s, fingerprint in recorded:
-            suspect = self._suspects.get(fingerprint)
-            if suspect is None or suspect.quarantined:
-                continue
-            suspect.crashes.pop(upstream, None)
-            if not suspect.crashes:
-                del self._suspects[fingerprint]
-        return True
-
-    def last_crash_s(self, upstream: str) -> float | None:
-        """Return when an upstream crashed last, None if it did not."""
-        crashes = self._crashes.get(upstream)
-        return crashes[-1][0] if crashes else None
+    def _is_refuted(self, crash: Crash) -> bool:
+        responded_s = self._responses.get(crash.fingerprint)
+        return responded_s is not None and crash.crashed_s <= responded_s
 
     def _is_known(self, crash: Crash) -> bool:
         suspect = self._suspects.get(crash.fingerprint)
@@ -296,19 +271,12 @@
             return False
         return crash.crashed_s - known.crashed_s <= SAME_CRASH_WINDOW_S
 
-    def _is_refuted(self, crash: Crash) -> bool:
-        return crash.crashed_s <= max(
-            self._responses.get(crash.fingerprint, float('-inf')),
-            self._alive.get(crash.upstream, float('-inf')),
-        )
-
-    def _forget_refutations(self, *, now_s: float) -> None:
-        for refutations in (self._responses, self._alive):
-            if len(refutations) <= MAX_SUSPECTS:
-                continue
-            for key, at_s in list(refutations.items()):
-                if now_s - at_s > CRASH_RETENTION_S:
-                    del refutations[key]
+    def _forget_responses(self, *, now_s: float) -> None:
+        if len(self._responses) <= MAX_SUSPECTS:
+            return
+        for fingerprint, responded_s in list(self._responses.items()):
+            if now_s - responded_s > CRASH_RETENTION_S:
+                del self._responses[fingerprint]
 
     def _may_be_faulty(self, crash: Crash) -> bool:
         """Return whether the upstream itself may have caused a crash."""
--- a/src/skylarkpitch/forwarding/crash_tracker.py
+++ b/src/skylarkpitch/forwarding/crash_tracker.py
@@ -15,22 +15,17 @@
 from skylarkpitch.fleet import crash_suspicion
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import refusals
+from skylarkpitch.forwarding import upstream_notices
 
-__all__ = ['CrashTracker']
+__all__ = ['CRASH_REASONS', 'CrashTracker']
 
 # Failures that a crash can look like, by what the connection showed.
 CRASH_REASONS = frozenset(
     (refusals.Reason.UPSTREAM_BROKE_OFF, refusals.Reason.MALFORMED_RESPONSE)
 )
-# An upstream that responds so soon after it broke off has not crashed: one
-# that has takes longer to start again.
-ALIVE_WINDOW_S = 1.0
 # Bounds of a report, which is sent at every interval.
 MAX_REPORTED_CRASHES = 16
 MAX_REPORTED_QUARANTINES = 16
-# How long a sign of life is reported: several reports, in case one is lost.
-SIGN_REPORT_S = 2.0
-MAX_REPORTED_SIGNS = 32
 MIN_ERROR_STATUS = 400
 # Requests whose last successful response is remembered.
 MAX_REMEMBERED_RESPONSES = 2000
@@ -38,12 +33,6 @@
 _log = structlog.get_logger(__name__)
 
 
-def _incarnation(call: calls.Call) -> str:
-    """Return the incarnation of the last upstream, the same on all hosts."""
-    upstream = call.candidate.load.upstream
-    return f'{upstream.upstream_id}@{upstream.born_ms}'
-
-
 class CrashTracker:
     """Suspected requests, as this entry host knows them.
 
@@ -58,7 +47,6 @@
         self._responses: collections.OrderedDict[bytes, float] = (
             collections.OrderedDict()
         )
-        self._signs_of_life: dict[str, float] = {}
         self.counts: dict[str, float] = {
             'crashes_counted': 0,
             'quarantines_started': 0,
@@ -78,47 +66,58 @@
         call: calls.Call,
         *,
         reason: refusals.Reason,
+        is_listening: bool,
         now_s: float,
     ) -> None:
-        """Record that the last upstream of a call sent no usable response."""
-        upstream = _incarnation(call)
+        """Record that the last upstream of a call sent no usable response.
+
+        ``is_listening`` is whether it accepted a connection afterwards: then
+        it has not crashed. ``now_s`` is when the exchange failed.
+        """
         verdict = 'other_reason'
-        before = self._count(call, now_s)
-        if reason in CRASH_REASONS:
-            quarantined = self._suspicions.record_crash(
-                call.fingerprint,
-                upstream,
-                now_s=now_s,
-                quarantine_s=crash_reports.QUARANTINE_S,
-                sent_s=call.sent_s,
-                release_delay_s=self._release_delay_s(),
-            )
-            is_counted = quarantined or self._count(call, now_s) > before
+        if reason in CRASH_REASONS and is_listening:
+            verdict = 'alive'
+        elif reason in CRASH_REASONS:
+            is_counted = self._record_crash(call, now_s)
             verdict = 'counted' if is_counted else 'not_counted'
-            self.counts['crashes_counted'] += is_counted
-            if quarantined:
-                self._log_quarantine(
-                    call.fingerprint, 'crashes', crash_reports.QUARANTINE_S
-                )
         _log.info(
             'crash_suspected',
             request_id=call.request_id,
             fingerprint=call.fingerprint.hex(),
-            upstream=upstream,
+            upstream=upstream_notices.incarnation_of(
+                call.candidate.load.upstream
+            ),
             reason=reason.value,
             verdict=verdict,
             crashes=self._count(call, now_s),
         )
 
+    def _record_crash(self, call: calls.Call, now_s: float) -> bool:
+        """Return whether the crash is counted."""
+        before = self._count(call, now_s)
+        quarantined = self._suspicions.record_crash(
+            call.fingerprint,
+            upstream_notices.incarnation_of(call.candidate.load.upstream),
+            now_s=now_s,
+            quarantine_s=crash_reports.QUARANTINE_S,
+            sent_s=call.sent_s,
+            release_delay_s=self._release_delay_s(),
+        )
+        if quarantined:
+            self._log_quarantine(
+                call.fingerprint, 'crashes', crash_reports.QUARANTINE_S
+            )
+        is_counted = quarantined or self._count(call, now_s) > before
+        self.counts['crashes_counted'] += is_counted
+        return is_counted
+
     def record_response(
         self, call: calls.Call, *, status: int, now_s: float
     ) -> None:
         """Remove what is counted against a request that has succeeded.
 
-        An error shows that the upstream is alive, but not that it has run
-        the request to its end.
+        An error does not show that the upstream has run it to its end.
         """
-        self._record_sign_of_life(call, now_s)
         if status >= MIN_ERROR_STATUS:
             return
         self._remember_response(call.fingerprint, now_s)
@@ -128,7 +127,9 @@
                 'suspicion_removed',
                 request_id=call.request_id,
                 fingerprint=call.fingerprint.hex(),
-                upstream=_incarnation(call),
+                upstream=upstream_notices.incarnation_of(
+                    call.candidate.load.upstream
+                ),
                 status=status,
                 crashes=crashes,
             )
@@ -139,24 +140,8 @@
         if len(self._responses) > MAX_REMEMBERED_RESPONSES:
             self._responses.popitem(last=False)
 
-    def _record_sign_of_life(self, call: calls.Call, now_s: float) -> None:
-        name = _incarnation(call)
-        crashed_s = self._suspicions.last_crash_s(name)
-        if crashed_s is None or call.sent_s < crashed_s:
-            return
-        if now_s - crashed_s > ALIVE_WINDOW_S:
-            return
-        self._suspicions.record_alive(name, alive_s=now_s, now_s=now_s)
-        self._signs_of_life[name] = now_s
-        _log.info('crash_refuted', upstream=name)
-
     def report(self, *, now_s: float) -> crash_reports.CrashReport:
         """Return what other hosts should know."""
-        self._signs_of_life = {
-            name: seen_s
-            for name, seen_s in self._signs_of_life.items()
-            if now_s - seen_s <= SIGN_REPORT_S
-        }
         crashes = self._suspicions.latest_crashes(
             now_s=now_s, count=MAX_REPORTED_CRASHES
         )
@@ -179,10 +164,6 @@
                 for fingerprint in self._shared_suspects
                 if fingerprint in self._responses
             ),
-            signs_of_life=tuple(
-                crash_reports.ReportedSign(upstream=name, age_s=now_s - seen_s)
-                for name, seen_s in self._signs_of_life.items()
-            )[-MAX_REPORTED_SIGNS:],
             quarantines=tuple(
                 crash_reports.Quarantine(
                     fingerprint=fingerprint, left_s=seconds
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -5,6 +5,7 @@
 if the upstream reported that it did not run it.
 """
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import random
@@ -115,6 +116,7 @@
         self._notice_reader = upstream_notices.NoticeReader(names=names)
         self._notices = selector.notices
         self._sender = sender or senders.Sender(names=names)
+        self._recording: set[asyncio.Future[None]] = set()
         self.running = 0
 
     def open(self) -> None:
@@ -203,7 +205,8 @@
             return await self._relay(call, result)
         except senders.BROKEN_OFF_ERRORS as error:
             reason, detail = 'upstream_broke_off', str(error)
-            self._record_broken_stream(call)
+            call.candidate.load.record_unreachable(now_s=self._clock())
+            self._record_failure_soon(call, refusals.Reason.UPSTREAM_BROKE_OFF)
             raise
         except TimeoutError:
             # The connection is aborted, so that the caller does not take the
@@ -230,12 +233,29 @@
             )
         return relayed
 
-    def _record_broken_stream(self, call: calls.Call) -> None:
-        """Record that an upstream broke off while its response was relayed."""
-        now_s = self._clock()
-        call.candidate.load.record_unreachable(now_s=now_s)
+    def _record_failure_soon(
+        self, call: calls.Call, reason: refusals.Reason
+    ) -> asyncio.Future[None]:
+        """Record a failure once it is known whether the upstream crashed.
+
+        The caller does not wait for that, only a request that is sent again.
+        """
+        task = asyncio.ensure_future(
+            self._record_failure(call, reason, failed_s=self._clock())
+        )
+        self._recording.add(task)
+        task.add_done_callback(self._recording.discard)
+        return asyncio.shield(task)
+
+    async def _record_failure(
+        self, call: calls.Call, reason: refusals.Reason, *, failed_s: float
+    ) -> None:
+        is_listening = True
+        if reason in crash_tracker.CRASH_REASONS:
+            address = call.candidate.load.upstream.address
+            is_listening = await self._sender.is_listening(address)
         self._crash_tracker.record_failure(
-            call, reason=refusals.Reason.UPSTREAM_BROKE_OFF, now_s=now_s
+            call, reason=reason, is_listening=is_listening, now_s=failed_s
         )
 
     def _report_outcome(
@@ -311,7 +331,7 @@
                 return self._refusal_after_sending(call, refusal)
             result = await self._send(call, candidate)
             if isinstance(result, senders.Failure):
-                final = self._after_failure(call, candidate, result)
+                final = await self._after_failure(call, candidate, result)
             else:
                 final = self._after_response(call, candidate, result)
             if final is not None:
@@ -400,7 +420,7 @@
             running=running, waiting=waiting, now_s=now_s
         )
 
-    def _after_failure(
+    async def _after_failure(
         self,
         call: calls.Call,
         candidate: candidates.Candidate,
@@ -427,10 +447,9 @@
             return self._refusal_after_sending(call, refusal)
         call.exchanges += 1
         call.may_have_run = True
-        self._crash_tracker.record_failure(
-            call, reason=failure.reason, now_s=now_s
-        )
+        recorded = self._record_failure_soon(call, failure.reason)
         if call.route.repeatable and not timed_out and self._claim_retry(call):
+            await recorded
             return None
         return refusals.refuse(failure.reason, failure.detail)
 
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -181,6 +181,17 @@
                 detail=str(error),
             )
 
+    async def is_listening(self, address: str) -> bool:
+        """Return whether an upstream accepts a connection at its address."""
+        host, _colon, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def _exchange(
         self,
         request: UpstreamRequest,
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -175,6 +175,10 @@
                 sent=True, reason=refusals.Reason.TOO_LATE, detail=''
             )
 
+    async def is_listening(self, address):
+        await asyncio.sleep(2 * ONE_WAY_S)
+        return self._fleet.upstreams[address].is_up
+
     async def _exchange(self, request, address, on_head):
         await asyncio.sleep(ONE_WAY_S)
         upstream = self._fleet.upstreams[address]
--- a/tests/stand_ins/raw_upstream.py
+++ b/tests/stand_ins/raw_upstream.py
@@ -29,6 +29,22 @@
     async def stop(self):
         self._server.close()
 
+    def replace(self, *behaviours):
+        """Replace the behaviours."""
+        self._behaviours = list(behaviours)
+
+    def crash_with(self, behaviour):
+        """Return a behaviour after whose part of a response nothing listens.
+
+        The connection is open until the listening socket is closed.
+        """
+
+        async def behave(request_id, reader, writer):
+            self._server.close()
+            await behaviour(request_id, reader, writer)
+
+        return behave
+
     async def _serve(self, reader, writer):
         try:
             while True:
