--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -5,6 +5,7 @@
 if the upstream reported that it did not run it.
 """
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import random
@@ -27,6 +28,7 @@
 from skylarkpitch.forwarding import retry_budget
 from skylarkpitch.forwarding import scheduler as schedulers
 from skylarkpitch.forwarding import sender as senders
+from skylarkpitch.forwarding import upstream_notices
 from skylarkpitch.forwarding import upstream_selector as selectors
 
 __all__ = ['RequestHandler', 'RequestOutcome']
@@ -82,6 +84,7 @@
         on_finished: Callable[[RequestOutcome], None],
         sender: senders.Sender | None = None,
         clock: Callable[[], float] = time.monotonic,
+        unix_clock: Callable[[], float] = time.time,
         rng: random.Random | None = None,
     ) -> None:
         rng = rng or random.Random()
@@ -105,11 +108,15 @@
             selector=selector,
             names=names,
             clock=clock,
+            unix_clock=unix_clock,
             rng=rng,
         )
         self._retry_budgets = retry_budget.RetryBudgets(limits=retry_limits)
         self._crash_tracker = crash_tracker.CrashTracker(rng=rng)
+        self._notice_reader = upstream_notices.NoticeReader(names=names)
+        self._notices = selector.notices
         self._sender = sender or senders.Sender(names=names)
+        self._recording: set[asyncio.Future[None]] = set()
         self.running = 0
 
     def open(self) -> None:
@@ -127,7 +134,12 @@
 
     def counters(self) -> dict[str, float]:
         """Return the counters since the start and the current gauges."""
-        return {'running': self.running, **self._crash_tracker.counts}
+        return {
+            'running': self.running,
+            'notices_malformed': self._notice_reader.malformed,
+            **self._notices.counts(),
+            **self._crash_tracker.counts,
+        }
 
     @property
     def rates(self) -> callers.RateLimits:
@@ -193,7 +205,8 @@
             return await self._relay(call, result)
         except senders.BROKEN_OFF_ERRORS as error:
             reason, detail = 'upstream_broke_off', str(error)
-            self._record_broken_stream(call)
+            call.candidate.load.record_unreachable(now_s=self._clock())
+            self._record_failure_soon(call, refusals.Reason.UPSTREAM_BROKE_OFF)
             raise
         except TimeoutError:
             # The connection is aborted, so that the caller does not take the
@@ -220,12 +233,29 @@
             )
         return relayed
 
-    def _record_broken_stream(self, call: calls.Call) -> None:
-        """Record that an upstream broke off while its response was relayed."""
-        now_s = self._clock()
-        call.candidate.load.record_unreachable(now_s=now_s)
+    def _record_failure_soon(
+        self, call: calls.Call, reason: refusals.Reason
+    ) -> asyncio.Future[None]:
+        """Record a failure once it is known whether the upstream crashed.
+
+        The caller does not wait for that, only a request that is sent again.
+        """
+        task = asyncio.ensure_future(
+            self._record_failure(call, reason, failed_s=self._clock())
+        )
+        self._recording.add(task)
+        task.add_done_callback(self._recording.discard)
+        return asyncio.shield(task)
+
+    async def _record_failure(
+        self, call: calls.Call, reason: refusals.Reason, *, failed_s: float
+    ) -> None:
+        is_listening = True
+        if reason in crash_tracker.CRASH_REASONS:
+            address = call.candidate.load.upstream.address
+            is_listening = await self._sender.is_listening(address)
         self._crash_tracker.record_failure(
-            call, reason=refusals.Reason.UPSTREAM_BROKE_OFF, now_s=now_s
+            call, reason=reason, is_listening=is_listening, now_s=failed_s
         )
 
     def _report_outcome(
@@ -301,7 +331,7 @@
                 return self._refusal_after_sending(call, refusal)
             result = await self._send(call, candidate)
             if isinstance(result, senders.Failure):
-                final = self._after_failure(call, candidate, result)
+                final = await self._after_failure(call, candidate, result)
             else:
                 final = self._after_response(call, candidate, result)
             if final is not None:
@@ -335,6 +365,7 @@
                 ),
                 address=upstream.address,
                 deadline_s=call.deadline_s,
+                on_head=lambda head: self._record_head(call, head),
             )
         finally:
             self._scheduler.release(call, candidate)
@@ -348,6 +379,24 @@
             self._scheduler.record_timeout(call, candidate, took_s=took_s)
         return result
 
+    def _record_head(
+        self, call: calls.Call, head: senders.ResponseHead
+    ) -> None:
+        """Record what an upstream says of itself in the head of a response.
+
+        Another incarnation may be at its address by now: it says nothing of
+        the one that the request was sent to.
+        """
+        if head.status == STATUS_MISDIRECTED_REQUEST:
+            return
+        upstream = call.candidate.load.upstream
+        notice = self._notice_reader.read(
+            head.values, status=head.status, upstream=upstream
+        )
+        self._notices.record(
+            upstream, notice, sent_s=call.sent_s, now_s=self._clock()
+        )
+
     def _record_load(
         self,
         candidate: candidates.Candidate,
@@ -371,7 +420,7 @@
             running=running, waiting=waiting, now_s=now_s
         )
 
-    def _after_failure(
+    async def _after_failure(
         self,
         call: calls.Call,
         candidate: candidates.Candidate,
@@ -398,10 +447,9 @@
             return self._refusal_after_sending(call, refusal)
         call.exchanges += 1
         call.may_have_run = True
-        self._crash_tracker.record_failure(
-            call, reason=failure.reason, now_s=now_s
-        )
+        recorded = self._record_failure_soon(call, failure.reason)
         if call.route.repeatable and not timed_out and self._claim_retry(call):
+            await recorded
             return None
         return refusals.refuse(failure.reason, failure.detail)
 
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -14,6 +14,7 @@
 import multidict
 
 from skylarkpitch.fleet import commands
+from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import grants
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
@@ -61,6 +62,12 @@
     def header(self, name):
         return self._rows.get(name)
 
+    def head(self):
+        return senders.ResponseHead(
+            status=self.status,
+            values=lambda name: self._rows.getall(name, ()),
+        )
+
     def close(self):
         pass
 
@@ -159,16 +166,20 @@
         self._fleet = fleet
         self._host = host
 
-    async def send(self, request, *, address, deadline_s):
+    async def send(self, request, *, address, deadline_s, on_head):
         try:
             async with asyncio.timeout(deadline_s - self._fleet.now_s()):
-                return await self._exchange(request, address)
+                return await self._exchange(request, address, on_head)
         except TimeoutError:
             return senders.Failure(
                 sent=True, reason=refusals.Reason.TOO_LATE, detail=''
             )
 
-    async def _exchange(self, request, address):
+    async def is_listening(self, address):
+        await asyncio.sleep(2 * ONE_WAY_S)
+        return self._fleet.upstreams[address].is_up
+
+    async def _exchange(self, request, address, on_head):
         await asyncio.sleep(ONE_WAY_S)
         upstream = self._fleet.upstreams[address]
         if not upstream.is_up:
@@ -191,6 +202,7 @@
                 reason=self._fleet.crash_reason,
                 detail='broke off',
             )
+        on_head(response.head())
         return response
 
 
@@ -224,6 +236,7 @@
             on_finished=self.outcomes.append,
             sender=_Sender(fleet, name),
             clock=fleet.now_s,
+            unix_clock=fleet.now_s,
             rng=fleet.rng,
         )
 
@@ -267,6 +280,7 @@
         objective_s=0.3,
     ):
         self.rng = random.Random(seed)
+        self.work_s = work_s
         self.crash_after_s = crash_after_s
         self.crash_reason = crash_reason
         self.arrivals = []
@@ -373,10 +387,16 @@
 
     async def _report(self, host):
         report = host.handler.report(host.entry_host, leaving=False)
+        sent = control_requests.encode(report)
         await asyncio.sleep(ONE_WAY_S)
-        grant = self.grants.grant(report, now_s=self.now_s())
+        grant = self.grants.grant(
+            control_requests.decode(sent), now_s=self.now_s()
+        )
+        sent = model.encode(grant)
         await asyncio.sleep(ONE_WAY_S)
-        return host.handler.apply_grant(grant)
+        return host.handler.apply_grant(
+            model.decode(control_requests.EntryGrant, sent)
+        )
 
     async def request(self, target, *, host=None):
         """Send a request to a host, at random unless named."""
