--- a/src/skylarkpitch/fleet/checks.py
+++ b/src/skylarkpitch/fleet/checks.py
@@ -8,6 +8,8 @@
 __all__ = ['check', 'violations']
 
 MAX_LISTED_VIOLATIONS = 5
+# Versions are stored as integers of 64 bits.
+MAX_VERSION = 2**63
 
 
 def check(configuration: model.Configuration) -> None:
@@ -26,6 +28,8 @@
 
 def violations(configuration: model.Configuration) -> Iterator[str]:
     """Yield one message for each rule that a configuration violates."""
+    if not 0 <= configuration.version < MAX_VERSION:
+        yield f'the version is not from 0 to below {MAX_VERSION}'
     service_names = {service.name for service in configuration.services}
     route_names: dict[tuple[str, str], str] = {}
     for route in configuration.routes:
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -23,6 +23,7 @@
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import upstream_checks
 from skylarkpitch.fleet import watches
 from skylarkpitch.messages import fleet as messages
 from skylarkpitch.observability import histograms
@@ -58,6 +59,14 @@
     return time.time_ns() // 1_000_000
 
 
+def _check_report(request: control_requests.ControlRequest) -> None:
+    """Raise ``ValidationError`` if a report of an upstream is invalid."""
+    if isinstance(request, control_requests.Heartbeat):
+        upstream_checks.check_upstream(request.upstream)
+    elif isinstance(request, control_requests.Leave):
+        upstream_checks.check_departure(request.upstream_id, request.born_ms)
+
+
 class ControlService(mode.Service):
     """Control requests and watches of one control host.
 
@@ -143,6 +152,10 @@
         if the effect was not committed in time. The request may have been
         executed nevertheless, or may be executed later.
         """
+        try:
+            _check_report(request)
+        except errors.ValidationError as error:
+            return control_requests.refused(error.reason, str(error))
         return await self._execute_or_forward(
             control_requests.encode(request), request, hops=0
         )
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -105,7 +105,9 @@
     assert formats.duration_ms(text) == expected
 
 
-@pytest.mark.parametrize('text', ['', '5', 'ms', '5 minutes', 5, None, 'nan'])
+@pytest.mark.parametrize(
+    'text', ['', '5', 'ms', '5 minutes', 5, None, 'nan', '9' * 400 + 'ms']
+)
 def test_bad_durations(text):
     with pytest.raises(ValueError):
         formats.duration_ms(text)
