Test that a planned stop takes no request late in its grace period

It does not happen here: once the drain is over, new connections are refused, and requests on kept connections, also behind one that still runs, are not taken.

--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -141,3 +141,43 @@
         assert len(whole) == connections
 
     asyncio.run(check())
+
+
+# Guards against requests that come late in a planned stop, are taken and
+# passed on, and are then cut at its end.
+def test_stop_takes_no_request_late_in_its_grace_period():
+    handled, may_end = [], asyncio.Event()
+
+    async def handler(request):
+        handled.append(request.path)
+        if request.path == '/long':
+            await may_end.wait()
+        return web.Response(text='done')
+
+    async def check():
+        listener, address = await listen(handler)
+        opened = await open_connections(address, 3)
+        (long_reader, long_writer), *kept = opened
+        for reader, writer in kept:
+            writer.write(REQUEST)
+            await reader.readuntil(b'done')
+        long_writer.write(REQUEST.replace(b'/ ', b'/long ', 1))
+        while '/long' not in handled:
+            await asyncio.sleep(0.01)
+        closing = asyncio.create_task(listener.close(timeout_s=LONG_S))
+        await asyncio.sleep(0.5)
+        count = len(handled)
+        for reader, writer in kept:
+            writer.write(REQUEST)
+            assert await reader.read() == b''
+        with pytest.raises(OSError):
+            await open_connections(address, 1)
+        # A pipelined request behind the one that still runs.
+        long_writer.write(REQUEST)
+        may_end.set()
+        answer = await long_reader.read()
+        assert answer.count(b'HTTP/1.1 200') == 1
+        assert len(handled) == count
+        await asyncio.wait_for(closing, 10.0)
+
+    asyncio.run(check())
