Obey upstreams that leave or want a pause, on the host that they told

An upstream that says in a response that it leaves is not selected any more by that host, for new requests, waiting ones or retries, and not after a gap in its list of upstreams; a new incarnation is free. One that answers 503 with Retry-After gets nothing from that host until the end, and does not count as failed for it.

--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -114,7 +114,6 @@
         self._retry_budgets = retry_budget.RetryBudgets(limits=retry_limits)
         self._crash_tracker = crash_tracker.CrashTracker(rng=rng)
         self._notice_reader = upstream_notices.NoticeReader(names=names)
-        self._notices = selector.notices
         self._sender = sender or senders.Sender(names=names)
         self._recording: set[asyncio.Future[None]] = set()
         self.running = 0
@@ -137,7 +136,7 @@
         return {
             'running': self.running,
             'notices_malformed': self._notice_reader.malformed,
-            **self._notices.counts(),
+            **self.selector.notices.counts(),
             **self._crash_tracker.counts,
         }
 
@@ -393,7 +392,7 @@
         notice = self._notice_reader.read(
             head.values, status=head.status, upstream=upstream
         )
-        self._notices.record(
+        self.selector.record_notice(
             upstream, notice, sent_s=call.sent_s, now_s=self._clock()
         )
 
@@ -487,7 +486,8 @@
             candidate.load.record_unreachable(now_s=now_s)
         elif response.status == 400:
             return response
-        else:
+        elif now_s >= candidate.load.notices.back_off_until_s:
+            # An upstream that asked for a pause instead has not failed.
             candidate.load.record_rejection(now_s=now_s)
         if self._claim_retry(call):
             response.close()
--- a/src/skylarkpitch/forwarding/upstream_notices.py
+++ b/src/skylarkpitch/forwarding/upstream_notices.py
@@ -129,11 +129,14 @@
     """What one incarnation last said of itself, and when.
 
     ``max_rate_named_s`` is when a response with ``max_rate_per_s`` arrived
-    last. All times are of the monotonic clock.
+    last. This host sends nothing before ``back_off_until_s``, and nothing
+    any more once ``is_leaving``. All times are of the monotonic clock.
     """
 
     max_rate_per_s: float | None = None
     max_rate_named_s: float = float('-inf')
+    is_leaving: bool = False
+    back_off_until_s: float = float('-inf')
 
 
 class UpstreamNotices:
@@ -169,6 +172,11 @@
         other.
         """
         state = self.state_of(upstream)
+        if notice.is_leaving and not state.is_leaving:
+            state.is_leaving = True
+            _log.info('leaving_announced', upstream=incarnation_of(upstream))
+        if notice.back_off_s is not None:
+            self._back_off(upstream, state, notice.back_off_s, now_s)
         if notice.max_rate_per_s is not None:
             self._name_rate(upstream, state, notice.max_rate_per_s, now_s)
         elif (
@@ -201,11 +209,29 @@
         state.max_rate_per_s = rate_per_s
         state.max_rate_named_s = now_s
 
+    def _back_off(
+        self,
+        upstream: model.Upstream,
+        state: UpstreamState,
+        back_off_s: float,
+        now_s: float,
+    ) -> None:
+        if now_s >= state.back_off_until_s:
+            _log.info(
+                'back_off_started',
+                upstream=incarnation_of(upstream),
+                back_off_s=back_off_s,
+            )
+        state.back_off_until_s = max(
+            state.back_off_until_s, now_s + back_off_s
+        )
+
     def counts(self) -> dict[str, float]:
-        """Return gauges of the notices that hold."""
+        """Return how many incarnations have given notices."""
+        states = self._states.values()
         return {
             'upstreams_with_max_rate': sum(
-                state.max_rate_per_s is not None
-                for state in self._states.values()
-            )
+                state.max_rate_per_s is not None for state in states
+            ),
+            'upstreams_leaving': sum(state.is_leaving for state in states),
         }
--- a/src/skylarkpitch/forwarding/upstream_selector.py
+++ b/src/skylarkpitch/forwarding/upstream_selector.py
@@ -115,12 +115,34 @@
             pool = self._pools[item.service] = service_pool.ServicePool(
                 local_region=self._region, now_s=now_s
             )
-        is_ready = item.state is model.UpstreamState.READY
+        is_ready = (
+            item.state is model.UpstreamState.READY
+            and not load.notices.is_leaving
+        )
         if is_ready and item.failure_domain not in self._draining:
             pool.put(name, load, region=self.region_of(load))
         else:
             pool.remove(name)
 
+    def record_notice(
+        self,
+        upstream: model.Upstream,
+        notice: upstream_notices.Notice,
+        *,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Record what an upstream says of itself in a response.
+
+        One that leaves is not selected from now on.
+        """
+        self.notices.record(upstream, notice, sent_s=sent_s, now_s=now_s)
+        load = self._loads.get(upstream.upstream_id)
+        if notice.is_leaving and load is not None:
+            self.update_upstream(
+                upstream.upstream_id, load.upstream, now_s=now_s
+            )
+
     def region_of(self, load: upstream_load.UpstreamLoad) -> str:
         """Return the region of an upstream."""
         return self._region_of(load.upstream.failure_domain) or ''
@@ -386,7 +408,7 @@
 
     def _has_slot(self, candidate: candidates.Candidate, now_s: float) -> bool:
         load = candidate.load
-        if now_s < load.full_until_s:
+        if now_s < max(load.full_until_s, load.notices.back_off_until_s):
             return False
         slots = load.upstream.slots
         max_occupied = slots + max(1.0, QUEUE_SHARE * slots)
