--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -186,6 +186,10 @@
             return senders.Failure(
                 sent=False, reason=refusals.Reason.NOT_REACHED, detail=''
             )
+        expected = dict(request.headers)[NAMES.expected_upstream]
+        if expected != upstream.upstream_id:
+            await asyncio.sleep(ONE_WAY_S)
+            return Response(status=421, rows={NAMES.not_run: '1'}, body=b'')
         self._fleet.arrivals.append(
             Arrival(
                 at_s=self._fleet.now_s(),
@@ -284,6 +288,7 @@
         self.crash_after_s = crash_after_s
         self.crash_reason = crash_reason
         self.arrivals = []
+        self.harmful_ids = set()
         self.state = fleet_state.FleetState()
         self.grants = self.new_leader()
         self._repeatable = repeatable
@@ -401,10 +406,10 @@
     async def request(self, target, *, host=None):
         """Send a request to a host, at random unless named."""
         host = host or self.rng.choice(self.hosts)
-        headers = {
-            'Host': HOST,
-            NAMES.request_id: f'{self.rng.getrandbits(64):016x}',
-        }
+        request_id = f'{self.rng.getrandbits(64):016x}'
+        if target.startswith(HARMFUL):
+            self.harmful_ids.add(request_id)
+        headers = {'Host': HOST, NAMES.request_id: request_id}
         return await host.handler.handle(
             types.SimpleNamespace(
                 method='GET',
