--- a/tests/stand_ins/raw_upstream.py
+++ b/tests/stand_ins/raw_upstream.py
@@ -183,11 +183,11 @@
     return behave
 
 
-def close_after_bytes(count):
+def close_after_bytes(count, *more_rows):
     """Return a behaviour that breaks off a longer body after ``count``."""
 
     async def behave(request_id, reader, writer):
-        rows = (f'{SEAL}: s', f'Content-Length: {2 * count}')
+        rows = (f'{SEAL}: s', f'Content-Length: {2 * count}', *more_rows)
         writer.write(_head(200, request_id, *rows) + b'x' * count)
         await writer.drain()
         writer.close()
--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -110,7 +110,10 @@
 
     @property
     def crashes(self):
-        return self._handler.counters()['crashes_counted']
+        return self.counter('crashes_counted')
+
+    def counter(self, name):
+        return self._handler.counters()[name]
 
     def post(self, request_id='r1', *, body=b'pan', **headers):
         return self.session.post(
--- a/tests/test_forwarding_notices.py
+++ b/tests/test_forwarding_notices.py
@@ -1,11 +1,17 @@
 """What upstreams say of themselves in the heads of their responses."""
 
+import contextlib
+
+import aiohttp
 import multidict
 import pytest
 
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import upstream_notices
+from tests.stand_ins import raw_upstream
 from tests.test_forwarding_deciding import upstream
+from tests.test_forwarding_exchange import forwarding
+from tests.test_forwarding_exchange import run
 
 NAMES = header_names.HeaderNames()
 RATE, LEAVING, RETRY = NAMES.max_rate, NAMES.leaving, NAMES.retry_after
@@ -122,3 +128,80 @@
     )
     assert notices.state_of(upstream(born_ms=2)).max_rate_per_s is None
     assert notices.state_of(upstream()).max_rate_per_s == 4.0
+
+
+SEALED = f'{raw_upstream.SEAL}: s'
+NOT_RUN = f'{raw_upstream.NOT_RUN}: 1'
+
+
+def answers(*rows):
+    """Return each kind of response of an upstream, with some more rows."""
+    return {
+        'success': raw_upstream.respond(rows=(SEALED, *rows)),
+        'error': raw_upstream.respond(status=500, rows=(SEALED, *rows)),
+        'not-run': raw_upstream.respond(503, b'', rows=(NOT_RUN, *rows)),
+        'no-seal': raw_upstream.respond(rows=rows),
+        'streamed': raw_upstream.respond(
+            body=b'x' * 2_000_000, rows=(SEALED, *rows)
+        ),
+        'broken-off': raw_upstream.close_after_bytes(100, *rows),
+        'broken-stream': raw_upstream.close_after_bytes(2_000_000, *rows),
+    }
+
+
+KINDS = tuple(answers())
+
+
+# Guards against a notice that is read from successes only.
+@pytest.mark.parametrize('kind', KINDS)
+def test_notices_are_read_from_every_kind_of_response(kind):
+    rows = (f'{RATE}: 3.9', f'{LEAVING}: 1')
+
+    async def check():
+        async with forwarding([answers(*rows)[kind]], repeatable=False) as e:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with e.post() as response:
+                    await response.read()
+            assert e.counter('upstreams_with_max_rate') == 1
+            assert e.counter('upstreams_leaving') == 1
+            async with e.post('r2') as response:
+                assert response.status == 503
+            assert e.runs == 1
+
+    run(check)
+
+
+# Guards against a notice of another incarnation, or in a response to another
+# request, that is taken for one of the upstream.
+@pytest.mark.parametrize(
+    'behaviour',
+    [
+        raw_upstream.respond(421, b'', rows=(NOT_RUN, f'{LEAVING}: 1')),
+        raw_upstream.respond_with_other_id,
+    ],
+)
+def test_notices_of_others_are_ignored(behaviour):
+    async def check():
+        async with forwarding([behaviour], repeatable=False) as entry:
+            async with entry.post() as response:
+                await response.read()
+            assert entry.counter('upstreams_leaving') == 0
+
+    run(check)
+
+
+# Guards against a value that cannot be read and ends the exchange.
+@pytest.mark.parametrize('value', ['', 'nan', '-1', '1e309', '9' * 400])
+@pytest.mark.parametrize('kind', ['success', 'error'])
+def test_malformed_notice_changes_no_response(kind, value):
+    rows = (f'{RATE}: {value}', f'{LEAVING}: {value}')
+
+    async def check():
+        async with forwarding([answers(*rows)[kind]], repeatable=False) as e:
+            async with e.post() as response:
+                assert response.status == (200 if kind == 'success' else 500)
+                assert await response.read() == b'done'
+            assert e.counter('notices_malformed') == 2
+            assert e.counter('upstreams_with_max_rate') == 0
+
+    run(check)
