--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,52 +1,60 @@
-"""An invalid configuration with a weight that is no number is sent."""
+"""A server sends bytes without end after its answer: what happens to others?
+
+Clients with kept connections ask a sound server at the same entry host. The
+platform kills a process that uses more than ``MemoryMb``, and restarts it.
+"""
 
 import asyncio
+import contextlib
+import time
 
 from review.support import case
 from review.support import deployment as deployments
 from review.support import http
+from review.support import kept_clients
+from review.support import memory
 from review.support import outside
 from review.support import record as records
 
-SETTLED_S = 6.0
-ROUNDS = 5
-PARTS = ('planner', 'planner-next')
-
+SERVICES = ('faulty', 'sound')
+CLIENTS = 12
+SOUND_WORK_S = 0.6
+WATCHED_S = 12.0
+FLOOD_MB_PER_S = 10
+FLOOD_STEP_S = 0.01
+FLOOD_MAX_S = 30.0
+EXTRA = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na'
+# RULES.md, LOST: "more than three times".
+MAX_LOST = 3
 
-def _configuration(version: int) -> bytes:
-    split = [{'Service': name, 'Weight': 50} for name in PARTS]
-    return outside.configuration(
-        version,
-        routes={
-            'booking': outside.route(
-                'planner', '/booking/', Kind='unsafe', Split=split
-            )
-        },
-        services={name: outside.service() for name in PARTS},
-        tenants=None,
-    )
 
+def _faulty(record: records.Record, *, trouble: bool) -> outside.Behaviour:
+    """Return a server that answers, then sends bytes until it is closed."""
+    answer = outside.answer_after(0.02)
+    piece = EXTRA * int(FLOOD_MB_PER_S * 1e6 * FLOOD_STEP_S / len(EXTRA))
 
-async def _ask(
-    deployment: deployments.Deployment, record: records.Record
-) -> list[int]:
-    statuses = []
-    for node in deployment.fronts * ROUNDS:
-        name, data = outside.request(
-            host='pans.example', path='/booking/1', method='POST', body=b'b'
-        )
-        response = await http.exchange(
-            deployment.front_address(node), data, timeout_s=4
-        )
+    async def behave(server, request, reader, writer) -> bool:
+        await answer(server, request, reader, writer)
+        if not trouble:
+            return True
+        await asyncio.sleep(0.1)
+        started_s = time.monotonic()
+        sent_bytes = 0
+        record.write('flood_started', server=server.id)
+        with contextlib.suppress(OSError):
+            while time.monotonic() - started_s < FLOOD_MAX_S:
+                writer.write(piece)
+                await writer.drain()
+                sent_bytes += len(piece)
+                await asyncio.sleep(FLOOD_STEP_S)
         record.write(
-            'answered',
-            request=name,
-            node=node.name,
-            status=response.status,
-            body=response.body[:60],
+            'flood_ended',
+            sent_mb=round(sent_bytes / 1e6, 1),
+            took_s=round(time.monotonic() - started_s, 1),
         )
-        statuses.append(response.status)
-    return statuses
+        return False
+
+    return behave
 
 
 async def play(
@@ -54,48 +62,58 @@
     record: records.Record,
     trouble: bool,
 ) -> bool:
-    """Return whether what is invalid was acknowledged or is in force."""
+    """Return whether LOST was broken at the entry host."""
     controls = deployment.control_addresses()
     operator = outside.Operator(addresses=controls, record=record)
-    await operator.order('/rpc?call=config.put', _configuration(1))
-    servers = [
-        outside.Server(
+    await operator.order(
+        '/rpc?call=config.put',
+        outside.configuration(
+            1,
+            routes={
+                name: outside.route(name, f'/{name}/') for name in SERVICES
+            },
+            services={name: outside.service() for name in SERVICES},
+            tenants=None,
+        ),
+    )
+    behaviours = {
+        'faulty': _faulty(record, trouble=trouble),
+        'sound': outside.answer_after(SOUND_WORK_S),
+    }
+    servers = {
+        name: outside.Server(
             service=name,
             ip=deployment.server_ip,
             zone='north-a',
             controls=controls,
             record=record,
-            behaviour=outside.answer_after(0.02),
+            behaviour=behaviours[name],
+            slots=2 * CLIENTS,
         )
-        for name in PARTS
-    ]
-    for server in servers:
+        for name in SERVICES
+    }
+    for server in servers.values():
         await server.start()
     await deployment.wait_ready()
-    await asyncio.sleep(3)
-    if set(await _ask(deployment, record)) != {200}:
-        raise case.NotRunError('not all requests ran before the change')
-    body = _configuration(2)
-    if trouble:
-        body = body.replace(b'"Weight": 50', b'"Weight": NaN')
-    response = await operator.order('/rpc?call=config.put', body)
-    is_acknowledged = response.status == 200
-    await asyncio.sleep(SETTLED_S)
-    statuses = await _ask(deployment, record)
-    held = await operator.order('/rpc?call=config.get')
-    is_in_force = trouble and b'NaN' in held.body
-    record.write(
-        'counted',
-        acknowledged=is_acknowledged,
-        in_force=is_in_force,
-        statuses=statuses,
+    await asyncio.sleep(2)
+    node = deployment.fronts[0]
+    address = deployment.front_address(node)
+    watch = asyncio.create_task(memory.enforce(deployment, node, record))
+    running = kept_clients.start(
+        address=address, record=record, count=CLIENTS, for_s=WATCHED_S
     )
-    for server in servers:
+    await asyncio.sleep(2)
+    name, data = outside.request(host='pans.example', path='/faulty/1')
+    response = await http.exchange(address, data, timeout_s=4)
+    record.write('faulty_answered', request=name, status=response.status)
+    result = await running.result(passed_on=servers['sound'])
+    watch.cancel()
+    for server in servers.values():
         await server.stop()
-    if not trouble:
-        return not is_acknowledged
-    return is_acknowledged or is_in_force
+    if result.answered < CLIENTS:
+        raise case.NotRunError('too few requests were answered')
+    return result.lost > MAX_LOST
 
 
 if __name__ == '__main__':
-    case.main(play, file=__file__)
+    case.main(play, file=__file__, entries=1)
