Show that reads starve the control group's repair (case 1)

Cause: each read puts off the leader's timer, which promotes members and checks the quorum; with ten reads a second it never runs.

One tool reads the configuration; a control host loses its disk and is back after 1 s, 12 s later a second one does.

--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -168,6 +168,10 @@
         )
         log.close()
 
+    def data_folder(self, node: Node) -> pathlib.Path:
+        """Return the disk of a control host."""
+        return self._folder / node.name
+
     def log_of(self, node: Node) -> str:
         """Return what the process of a machine has printed."""
         return (self._folder / f'{node.name}.log').read_text()
