--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,8 +1,6 @@
-"""A client sends a body with a Content-Encoding: what does a server get?"""
+"""An operator takes away the last API key: who may still send?"""
 
 import asyncio
-import gzip
-import zlib
 
 from review.support import case
 from review.support import deployment as deployments
@@ -10,39 +8,53 @@
 from review.support import outside
 from review.support import record as records
 
-TEXT = b'{"pan": 17, "batch": "kiln-3", "note": "' + b'rust ' * 40 + b'"}'
-ENCODED = {
-    'gzip': gzip.compress(TEXT, mtime=0),
-    'deflate': zlib.compress(TEXT),
-}
+KEY = 'tnfzs989anu6wsjnbanf'
+NEVER_HELD = 'a-key-that-no-configuration-ever-held'
+# Bounds.ConfigApply is 2.5 s; the rest is more than Contact.
+SETTLED_S = 6.0
 ROUNDS = 5
 
 
-class _Bodies:
-    """Behaviour of a sound server that keeps the body of each request."""
-
-    def __init__(self) -> None:
-        self.by_request: dict[str, http.Message] = {}
-        self._answer = outside.answer_after(0.02)
-
-    async def __call__(self, server, request, reader, writer) -> bool:
-        self.by_request[request.headers['attempt-id']] = request
-        return await self._answer(server, request, reader, writer)
-
+def _configuration(version: int, *keys: str) -> bytes:
+    return outside.configuration(
+        version,
+        routes={
+            'booking': outside.route(
+                'planner', '/booking/', Kind='unsafe', Attempts=1
+            )
+        },
+        services={'planner': outside.service()},
+        tenants={'crew': outside.tenant(*keys)},
+    )
 
-def _request(coding: str, *, trouble: bool) -> tuple[str, bytes, bytes]:
-    """Return id, bytes and body of a request.
 
-    Without trouble the same bytes are sent, but not declared as encoded.
-    """
-    body = ENCODED[coding]
-    name, data = outside.request(
-        host='pans.example', path='/booking/1', method='POST', body=body
-    )
-    if trouble:
-        mark = f'\r\nContent-Encoding: {coding}\r\nContent-Length'.encode()
-        data = data.replace(b'\r\nContent-Length', mark, 1)
-    return name, data, body
+async def _ask(
+    deployment: deployments.Deployment,
+    record: records.Record,
+    key: str | None,
+) -> list[str]:
+    """Send requests with a key to every entry host; return their ids."""
+    names = []
+    for node in deployment.fronts * ROUNDS:
+        name, data = outside.request(
+            host='pans.example',
+            path='/booking/1',
+            method='POST',
+            body=b'batch',
+            key=key,
+        )
+        response = await http.exchange(
+            deployment.front_address(node), data, timeout_s=4
+        )
+        record.write(
+            'answered',
+            request=name,
+            node=node.name,
+            key=key,
+            status=response.status,
+        )
+        names.append(name)
+    return names
 
 
 async def play(
@@ -50,60 +62,39 @@
     record: records.Record,
     trouble: bool,
 ) -> bool:
-    """Return whether a server ran a request with a changed body."""
+    """Return whether requests without a right ran after the change."""
     controls = deployment.control_addresses()
     operator = outside.Operator(addresses=controls, record=record)
-    await operator.order(
-        '/rpc?call=config.put',
-        outside.configuration(
-            1,
-            routes={
-                'booking': outside.route(
-                    'planner', '/booking/', Kind='unsafe', Attempts=1
-                )
-            },
-            services={'planner': outside.service()},
-            tenants=None,
-        ),
-    )
-    bodies = _Bodies()
+    await operator.order('/rpc?call=config.put', _configuration(1, KEY))
     server = outside.Server(
         service='planner',
         ip=deployment.server_ip,
         zone='north-a',
         controls=controls,
         record=record,
-        behaviour=bodies,
+        behaviour=outside.answer_after(0.02),
     )
     await server.start()
     await deployment.wait_ready()
     await asyncio.sleep(3)
-    changed = 0
-    for node in deployment.fronts * ROUNDS:
-        for coding in ENCODED:
-            name, data, body = _request(coding, trouble=trouble)
-            response = await http.exchange(
-                deployment.front_address(node), data, timeout_s=4
-            )
-            run = bodies.by_request.get(name)
-            is_changed = run is not None and run.body != body
-            changed += is_changed
-            record.write(
-                'answered',
-                request=name,
-                node=node.name,
-                coding=coding,
-                status=response.status,
-                sent_bytes=len(body),
-                run_bytes=None if run is None else len(run.body),
-                run_encoding=run and run.headers.get('content-encoding'),
-                changed=is_changed,
-            )
-    if not bodies.by_request:
-        raise case.NotRunError('no request ran')
-    record.write('counted', ran=len(bodies.by_request), changed=changed)
+    before = await _ask(deployment, record, KEY)
+    if not {name for _at_s, name in server.ran} & set(before):
+        raise case.NotRunError('no request ran before the change')
+    kept = () if trouble else (KEY,)
+    response = await operator.order(
+        '/rpc?call=config.put', _configuration(2, *kept)
+    )
+    if response.status != 200:
+        raise case.NotRunError('the change was not acknowledged')
+    await asyncio.sleep(SETTLED_S)
+    forbidden = await _ask(deployment, record, NEVER_HELD)
+    forbidden += await _ask(deployment, record, None)
+    if trouble:
+        forbidden += await _ask(deployment, record, KEY)
+    ran = {name for _at_s, name in server.ran} & set(forbidden)
+    record.write('counted', asked=len(forbidden), ran=len(ran))
     await server.stop()
-    return changed > 0
+    return bool(ran)
 
 
 if __name__ == '__main__':
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -121,6 +121,7 @@
             Node(name=f'front-{i}', kind='front', ip=f'{net}.{i}', zone=zone)
             for i, zone in enumerate(zones[:entries], start=21)
         ]
+        self._replaced = 0
         self.server_ip = f'{net}.31'
         self.ports = _free_ports([n.ip for n in self.nodes])
 
@@ -146,6 +147,24 @@
         for node in self.nodes:
             self.start_node(node, first=True)
 
+    def replace_control(self, old: Node) -> Node:
+        """Return the successor of a control host, at another address.
+
+        It takes the place of the old one, which must have ended. The caller
+        starts it.
+        """
+        number = 14 + self._replaced
+        self._replaced += 1
+        net = old.ip.rpartition('.')[0]
+        new = Node(
+            name=f'core-{number}',
+            kind=old.kind,
+            ip=f'{net}.{number}',
+            zone=old.zone,
+        )
+        self.controls[self.controls.index(old)] = new
+        return new
+
     def start_node(self, node: Node, *, first: bool = False) -> None:
         """Start the process of a machine with its settings file."""
         role = 'control' if node.kind == 'core' else 'entry'
