--- a/review/support/case.py
+++ b/review/support/case.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -33,11 +34,18 @@
     *,
     trouble: bool,
 ) -> int:
+    playing = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, playing.cancel)
     try:
         async with asyncio.timeout(TIMEOUT_S):
             deployment.start()
             broken = await case(deployment, record, trouble)
-    except (NotRunError, OSError, EOFError) as error:
+    except asyncio.CancelledError:
+        record.write('not_run', why='stopped by a signal')
+        return EXIT_NOT_RUN
+    except Exception as error:
+        # Whatever went wrong here says nothing about the rule.
         record.write('not_run', why=repr(error))
         return EXIT_NOT_RUN
     finally:
