--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -52,10 +52,12 @@
         rng: random.Random,
         now_s: float,
         timing: states.Timing | None = None,
+        may_promote: membership.PromotionPolicy = membership.always_promote,
     ) -> None:
         self._state = states.State(
             identity=identity, rng=rng, timing=timing or states.Timing()
         )
+        self._may_promote = may_promote
         self._load(recovered, now_s)
         self._handlers: dict[type, Callable[..., None]] = {
             messages.VoteRequest: election.on_vote_request,
@@ -241,7 +243,9 @@
         state = self._state
         election.on_tick(state, now_s=now_s)
         if self.is_leader:
-            membership.on_tick(state, now_s=now_s)
+            membership.on_tick(
+                state, may_promote=self._may_promote, now_s=now_s
+            )
         if self.is_leader and now_s >= state.heartbeat_due_s:
             replication.broadcast(state, now_s=now_s)
         self._advance(now_s)
@@ -291,6 +295,10 @@
         self._check_is_leader()
         return membership.add_learner(self._state, identity, now_s=now_s)
 
+    def ready_learners(self, *, now_s: float) -> list[str]:
+        """Return the learners that could become voters now."""
+        return membership.ready_learners(self._state, now_s=now_s)
+
     def remove(self, identity: str, *, now_s: float) -> int:
         """Remove a member; see :func:`membership.remove`."""
         self._check_is_leader()
--- a/src/skylarkpitch/consensus/election.py
+++ b/src/skylarkpitch/consensus/election.py
@@ -67,15 +67,14 @@
     if state.role is not states.Role.LEADER:
         state.restart_election_timer(now_s)
         return
-    min_contact_s = (
+    state.excused_s = (
         now_s - state.timing.election_min_s + state.timing.heartbeat_s
     )
-    for item in state.progress.values():
-        item.contact_s = max(item.contact_s, min_contact_s)
 
 
 def _check_quorum(state: states.State, now_s: float) -> None:
     contact_s = replication.quorum_contact_s(state, now_s=now_s)
+    contact_s = max(contact_s, state.excused_s)
     if now_s - contact_s < state.timing.election_min_s:
         return
     state.count('leases_lost')
@@ -222,6 +221,7 @@
     state.count('elections_won')
     state.role = states.Role.LEADER
     state.leader = state.identity
+    state.excused_s = states.NEVER_S
     state.round = 0
     state.round_sent_s.clear()
     state.progress = {
--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -13,6 +13,7 @@
 from skylarkpitch.consensus import folder as folders
 from skylarkpitch.consensus import journal as journals
 from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.consensus import membership
 from skylarkpitch.consensus import pending as pending_calls
 from skylarkpitch.consensus import ports
 from skylarkpitch.consensus import snapshots as snapshot_files
@@ -90,6 +91,7 @@
         limits: Limits,
         threads: Threads | None = None,
         new_incarnation: Callable[[], str] = journals.new_incarnation,
+        may_promote: membership.PromotionPolicy = membership.always_promote,
     ) -> None:
         self._folder = folder
         self._state_machine = state_machine
@@ -98,6 +100,7 @@
         self._on_applied = on_applied
         self._limits = limits
         self._new_incarnation = new_incarnation
+        self._may_promote = may_promote
         self._threads = threads or Threads()
         self._snapshot_save: concurrent.futures.Future[None] | None = None
         self._snapshot_save_info: messages.SnapshotInfo | None = None
@@ -125,6 +128,7 @@
             rng=rng,
             now_s=self._clock(),
             timing=timing,
+            may_promote=self._may_promote,
         )
         if recovered.snapshot is not None:
             self._restore(recovered.snapshot, data)
--- a/src/skylarkpitch/consensus/membership.py
+++ b/src/skylarkpitch/consensus/membership.py
@@ -6,6 +6,10 @@
 term are committed.
 """
 
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
 from skylarkpitch.consensus import election
 from skylarkpitch.consensus import members as member_sets
 from skylarkpitch.consensus import replication
@@ -14,14 +18,30 @@
 from skylarkpitch.messages import consensus as messages
 
 __all__ = [
+    'PromotionPolicy',
     'add_learner',
+    'always_promote',
     'on_tick',
+    'ready_learners',
     'remove',
     'step_down_if_removed',
     'transfer_leadership',
 ]
 
 
+# Returns whether a learner of a new host may become a voter now. The arguments
+# are the voters and the age, in seconds, of the last contact with each other
+# member.
+PromotionPolicy = Callable[[Sequence[str], Mapping[str, float]], bool]
+
+
+def always_promote(
+    voters: Sequence[str], contact_ages_s: Mapping[str, float]
+) -> bool:
+    """Return True: a learner becomes a voter as soon as it is ready."""
+    return True
+
+
 def add_learner(state: states.State, identity: str, *, now_s: float) -> int:
     """Propose to add an identity as learner; return the entry's index.
 
@@ -50,16 +70,26 @@
     return _propose(state, changed, now_s)
 
 
-def on_tick(state: states.State, *, now_s: float) -> None:
+def on_tick(
+    state: states.State, *, may_promote: PromotionPolicy, now_s: float
+) -> None:
     """Promote a learner that has caught up, if a change is possible now."""
     if not _can_change_members(state):
         return
-    for learner in state.members.learners:
-        if _has_caught_up(state, learner, now_s):
-            _promote(state, learner, now_s)
+    for learner in ready_learners(state, now_s=now_s):
+        if _promote(state, learner, may_promote, now_s):
             return
 
 
+def ready_learners(state: states.State, *, now_s: float) -> list[str]:
+    """Return the learners that have caught up and respond."""
+    return [
+        learner
+        for learner in state.members.learners
+        if _has_caught_up(state, learner, now_s)
+    ]
+
+
 def step_down_if_removed(state: states.State, *, now_s: float) -> None:
     """Step down once the removal of this member is committed."""
     if state.is_voter or state.members_index > state.commit_index:
@@ -88,19 +118,32 @@
     return True
 
 
-def _promote(state: states.State, learner: str, now_s: float) -> None:
+def _promote(
+    state: states.State,
+    learner: str,
+    may_promote: PromotionPolicy,
+    now_s: float,
+) -> bool:
     """Propose the next change on the way from a learner to a voter.
 
     That is the removal of another incarnation of the same host, or, if
-    there is none, the promotion.
+    there is none, the promotion. Returns whether a change was proposed.
     """
     replaced = member_sets.other_incarnations(state.members, learner)
     if replaced:
         changed = member_sets.without(state.members, replaced[0])
     else:
+        ages_s = {
+            name: now_s - item.contact_s
+            for name, item in state.progress.items()
+        }
+        if not may_promote(state.members.voters, ages_s):
+            return False
         changed = member_sets.with_voter(state.members, learner)
-    if _has_live_quorum(state, changed, now_s):
-        _propose(state, changed, now_s)
+    if not _has_live_quorum(state, changed, now_s):
+        return False
+    _propose(state, changed, now_s)
+    return True
 
 
 def _has_caught_up(state: states.State, learner: str, now_s: float) -> bool:
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -21,6 +21,7 @@
 from skylarkpitch.consensus import folder as folders
 from skylarkpitch.consensus import introductions
 from skylarkpitch.consensus import members as member_sets
+from skylarkpitch.consensus import membership
 from skylarkpitch.consensus import ports
 from skylarkpitch.consensus import replication
 from skylarkpitch.consensus import state as states
@@ -55,8 +56,9 @@
     later the log defines the member set. A host without ``may_bootstrap``
     still joins a cluster whose founders include it. ``is_control`` returns
     whether a host may be a member; by default that is a host with the
-    control role in the directory, or one of ``voters``. After an error of
-    the data folder the member is inactive until the process restarts.
+    control role in the directory, or one of ``voters``. ``may_promote``
+    decides when a new host becomes a voter. After an error of the data
+    folder the member is inactive until the process restarts.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         limits: engines.Limits | None = None,
         folder: folders.Folder | None = None,
         threads: engines.Threads | None = None,
+        may_promote: membership.PromotionPolicy = membership.always_promote,
         **options: Any,
     ) -> None:
         self._peers = peers
@@ -95,6 +98,7 @@
             on_applied=on_applied,
             limits=limits or engines.Limits(),
             threads=threads,
+            may_promote=may_promote,
         )
         super().__init__(**options)
 
@@ -207,13 +211,21 @@
             return now_s - contact_s
         return now_s - state.leader_contact_s
 
-    def contact_ages_s(self, *, now_s: float) -> dict[str, float]:
-        """Return the age, in seconds, of each member's last response."""
+    def contacts_s(self) -> dict[str, float]:
+        """Return, for a leader, the time of each member's last response.
+
+        That is the monotonic time, in seconds, at which the last request
+        that the member responded to was sent.
+        """
         return {
-            identity: now_s - item.contact_s
+            identity: item.contact_s
             for identity, item in self._core.state.progress.items()
         }
 
+    def ready_learners(self, *, now_s: float) -> list[str]:
+        """Return, for a leader, the learners that have caught up."""
+        return self._core.ready_learners(now_s=now_s)
+
     def counters(self) -> dict[str, float]:
         """Return the counters since start and the current indexes."""
         state = self._core.state
--- a/src/skylarkpitch/consensus/state.py
+++ b/src/skylarkpitch/consensus/state.py
@@ -163,8 +163,9 @@
     ``stable_index`` is the last index of the log that is durable, and
     ``first_changed_index`` the first one that is not yet written, None if
     all are. ``round`` is the number of the last broadcast in this term;
-    ``round_sent_s`` has the send times of the recent ones. Times are
-    monotonic, in seconds.
+    ``round_sent_s`` has the send times of the recent ones. The quorum check
+    counts a member as in contact at ``excused_s`` at least, as this process
+    was stalled before. Times are monotonic, in seconds.
     """
 
     identity: str
--- a/src/skylarkpitch/daemon/fleet_control.py
+++ b/src/skylarkpitch/daemon/fleet_control.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import functools
 import os
 import pathlib
 import signal
@@ -17,6 +18,7 @@
 from skylarkpitch.consensus import state as consensus_state
 from skylarkpitch.daemon import fleet
 from skylarkpitch.fleet import control_service as control_services
+from skylarkpitch.fleet import group
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.forwarding import callers_listener
@@ -43,13 +45,15 @@
 
     ``create_handler`` returns the handler of the HTTP API, which is served
     at each of the ``addresses``. ``region_of`` returns the region of a
-    failure domain, None if it is unknown.
+    failure domain, None if it is unknown. A control host that has been back
+    for ``catch_up_s``, or whose successor has, is no loss any more.
     """
 
     data_folder: pathlib.Path
     is_first_start: bool
     is_voter: bool
     tolerated_disks: int
+    catch_up_s: float
     heartbeat_s: float
     region_of: Callable[[str], str | None]
     addresses: tuple[str, ...]
@@ -97,12 +101,16 @@
             rng=context.rng,
             on_applied=lambda: self.control_service.notify_applied(),
             timing=ELECTION_TIMING,
+            may_promote=functools.partial(
+                group.may_promote, tolerated=settings.tolerated_disks
+            ),
         )
         self._membership = memberships.Membership(
             peers=context.peers,
             log=self._replicated_log,
             seeds=context.seeds,
             tolerated_disks=settings.tolerated_disks,
+            catch_up_s=settings.catch_up_s,
             is_voter=settings.is_voter,
         )
         self.control_service = control_services.ControlService(
--- a/src/skylarkpitch/daemon/fleet_main.py
+++ b/src/skylarkpitch/daemon/fleet_main.py
@@ -50,6 +50,7 @@
         is_first_start=section.is_first_start,
         is_voter=section.is_voter,
         tolerated_disks=section.tolerated_disks,
+        catch_up_s=section.catch_up_s,
         heartbeat_s=section.heartbeat_s,
         region_of=file.regions.get,
         addresses=(section.calls.host_port,),
--- a/src/skylarkpitch/fleet/membership.py
+++ b/src/skylarkpitch/fleet/membership.py
@@ -1,5 +1,6 @@
 """Join the control group, and remove lost voters from it."""
 
+import asyncio
 from collections.abc import Callable
 import time
 from typing import Any
@@ -11,6 +12,7 @@
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch import errors
 from skylarkpitch.fleet import group
+from skylarkpitch.fleet import liveness
 from skylarkpitch.messages import fleet as messages
 from skylarkpitch.peers import network
 from skylarkpitch import sentinels
@@ -19,7 +21,12 @@
 
 JOIN_INTERVAL_S = 0.3
 JOIN_TIMEOUT_S = 1.0
-MAINTENANCE_INTERVAL_S = 0.5
+# A member without a leader for longer may have been removed meanwhile.
+LEADER_TIMEOUT_S = 2.0
+MAINTENANCE_INTERVAL_S = 0.25
+# Share of the time to catch up after which a silent voter is lost. The rest
+# is for its removal and for the promotion of its successor.
+LOST_AFTER_RATIO = 0.5
 
 _log = structlog.get_logger(__name__)
 
@@ -28,7 +35,8 @@
     """Membership of one control host in the control group.
 
     The host joins the group if ``is_voter``. ``tolerated_disks`` is the
-    number of disk losses that the group must tolerate.
+    number of disk losses that the group must tolerate, where a host that was
+    replaced is no loss any more ``catch_up_s`` after its successor started.
     """
 
     def __init__(
@@ -38,6 +46,7 @@
         log: consensus.ReplicatedLog,
         seeds: Callable[[], tuple[str, ...]],
         tolerated_disks: int,
+        catch_up_s: float,
         is_voter: bool = True,
         clock: Callable[[], float] = time.monotonic,
         **options: Any,
@@ -49,6 +58,10 @@
         self._is_voter = is_voter
         self._clock = clock
         self._notified_hosts: frozenset[str] = frozenset()
+        self._voters_contact = liveness.Liveness(
+            timeout_s=LOST_AFTER_RATIO * catch_up_s
+        )
+        self._last_contacts_s: dict[str, float] = {}
         super().__init__(**options)
 
     async def on_start(self) -> None:
@@ -127,31 +140,50 @@
 
     @mode.Service.task
     async def _join(self) -> None:
-        """Request membership until this host is a member."""
+        """Request membership while this host may be no member."""
         while self._is_voter and not self.should_stop:
             await self.sleep(JOIN_INTERVAL_S)
-            status = self._replicated_log.status()
-            identity = self._replicated_log.identity
-            if identity in status.voters + status.learners:
-                continue
-            await self._request_membership(identity)
+            if self._may_be_removed(self._clock()):
+                await self._request_membership()
 
-    async def _request_membership(self, identity: str) -> None:
+    def _may_be_removed(self, now_s: float) -> bool:
+        """Return whether this host is no member, or may be none any more.
+
+        A member that was removed while it was away has no entry of it. It
+        sees only that no leader sends it anything.
+        """
+        log = self._replicated_log
+        status = log.status()
+        if log.identity not in status.voters + status.learners:
+            return True
+        return log.quorum_contact_age_s(now_s=now_s) > LEADER_TIMEOUT_S
+
+    async def _request_membership(self) -> None:
+        """Request membership from all known control hosts at once.
+
+        One after the other, each host that is lost would delay the joining
+        by the timeout.
+        """
         own_name = self._peers.directory.local_host.name
-        candidates = set(self.control_hosts()) | self._notified_hosts
-        request = messages.JoinRequest(identity=identity)
-        for host in sorted((candidates | set(self._seeds())) - {own_name}):
-            response = await self._peers.request(
-                host, request, timeout_s=JOIN_TIMEOUT_S
+        hosts = set(self.control_hosts()) | self._notified_hosts
+        hosts |= set(self._seeds())
+        leaders = await self._request_at(hosts - {own_name})
+        await self._request_at(leaders - hosts - {own_name})
+
+    async def _request_at(self, hosts: set[str]) -> set[str]:
+        """Request membership; return the leaders that the hosts name."""
+        request = messages.JoinRequest(identity=self._replicated_log.identity)
+        responses = await asyncio.gather(
+            *(
+                self._peers.request(host, request, timeout_s=JOIN_TIMEOUT_S)
+                for host in sorted(hosts)
             )
-            if sentinels.is_absent(response):
-                continue
-            if response.leader and response.leader != own_name:
-                response = await self._peers.request(
-                    response.leader, request, timeout_s=JOIN_TIMEOUT_S
-                )
-            if not sentinels.is_absent(response) and response.is_member:
-                return
+        )
+        return {
+            response.leader
+            for response in responses
+            if not sentinels.is_absent(response) and response.leader
+        }
 
     @mode.Service.task
     async def _maintain(self) -> None:
@@ -164,6 +196,8 @@
             await self.sleep(MAINTENANCE_INTERVAL_S)
             self._connect()
             if not self._replicated_log.is_leader:
+                self._voters_contact.reset()
+                self._last_contacts_s.clear()
                 continue
             self._notify_seeds()
             try:
@@ -175,12 +209,28 @@
                     error=str(error),
                 )
 
+    def _lost_voters(self, now_s: float) -> list[str]:
+        """Return the voters that have not responded for too long."""
+        contacts_s = self._replicated_log.contacts_s()
+        for name, contact_s in contacts_s.items():
+            if contact_s != self._last_contacts_s.get(name):
+                self._voters_contact.record_contact(
+                    name, revision=(0, 0), now_s=now_s
+                )
+        self._last_contacts_s = contacts_s
+        voters = set(self._replicated_log.status().voters)
+        return self._voters_contact.expired(
+            voters.intersection(contacts_s), now_s=now_s
+        )
+
     async def _remove_lost_voter(self, now_s: float) -> None:
-        lost = group.removable_voter(
-            self._replicated_log.status().voters,
-            contact_ages_s=self._replicated_log.contact_ages_s(now_s=now_s),
+        log = self._replicated_log
+        removed = group.removable_voter(
+            log.status().voters,
+            lost=self._lost_voters(now_s),
+            ready_learners=log.ready_learners(now_s=now_s),
             tolerated=self._tolerated_disks,
         )
-        if lost is not None:
-            await self._replicated_log.remove_member(lost)
-            _log.info('member_removed', identity=lost)
+        if removed is not None:
+            await log.remove_member(removed)
+            _log.info('member_removed', identity=removed)
--- a/src/skylarkpitch/settings/fleet.py
+++ b/src/skylarkpitch/settings/fleet.py
@@ -28,7 +28,8 @@
     ``calls`` is the address of the HTTP API. Only hosts with
     ``is_first_start`` may bootstrap the cluster; remove it once the cluster
     exists. No acknowledged change is lost while at most ``tolerated_disks``
-    disks of voters are lost at the same time.
+    disks of voters are lost at the same time. A host that is back, or that
+    was replaced by another one, counts as lost for another ``catch_up_s``.
     """
 
     calls: daemon.Address
@@ -37,6 +38,7 @@
     is_first_start: bool = False
     is_voter: bool = True
     tolerated_disks: int = pydantic.Field(default=1, ge=0, le=4)
+    catch_up_s: float = pydantic.Field(default=4.0, ge=2, le=600)
     heartbeat_s: float = pydantic.Field(default=1.5, gt=0, le=60)
 
 
--- a/tests/stand_ins/fake_peers.py
+++ b/tests/stand_ins/fake_peers.py
@@ -30,6 +30,10 @@
         )
         return self._peers[name]
 
+    def leave(self, name):
+        """Answer nothing for a host any more, as after its end."""
+        self._peers.pop(name, None)
+
     def cut(self, first, second):
         """Drop all messages between two hosts, in both directions."""
         self.cut_pairs |= {(first, second), (second, first)}
--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -1,12 +1,14 @@
 """Control hosts of a fleet in one process, connected by fake peers."""
 
 import asyncio
+import functools
 import random
 import time
 
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch.consensus import state as consensus_state
 from skylarkpitch.fleet import control_service as control_services
+from skylarkpitch.fleet import group
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import state as fleet_state
 from tests.stand_ins import fake_peers
@@ -16,14 +18,15 @@
     heartbeat_s=0.02, election_min_s=0.2, election_max_s=0.4
 )
 DEADLINE_S = 20
+CATCH_UP_S = 4.0
 
 
 class FleetCluster:
     """Start, stop and wipe control hosts by name.
 
-    The default seeds are a, b and c. ``tolerated_disks`` is 2. With a
-    ``disk_delay_s`` it runs in a loop with virtual time: each sync takes
-    that long, and each message ``message_delay_s``.
+    The default seeds are a, b and c. With a ``disk_delay_s`` it runs in a
+    loop with virtual time: each sync takes that long, and each message
+    ``message_delay_s``.
     """
 
     def __init__(
@@ -35,6 +38,7 @@
         timing=TIMING,
         message_delay_s=0.0,
         disk_delay_s=None,
+        tolerated_disks=2,
     ):
         self.folder = folder
         self.seeds = tuple(seeds)
@@ -44,6 +48,7 @@
         )
         self._timing = timing
         self._disk_delay_s = disk_delay_s
+        self.tolerated_disks = tolerated_disks
         self.logs = {}
         self.states = {}
         self.control_services = {}
@@ -65,13 +70,17 @@
                 rng=random.Random(self._rng.random()),
                 on_applied=lambda name=name: self._applied(name),
                 timing=self._timing,
+                may_promote=functools.partial(
+                    group.may_promote, tolerated=self.tolerated_disks
+                ),
                 **self._log_options(),
             )
             member = self.memberships[name] = memberships.Membership(
                 peers=peers,
                 log=log,
                 seeds=lambda names=seed_names: names,
-                tolerated_disks=2,
+                tolerated_disks=self.tolerated_disks,
+                catch_up_s=CATCH_UP_S,
                 clock=self._clock(),
             )
             self.control_services[name] = control_services.ControlService(
@@ -111,6 +120,11 @@
             await self.memberships.pop(name).stop()
             await self.logs.pop(name).stop()
 
+    async def kill(self, name):
+        """End a host without any message to the others."""
+        self.network.leave(name)
+        await self.stop(name)
+
     def wipe(self, name):
         for item in (self.folder / name).iterdir():
             item.unlink()
--- a/tests/test_consensus_core.py
+++ b/tests/test_consensus_core.py
@@ -243,6 +243,22 @@
     assert confirmed_reads[0].sent_s == LATER_S + 0.01
 
 
+# Guards against a voter that is gone but stays one on a busy host: each stall
+# of the leader's process counted as a contact with every voter.
+def test_stall_of_the_leader_is_no_contact_with_the_others():
+    core = _leader_core(terms=())
+    contacts_s = {n: i.contact_s for n, i in core.state.progress.items()}
+    now_s = LATER_S + 5.0
+    core.on_process_stall(now_s=now_s)
+    core.tick(now_s=now_s)
+    assert core.is_leader
+    assert contacts_s == {
+        name: item.contact_s for name, item in core.state.progress.items()
+    }
+    core.tick(now_s=now_s + core.state.timing.election_min_s)
+    assert not core.is_leader
+
+
 def test_large_logs_are_sent_in_bounded_messages():
     core = _leader_core(terms=(1,) * 5000)
     core.on_persisted(now_s=LATER_S)
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -77,6 +77,7 @@
                 is_first_start=False,
                 is_voter=False,
                 tolerated_disks=0,
+                catch_up_s=4.0,
                 heartbeat_s=1.0,
                 region_of={}.get,
                 addresses=(),
--- a/tests/test_fleet_deciding.py
+++ b/tests/test_fleet_deciding.py
@@ -31,22 +31,51 @@
 
 
 @pytest.mark.parametrize(
-    ('voters', 'lost', 'removed'),
+    ('voters', 'lost', 'ready', 'removed'),
     [
-        (6, ['c0'], 'c0'),
-        (5, ['c0'], None),
-        (6, ['c0', 'c1'], None),
-        (6, [], None),
+        (6, ['c0'], [], 'c0'),
+        (5, ['c0'], [], None),
+        (5, ['c0'], ['d'], 'c0'),
+        (6, ['c0', 'c1'], [], 'c0'),
+        (4, ['c1'], ['d'], None),
+        (6, [], ['d'], None),
+    ],
+    ids=[
+        'one',
+        'too-few-remain',
+        'successor-is-ready',
+        'one-of-two',
+        'too-few-even-with-the-successor',
+        'none',
     ],
-    ids=['one', 'too-few-remain', 'more-than-one', 'none'],
 )
-def test_lost_voter_is_removed(voters, lost, removed):
+def test_lost_voter_is_removed(voters, lost, ready, removed):
     names = [f'c{i}' for i in range(voters)]
-    ages = {name: 60.0 if name in lost else 0.1 for name in names[:-1]}
-    found = group.removable_voter(names, contact_ages_s=ages, tolerated=2)
+    found = group.removable_voter(
+        names, lost=lost, ready_learners=ready, tolerated=2
+    )
     assert found == removed
 
 
+# Guards against a quorum of which a host that was replaced is a part.
+@pytest.mark.parametrize(
+    ('voters', 'silent_s', 'promoted'),
+    [
+        (5, 0.1, True),
+        (5, 1.0, False),
+        (6, 1.0, True),
+        (3, 1.0, True),
+    ],
+    ids=['all-respond', 'silent', 'quorum-stays', 'group-grows'],
+)
+def test_new_host_waits_for_the_removal_of_a_silent_voter(
+    voters, silent_s, promoted
+):
+    names = [f'c{i}' for i in range(voters)]
+    ages_s = {name: 0.1 for name in names} | {'c1': silent_s}
+    assert group.may_promote(names, ages_s, tolerated=2) is promoted
+
+
 def test_time_while_this_process_stalls_expires_nobody():
     contacts = liveness.Liveness(timeout_s=5.0)
     contacts.record_contact('u1', revision=(1, 1), now_s=0.0)
--- a/tests/test_fleet_group.py
+++ b/tests/test_fleet_group.py
@@ -5,6 +5,7 @@
 from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import model
 from tests.stand_ins import fleet_cluster
+from tests.stand_ins import virtual_time
 from tests import test_fleet_state as fleet_fixtures
 
 
@@ -19,6 +20,19 @@
     asyncio.run(scenario())
 
 
+def run_virtual(check, tmp_path):
+    async def scenario():
+        cluster = fleet_cluster.FleetCluster(
+            folder=tmp_path, disk_delay_s=0.002
+        )
+        try:
+            await check(cluster)
+        finally:
+            await cluster.stop()
+
+    virtual_time.run(scenario())
+
+
 def test_group_bootstraps_with_a_late_seed_and_grows(tmp_path):
     async def check(cluster):
         await cluster.start('abdef')
@@ -121,6 +135,23 @@
     run(check, tmp_path)
 
 
+# Guards against a host that is lost to the group for good: its removal was
+# committed while it was cut off, so its own log still has it as a voter.
+def test_voter_that_was_removed_while_cut_off_joins_again(tmp_path):
+    async def check(cluster):
+        await cluster.start('abcdef')
+        await cluster.wait_for_voters(6)
+        for other in 'bcdef':
+            cluster.network.cut('a', other)
+        await cluster.wait_until(
+            lambda: len(cluster.logs['f'].status().voters) == 5
+        )
+        cluster.network.heal()
+        await cluster.wait_for_voters(6)
+
+    run_virtual(check, tmp_path)
+
+
 def heartbeat(**fields):
     return control_requests.Heartbeat(
         upstream=fleet_fixtures.upstream(**fields)
