--- /dev/null
+++ b/src/skylarkpitch/requests/exchange_protocol.py
@@ -0,0 +1,84 @@
+"""Read the responses of upstreams and other hosts, within limits.
+
+A peer in trouble may send bytes that are no response, without end. What it
+sends is bounded here, where it arrives: nothing else reads a connection that
+no exchange uses.
+"""
+
+from typing import Any
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import http
+import structlog
+
+__all__ = ['ExchangeProtocol']
+
+# Bytes that are parsed at once. Even of the shortest responses, that makes
+# only some hundreds.
+PIECE_BYTES = 32 * 1024
+
+_log = structlog.get_logger(__name__)
+
+
+class ExchangeProtocol(client_proto.ResponseHandler):
+    """Protocol that reads one response for each request.
+
+    It distinguishes a reset from the end of a response, since a response
+    without length ends when its connection is closed. Bytes that follow a
+    complete response belong to no request: the connection is reset when they
+    arrive. A response that is complete by then can still be read.
+    """
+
+    _responses = 0
+
+    def set_response_params(self, **options: Any) -> None:
+        """Expect the response to a new request."""
+        self._responses = 0
+        super().set_response_params(**options)
+
+    def feed_data(
+        self, item: tuple[http.RawResponseMessage, Any], size: int = 0
+    ) -> None:
+        """Queue the head of a response, and count it unless it is interim."""
+        if item[0].code >= 200:
+            self._responses += 1
+        super().feed_data(item, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of the expected response; reset the connection at more.
+
+        Empty ``data`` makes the parser go on with what it holds.
+        """
+        for start in range(0, max(1, len(data)), PIECE_BYTES):
+            if data and self._is_complete():
+                self._reset('bytes_after_response')
+                return
+            super().data_received(data[start : start + PIECE_BYTES])
+        if self._responses > 1:
+            self._reset('bytes_after_response')
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the response that is being read if the connection is reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f'connection reset ({exc})')
+            )
+        super().connection_lost(exc)
+
+    def _is_complete(self) -> bool:
+        payload = self._payload
+        return self._responses > 0 and (payload is None or payload.is_eof())
+
+    def _reset(self, reason: str) -> None:
+        """Close the connection at once, without reading any more of it."""
+        self.force_close()
+        if self.transport is None:
+            return
+        _log.info(
+            'connection_reset',
+            reason=reason,
+            peer=self.transport.get_extra_info('peername'),
+        )
+        self.transport.abort()
--- a/src/skylarkpitch/requests/exchange_sessions.py
+++ b/src/skylarkpitch/requests/exchange_sessions.py
@@ -14,7 +14,8 @@
 from typing import Any
 
 import aiohttp
-from aiohttp import client_proto
+
+from skylarkpitch.requests import exchange_protocol
 
 __all__ = [
     'BrokenError',
@@ -84,22 +85,6 @@
         raise BrokenError(str(error)) from error
 
 
-class _Protocol(client_proto.ResponseHandler):
-    """Protocol that distinguishes a reset from the end of a response.
-
-    A response without length ends when its connection is closed.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the response that is being read if the connection is reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError(f'connection reset ({exc})')
-            )
-        super().connection_lost(exc)
-
-
 def _new_socket(
     address: tuple[int, int, int, str, tuple[str, int]],
 ) -> socket.socket:
@@ -141,7 +126,9 @@
         options = {'force_close': True}
     connector = _Connector(limit=0, socket_factory=_new_socket, **options)
     loop = asyncio.get_running_loop()
-    connector._factory = functools.partial(_Protocol, loop=loop)
+    connector._factory = functools.partial(
+        exchange_protocol.ExchangeProtocol, loop=loop
+    )
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/tests/stand_ins/raw_upstream.py
+++ b/tests/stand_ins/raw_upstream.py
@@ -183,6 +183,21 @@
     return behave
 
 
+def send_after(first, piece, *, delay_s):
+    """Return a behaviour that sends pieces without end after a response.
+
+    They begin after a delay and end when the caller closes.
+    """
+
+    async def behave(request_id, reader, writer):
+        await first(request_id, reader, writer)
+        await writer.drain()
+        await asyncio.sleep(delay_s)
+        await send_without_end(b'', piece)(request_id, reader, writer)
+
+    return behave
+
+
 def close_after_bytes(count, *more_rows):
     """Return a behaviour that breaks off a longer body after ``count``."""
 
--- a/tests/test_forwarding_faulty_upstreams.py
+++ b/tests/test_forwarding_faulty_upstreams.py
@@ -152,6 +152,32 @@
     run(check)
 
 
+# Guards against an entry host that runs out of memory, with the requests of
+# all of its callers: an upstream sends bytes without end after a response, on
+# a connection that is idle or was used for a response just before.
+@pytest.mark.parametrize('delay_s', [0.0, 0.1], ids=['at-once', 'idle'])
+@pytest.mark.parametrize(
+    'piece',
+    [
+        b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na' * 500,
+        b'HTTP/1.1 100 Continue\r\n\r\n' * 500,
+        b'HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n' + b'a' * 20000,
+        b'x' * 20000,
+    ],
+    ids=['responses', 'informational-heads', 'bodies', 'no-heads'],
+)
+def test_connection_with_bytes_after_a_response_is_closed(piece, delay_s):
+    async def check():
+        flood = upstreams.send_after(DONE, piece, delay_s=delay_s)
+        async with forwarding([flood, DONE], repeatable=False) as entry:
+            async with asyncio.timeout(1.5):
+                assert await read(entry) == (200, True)
+                await entry.upstreams[0].closed.wait()
+                assert await read(entry) == (200, True)
+
+    run(check)
+
+
 # Guards against a harmful request that is not stopped since the upstreams
 # crash only after the head of their response, or a part of a long body.
 @pytest.mark.parametrize(
