Limit the head of a response, interim heads included

The entry host was killed over its 300 MB, and all 12 callers of a sound upstream lost a request or got it late.

Cause: the library skips interim responses one by one and without a limit; they arrive faster and queue up.

Change: the protocol counts bytes until the head of the response; after 64 KB the connection is reset and the exchange counts as broken off. It works since what was parsed is bounded before anything waits for it.

Both rows of the new test failed before.

--- a/src/skylarkpitch/requests/exchange_protocol.py
+++ b/src/skylarkpitch/requests/exchange_protocol.py
@@ -17,6 +17,8 @@
 # Bytes that are parsed at once. Even of the shortest responses, that makes
 # only some hundreds.
 PIECE_BYTES = 32 * 1024
+# Limit of the head of a response, with the interim responses before it.
+MAX_HEAD_BYTES = 64 * 1024
 
 _log = structlog.get_logger(__name__)
 
@@ -27,14 +29,17 @@
     It distinguishes a reset from the end of a response, since a response
     without length ends when its connection is closed. Bytes that follow a
     complete response belong to no request: the connection is reset when they
-    arrive. A response that is complete by then can still be read.
+    arrive. A response that is complete by then can still be read. The same
+    happens after ``MAX_HEAD_BYTES`` without the head of a response.
     """
 
     _responses = 0
+    _head_bytes = 0
 
     def set_response_params(self, **options: Any) -> None:
         """Expect the response to a new request."""
         self._responses = 0
+        self._head_bytes = 0
         super().set_response_params(**options)
 
     def feed_data(
@@ -54,7 +59,13 @@
             if data and self._is_complete():
                 self._reset('bytes_after_response')
                 return
-            super().data_received(data[start : start + PIECE_BYTES])
+            piece = data[start : start + PIECE_BYTES]
+            super().data_received(piece)
+            if self._responses == 0:
+                self._head_bytes += len(piece)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._reset('head_too_long')
+                return
         if self._responses > 1:
             self._reset('bytes_after_response')
 
--- a/tests/test_forwarding_faulty_upstreams.py
+++ b/tests/test_forwarding_faulty_upstreams.py
@@ -178,6 +178,27 @@
     run(check)
 
 
+# Guards against the same by interim responses without end, which the library
+# skips one by one before the response: the caller waits for its deadline.
+@pytest.mark.parametrize(
+    'piece',
+    [
+        b'HTTP/1.1 100 Continue\r\n\r\n' * 500,
+        b'HTTP/1.1 103 Early Hints\r\nLink: aaaaaaaaaaaa\r\n\r\n' * 500,
+    ],
+    ids=['informational-heads', 'informational-heads-with-headers'],
+)
+def test_interim_responses_without_end_end_the_exchange(piece):
+    async def check():
+        flood = upstreams.send_without_end(b'', piece)
+        async with forwarding([flood], repeatable=False) as entry:
+            async with asyncio.timeout(1.5):
+                assert await read(entry) == (502, True)
+                await entry.upstreams[0].closed.wait()
+
+    run(check)
+
+
 # Guards against a harmful request that is not stopped since the upstreams
 # crash only after the head of their response, or a part of a long body.
 @pytest.mark.parametrize(
