--- a/src/skylarkpitch/fleet/model.py
+++ b/src/skylarkpitch/fleet/model.py
@@ -118,13 +118,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Configuration:
-    """All settings that operators configure, under one version."""
+    """All settings that operators configure, under one version.
+
+    Routes that are not public are open to callers without an API key only
+    if ``requires_api_key`` is False. Configurations that were stored before
+    this field have None: they require one if any organisation has a key.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     organisations: tuple[Organisation, ...] = ()
     limits: CallerLimits = CallerLimits()
+    requires_api_key: bool | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/skylarkpitch/fleet/state.py
+++ b/src/skylarkpitch/fleet/state.py
@@ -25,6 +25,7 @@
     'KINDS',
     'LIMITS',
     'ORGANISATION',
+    'REQUIRES_API_KEY',
     'ROUTE',
     'SERVICE',
     'UPSTREAM',
@@ -37,6 +38,7 @@
 ROUTE = 'route'
 SERVICE = 'service'
 ORGANISATION = 'organisation'
+REQUIRES_API_KEY = 'requires_api_key'
 DRAIN = 'drain'
 UPSTREAM = 'upstream'
 ENTRY_HOST = 'entry_host'
@@ -54,12 +56,20 @@
     ROUTE: model.Route,
     SERVICE: model.Service,
     ORGANISATION: model.Organisation,
+    REQUIRES_API_KEY: bool,
     DRAIN: bool,
     UPSTREAM: model.Upstream,
     ENTRY_HOST: model.EntryHost,
     CONTROL_HOST: model.ControlHost,
 }
-_CONFIGURATION_KINDS = (VERSION, LIMITS, ROUTE, SERVICE, ORGANISATION)
+_CONFIGURATION_KINDS = (
+    VERSION,
+    LIMITS,
+    ROUTE,
+    SERVICE,
+    ORGANISATION,
+    REQUIRES_API_KEY,
+)
 _CONTROL_ONLY_KINDS = frozenset((DEPARTED, DEPARTED_UNRECORDED, DOCUMENT))
 _snapshot_decoder = msgspec.msgpack.Decoder(
     tuple[int, list[tuple[parts.PartKey, int, bytes | None]]]
@@ -341,6 +351,9 @@
 ) -> Iterator[tuple[parts.PartKey, bytes]]:
     yield (VERSION,), model.encode(configuration.version)
     yield (LIMITS,), model.encode(configuration.limits)
+    if configuration.requires_api_key is not None:
+        required = model.encode(configuration.requires_api_key)
+        yield (REQUIRES_API_KEY,), required
     items_by_kind: tuple[tuple[str, tuple[Any, ...]], ...] = (
         (ROUTE, configuration.routes),
         (SERVICE, configuration.services),
--- a/src/skylarkpitch/fleet/view.py
+++ b/src/skylarkpitch/fleet/view.py
@@ -67,6 +67,18 @@
         """Return the organisations, unordered."""
         return self._tables[fleet_state.ORGANISATION].values()
 
+    @property
+    def requires_api_key(self) -> bool:
+        """Return whether routes that are not public require an API key.
+
+        A configuration that was stored before it said so requires one if
+        any organisation has a key.
+        """
+        required = self._tables[fleet_state.REQUIRES_API_KEY].get(())
+        if required is None:
+            return any(item.api_keys for item in self.organisations)
+        return required
+
     @property
     def upstreams(self) -> Iterable[model.Upstream]:
         """Return the upstreams, unordered."""
--- a/src/skylarkpitch/forwarding/admission.py
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -60,6 +60,7 @@
         self._routes = routing.RoutingTable(())
         self._splitter = routing.Splitter()
         self._key_table = callers.KeyTable(())
+        self._requires_api_key = True
         self.rates = callers.RateLimits(tolerance=rate_tolerance, rng=rng)
 
     def apply_view_changes(self, changed: frozenset[str]) -> None:
@@ -72,6 +73,7 @@
             self._splitter.reset()
         if fleet_state.ORGANISATION in changed:
             self._key_table = callers.KeyTable(self._view.organisations)
+        self._requires_api_key = self._view.requires_api_key
 
     async def admit(self, call: calls.Call) -> refusals.Refusal | None:
         """Set the route, service, body and other fields of a call.
@@ -111,7 +113,7 @@
         if call.route.is_public:
             return None
         if call.organisation is None:
-            if self._key_table.is_empty:
+            if not self._requires_api_key:
                 return None
             return refusals.refuse(refusals.Reason.KEY_UNKNOWN)
         if call.organisation.rank is not None:
--- a/src/skylarkpitch/forwarding/callers.py
+++ b/src/skylarkpitch/forwarding/callers.py
@@ -33,7 +33,6 @@
             for organisation in organisations
             for key in organisation.api_keys
         }
-        self.is_empty = not self._organisations_by_key
 
     def organisation_of(self, key: str) -> model.Organisation | None:
         """Return the organisation that an API key belongs to, or None."""
--- a/src/skylarkpitch/operators/fleet_calls.py
+++ b/src/skylarkpitch/operators/fleet_calls.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import hmac
 from typing import Any
 import urllib.parse
@@ -35,8 +36,14 @@
 def _put_configuration(
     _name: str, request: Any, body: bytes
 ) -> control_requests.ControlRequest:
+    configuration = _configuration_decoder.decode(body)
+    if configuration.requires_api_key is None:
+        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+        configuration = dataclasses.replace(
+            configuration, requires_api_key='organisations' in fields
+        )
     return commands.PutConfiguration(
-        configuration=_configuration_decoder.decode(body), document=body
+        configuration=configuration, document=body
     )
 
 
