Refuse numbers that are not finite in a configuration (CONFIG)

What callers saw: with NaN as the weights of both parts of a split the order got 200, was read back, and each request of the route ended as a 500 of our own. NaN, Infinity and 1e400 were also taken as rates and cold rates, and in fields that are not decoded, so that what is read back is no JSON.

Weights of a configuration that an earlier release stored are loaded as before, and those that are not finite get no requests.

--- a/src/skylarkpitch/fleet/checks.py
+++ b/src/skylarkpitch/fleet/checks.py
@@ -1,6 +1,7 @@
 """Validate a configuration as a whole before it is accepted."""
 
 from collections.abc import Iterator
+import math
 
 from skylarkpitch import errors
 from skylarkpitch.fleet import model
@@ -45,6 +46,15 @@
     yield from _organisation_violations(configuration)
 
 
+def _is_from_0(number: float) -> bool:
+    """Return whether a number is finite and not below 0.
+
+    Comparisons with NaN are all false, so a test for what is wrong would let
+    it pass.
+    """
+    return math.isfinite(number) and number >= 0
+
+
 def _route_violations(
     route: model.Route, service_names: set[str]
 ) -> Iterator[str]:
@@ -56,24 +66,24 @@
         yield f'{label} has a path prefix that does not begin with a slash'
     elif not prefix.endswith('/'):
         yield f'{label} has a path prefix that does not end with a slash'
-    if route.timeout_ms <= 0:
-        yield f'{label} has a timeout that is not above 0'
+    if not (route.timeout_ms > 0 and math.isfinite(route.timeout_ms)):
+        yield f'{label} has a timeout that is not above 0 and finite'
     if route.max_upstreams < 1:
         yield f'{label} allows fewer than 1 upstream'
     for part in route.services:
         if part.service not in service_names:
             yield f'{label} refers to {part.service!r}, which is no service'
-        if part.weight < 0:
-            yield f'{label} has a weight below 0'
-    if sum(part.weight for part in route.services) <= 0:
+        if not _is_from_0(part.weight):
+            yield f'{label} has a weight below 0 or not finite'
+    if not any(part.weight > 0 for part in route.services):
         yield f'{label} has weights whose sum is not above 0'
 
 
 def _service_violations(configuration: model.Configuration) -> Iterator[str]:
     for service in configuration.services:
         rate = service.cold_rate_per_s
-        if rate is not None and rate < 0:
-            yield f'service {service.name} has a rate below 0'
+        if rate is not None and not _is_from_0(rate):
+            yield f'service {service.name} has a rate below 0 or not finite'
 
 
 def _organisation_violations(
@@ -81,8 +91,11 @@
 ) -> Iterator[str]:
     key_owners: dict[str, str] = {}
     for item in configuration.organisations:
-        if item.rate_per_s < 0 or item.burst < 0:
-            yield f'organisation {item.name} has a rate or burst below 0'
+        if not (_is_from_0(item.rate_per_s) and _is_from_0(item.burst)):
+            yield (
+                f'organisation {item.name} has a rate or burst below 0 or '
+                'not finite'
+            )
         for key in item.api_keys:
             owner = key_owners.setdefault(key, item.name)
             if owner != item.name:
--- a/src/skylarkpitch/forwarding/routing.py
+++ b/src/skylarkpitch/forwarding/routing.py
@@ -1,6 +1,7 @@
 """Match requests to routes, and divide routes among services."""
 
 from collections.abc import Iterable
+import math
 
 from skylarkpitch.fleet import model
 
@@ -33,6 +34,23 @@
         return None
 
 
+def _relative_weights(route: model.Route) -> list[tuple[str, float]]:
+    """Return the services that get requests, with weights of at most 1.
+
+    A configuration that an earlier release stored may have weights that are
+    not finite; if no other is above 0, its first service gets all requests.
+    """
+    positive = [
+        (part.service, part.weight)
+        for part in route.services
+        if part.weight > 0 and math.isfinite(part.weight)
+    ]
+    if not positive:
+        return [(route.services[0].service, 1.0)]
+    largest = max(weight for _service, weight in positive)
+    return [(service, weight / largest) for service, weight in positive]
+
+
 class Splitter:
     """Divide the requests of each route among its services by weight.
 
@@ -41,26 +59,28 @@
     """
 
     def __init__(self) -> None:
+        self._weights: dict[str, list[tuple[str, float]]] = {}
         self._current_weights: dict[str, dict[str, float]] = {}
 
     def next_service(self, route: model.Route) -> str:
         """Return the service for the next request of a route."""
-        parts = route.services
-        if len(parts) == 1:
-            return parts[0].service
+        weights = self._weights.get(route.name)
+        if weights is None:
+            weights = self._weights[route.name] = _relative_weights(route)
+        if len(weights) == 1:
+            return weights[0][0]
         current_weights = self._current_weights.setdefault(route.name, {})
-        total = sum(part.weight for part in parts)
-        for part in parts:
-            current_weights[part.service] = (
-                current_weights.get(part.service, 0.0) + part.weight
+        for service, weight in weights:
+            current_weights[service] = (
+                current_weights.get(service, 0.0) + weight
             )
-        chosen = max(
-            (part for part in parts if part.weight > 0),
-            key=lambda part: current_weights[part.service],
+        chosen, _weight = max(
+            weights, key=lambda item: current_weights[item[0]]
         )
-        current_weights[chosen.service] -= total
-        return chosen.service
+        current_weights[chosen] -= sum(weight for _name, weight in weights)
+        return chosen
 
     def reset(self) -> None:
         """Discard all state, as after a change of the routes."""
+        self._weights.clear()
         self._current_weights.clear()
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -1,5 +1,6 @@
 """Decisions of an entry host about a request, without any I/O."""
 
+import collections
 import random
 
 import pytest
@@ -76,6 +77,34 @@
     assert counts['c'] == 0
 
 
+# Guards against internal errors by weights that an earlier release took.
+@pytest.mark.parametrize(
+    ('weights', 'expected'),
+    [
+        ((float('nan'), float('nan')), {'a': 20}),
+        ((float('nan'), 1.0), {'b': 20}),
+        ((float('inf'), 1.0), {'b': 20}),
+        ((1e308, 1e308), {'a': 10, 'b': 10}),
+        ((5e-324, 5e-324), {'a': 10, 'b': 10}),
+    ],
+    ids=['none', 'one-is-no-number', 'infinite', 'very-large', 'very-small'],
+)
+def test_split_with_odd_weights_has_a_service_for_each_request(
+    weights, expected
+):
+    split = route(
+        services=tuple(
+            model.WeightedService(service=name, weight=weight)
+            for name, weight in zip('ab', weights, strict=True)
+        )
+    )
+    splitter = routing.Splitter()
+    counts = collections.Counter(
+        splitter.next_service(split) for _number in range(20)
+    )
+    assert counts == expected
+
+
 def organisation(**fields):
     return model.Organisation(
         name='o', api_keys=('k',), rate_per_s=100.0, burst=50.0, **fields
--- a/tests/test_platform_configurations.py
+++ b/tests/test_platform_configurations.py
@@ -73,3 +73,36 @@
     body = json.dumps(document(route=route)).encode()
     with pytest.raises(errors.ValidationError, match='which is no service'):
         decoded(body)
+
+
+NOT_FINITE = {
+    'weights': ('"Weight": 90', '"Weight": {}'),
+    'rate': ('"RatePerS": 3', '"RatePerS": {}'),
+    'burst': ('"Burst": 4', '"Burst": {}'),
+    'cold-rate': ('"ColdPerS": 19', '"ColdPerS": {}'),
+    'field-that-is-ignored': ('"Other": 1', '"Other": {}'),
+}
+
+
+# Guards against a configuration in force that is no JSON and has no order:
+# NaN as weights passed every comparison, and each request of the route ended
+# as an internal error.
+@pytest.mark.parametrize(
+    'number', ['NaN', 'Infinity', '-Infinity', '1e400', '-1e400']
+)
+@pytest.mark.parametrize('where', NOT_FINITE)
+def test_number_that_is_not_finite_is_refused(where, number):
+    valid = json.dumps(
+        document(
+            route={'Service': None, 'Split': BOTH},
+            Services={'desk': {'ColdPerS': 19}, 'spare': {}},
+            Tenants={'t': {'ApiKeys': ['k'], 'RatePerS': 3, 'Burst': 4}},
+            Other=1,
+        )
+    )
+    assert decoded(valid.encode())
+    before, after = NOT_FINITE[where]
+    assert before in valid
+    body = valid.replace(before, after.format(number)).encode()
+    with pytest.raises(errors.ValidationError):
+        decoded(body)
