--- a/tests/test_platform_configurations.py
+++ b/tests/test_platform_configurations.py
@@ -106,3 +106,26 @@
     body = valid.replace(before, after.format(number)).encode()
     with pytest.raises(errors.ValidationError):
         decoded(body)
+
+
+# Guards against a configuration in force that was never checked as a whole:
+# the last of two equal names was taken, whatever the first one said.
+@pytest.mark.parametrize(
+    ('before', 'after'),
+    [
+        ('"Routes": {', '"Routes": {}, "Routes": {'),
+        ('"Services": {', '"Services": {}, "Services": {'),
+        ('"desk": {', '"desk": {}, "desk": {'),
+        ('"Timeout":', '"Timeout": "900ms", "Timeout":'),
+        ('"Version":', '"Version": "00000009", "Version":'),
+        ('"Other": {', '"Other": {"a": 1, "a": 2'),
+    ],
+    ids=['table', 'services', 'service', 'field', 'version', 'ignored'],
+)
+def test_name_that_stands_twice_is_refused(before, after):
+    valid = json.dumps(document(Other={}))
+    assert decoded(valid.encode())
+    assert before in valid
+    body = valid.replace(before, after, 1).encode()
+    with pytest.raises(errors.ValidationError, match='stands twice'):
+        decoded(body)
