Take configurations above 1 MB, and small bodies elsewhere (CONFIG)

What operators saw: a valid configuration of 5,000 routes (1.06 MB) got 413 from every control host, so that its routes were never served.

Cause: the library's limit of 1 MB for the body of a request; the limit that the code names was used by nobody.

Change: the bodies of calls are read within limits of our own, 8 MB for a configuration and 64 KB for any other call.

--- a/src/skylarkpitch/operators/fleet_calls.py
+++ b/src/skylarkpitch/operators/fleet_calls.py
@@ -21,6 +21,7 @@
 from skylarkpitch.fleet import look_up
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.operators import call_bodies
 
 __all__ = ['handler']
 
@@ -141,7 +142,12 @@
     build: Callable[[str, Any, bytes], control_requests.ControlRequest],
     quoted_name: str,
 ) -> web.Response:
-    body = await request.read()
+    max_bytes = call_bodies.MAX_REPORT_BYTES
+    if build is _put_configuration:
+        max_bytes = call_bodies.MAX_CONFIGURATION_BYTES
+    body = await call_bodies.read(request, max_bytes=max_bytes)
+    if body is None:
+        return _error(413, f'this call takes at most {max_bytes} bytes')
     name = urllib.parse.unquote(quoted_name)
     try:
         control_request = build(name, request, body)
