Refuse values out of bounds in a configuration, not with 500 (CONFIG)

What operators saw: a version of 17 digits, or an integer beyond 64 bits, was answered 500 with a traceback each time it was sent, so that an operator sends it for ever. Limits, cold times and numbers of connections below 0 were taken; with MaxBodyBytes of -1 every body is refused.

Cause: integers were bounded only by what can be stored, and limits were not checked at all.

--- a/src/skylarkpitch/fleet/checks.py
+++ b/src/skylarkpitch/fleet/checks.py
@@ -1,6 +1,7 @@
 """Validate a configuration as a whole before it is accepted."""
 
 from collections.abc import Iterator
+import dataclasses
 import math
 
 from skylarkpitch import errors
@@ -42,6 +43,7 @@
                 'host and path prefix'
             )
         route_names[match] = route.name
+    yield from _limit_violations(configuration.limits)
     yield from _service_violations(configuration)
     yield from _organisation_violations(configuration)
 
@@ -79,8 +81,19 @@
         yield f'{label} has weights whose sum is not above 0'
 
 
+def _limit_violations(limits: model.CallerLimits) -> Iterator[str]:
+    for field in dataclasses.fields(limits):
+        if not _is_from_0(getattr(limits, field.name)):
+            yield f'the limit {field.name} is below 0 or not finite'
+
+
 def _service_violations(configuration: model.Configuration) -> Iterator[str]:
     for service in configuration.services:
+        if service.max_connections < 0 or not _is_from_0(service.cold_ms):
+            yield (
+                f'service {service.name} has a number of connections, or a '
+                'cold time, below 0'
+            )
         rate = service.cold_rate_per_s
         if rate is not None and not _is_from_0(rate):
             yield f'service {service.name} has a rate below 0 or not finite'
--- a/tests/test_platform_configurations.py
+++ b/tests/test_platform_configurations.py
@@ -129,3 +129,30 @@
     body = valid.replace(before, after, 1).encode()
     with pytest.raises(errors.ValidationError, match='stands twice'):
         decoded(body)
+
+
+# Guards against answers 500, after which an operator sends the same for ever,
+# and against limits below 0, by which every request is refused.
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'version': 'f' * 17},
+        {'version': '0x10'},
+        {'route': {'Attempts': 10**30}},
+        {'route': {'Priority': -(10**30)}},
+        {'Limits': {'MaxBodyBytes': 10**30}},
+        {'Limits': {'MaxBodyBytes': -1}},
+        {'Limits': {'MaxHeaderBytes': -1}},
+        {'Limits': {'IdleTimeout': '-1ms'}},
+        {'Limits': {'HeaderTimeout': '-1ms'}},
+        {'Services': {'desk': {'MaxConns': -1}}},
+        {'Services': {'desk': {'MaxConns': 10**30}}},
+        {'Services': {'desk': {'Cold': '-1s'}}},
+        {'Tenants': {'t': {'Priority': 10**30}}},
+    ],
+    ids=lambda fields: json.dumps(fields)[:50],
+)
+def test_value_out_of_its_bounds_is_refused(fields):
+    body = json.dumps(document(**fields)).encode()
+    with pytest.raises(errors.ValidationError):
+        decoded(body)
