--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -241,6 +241,7 @@
     def tick(self, *, now_s: float) -> None:
         """Run the actions whose timers have expired."""
         state = self._state
+        state.tick_due_s = now_s + state.timing.heartbeat_s
         election.on_tick(state, now_s=now_s)
         if self.is_leader:
             membership.on_tick(
@@ -257,7 +258,7 @@
     def next_due_s(self) -> float:
         """Return the time, in seconds, of the next call of :meth:`tick`."""
         if self.is_leader:
-            return self._state.heartbeat_due_s
+            return min(self._state.heartbeat_due_s, self._state.tick_due_s)
         return self._state.election_due_s
 
     def on_persisted(self, *, now_s: float) -> None:
--- a/src/skylarkpitch/consensus/election.py
+++ b/src/skylarkpitch/consensus/election.py
@@ -222,6 +222,7 @@
     state.role = states.Role.LEADER
     state.leader = state.identity
     state.excused_s = states.NEVER_S
+    state.tick_due_s = now_s + state.timing.heartbeat_s
     state.round = 0
     state.round_sent_s.clear()
     state.progress = {
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -27,8 +27,9 @@
 MAX_PROBE_ENTRIES = 16
 MAX_UNACKNOWLEDGED_ENTRIES = 4000
 SNAPSHOT_RETRY_S = 1.0
-# Rounds whose send time is stored; a response to an older one is no contact.
-MAX_TRACKED_ROUNDS = 256
+# Age up to which the send times of rounds are stored; a response to an older
+# round is no contact. Reads start many rounds a second.
+MAX_ROUND_AGE_S = 5.0
 
 
 def quorum_contact_s(state: states.State, *, now_s: float) -> float:
@@ -47,7 +48,7 @@
     """Start a round: send entries or a heartbeat to every other member."""
     state.round += 1
     state.round_sent_s[state.round] = now_s
-    state.round_sent_s.pop(state.round - MAX_TRACKED_ROUNDS, None)
+    _forget_old_rounds(state, now_s)
     state.heartbeat_due_s = now_s + state.timing.heartbeat_s
     for other in state.others():
         if other not in state.progress:
@@ -60,6 +61,15 @@
         del state.progress[other]
 
 
+def _forget_old_rounds(state: states.State, now_s: float) -> None:
+    """Remove the send times of old rounds, which are in their order."""
+    while state.round_sent_s:
+        oldest = next(iter(state.round_sent_s))
+        if now_s - state.round_sent_s[oldest] <= MAX_ROUND_AGE_S:
+            return
+        del state.round_sent_s[oldest]
+
+
 def send_entries(state: states.State, *, now_s: float) -> None:
     """Send missing entries to the members, and no heartbeats."""
     for other, item in state.progress.items():
--- a/src/skylarkpitch/consensus/state.py
+++ b/src/skylarkpitch/consensus/state.py
@@ -158,6 +158,9 @@
 class State:
     """Complete state of one member, durable and volatile.
 
+    A leader checks its quorum and its members at ``tick_due_s``, and sends
+    heartbeats at ``heartbeat_due_s``, which every broadcast puts off.
+
     ``leader`` is an identity, None while unknown. ``member_history`` has the
     member sets with the indexes of the entries that set them.
     ``stable_index`` is the last index of the log that is durable, and
@@ -183,6 +186,7 @@
     )
     election_due_s: float = NEVER_S
     heartbeat_due_s: float = NEVER_S
+    tick_due_s: float = NEVER_S
     leader_contact_s: float = NEVER_S
     excused_s: float = NEVER_S
     granted_by: set[str] = dataclasses.field(default_factory=set)
