--- a/src/skylarkpitch/daemon/listener.py
+++ b/src/skylarkpitch/daemon/listener.py
@@ -53,6 +53,7 @@
             max_field_size=self._limits.max_header_bytes,
             shutdown_timeout=self._shutdown_timeout_s,
             handler_cancellation=True,
+            auto_decompress=False,
         )
         await self._runner.setup()
         site = web.TCPSite(
--- a/src/skylarkpitch/forwarding/callers_listener.py
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -78,6 +78,8 @@
                 max_line_size=limits.max_header_bytes,
                 max_field_size=limits.max_header_bytes,
                 access_log=None,
+                # The body reaches the upstream under the caller's headers.
+                auto_decompress=False,
             )
         self._current = self._servers[limits]
 
--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import contextlib
+import gzip
+import zlib
 
 import aiohttp
-from aiohttp import web
 import pytest
 
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import callers
+from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import request_handler as handlers
 from skylarkpitch.forwarding import retry_budget
@@ -80,15 +82,15 @@
     handler.apply_view_changes(
         views.Changes(kinds=frozenset(fleet_state.KINDS), upstreams=None)
     )
-    server = web.Server(handler.handle, handler_cancellation=True)
-    listening = await asyncio.get_running_loop().create_server(
-        server, '127.0.0.1', 0
+    with callers_listener.bind('127.0.0.1:0') as free_socket:
+        port = free_socket.getsockname()[1]
+    listener = callers_listener.CallersListener(
+        address=f'127.0.0.1:{port}', handler=handler.handle
     )
-    port = listening.sockets[0].getsockname()[1]
+    await listener.open(model.CallerLimits())
     async with aiohttp.ClientSession() as session:
         yield EntryHostClient(session, port, running, outcomes, handler)
-    listening.close()
-    await server.shutdown(0.1)
+    await listener.close(timeout_s=0.1)
     await handler.close()
     for item in running:
         await item.stop()
@@ -232,6 +234,50 @@
     run(check)
 
 
+async def in_chunks(body):
+    for start in range(0, len(body), 7):
+        yield body[start : start + 7]
+
+
+# Guards against bodies that the listener decodes: the upstream got another
+# body, under the header of the encoded one.
+@pytest.mark.parametrize('is_chunked', [False, True], ids=['length', 'chunks'])
+@pytest.mark.parametrize(
+    ('coding', 'body'),
+    [
+        ('gzip', gzip.compress(b'a pan to be reseasoned')),
+        ('deflate', zlib.compress(b'a pan to be reseasoned')),
+        ('gzip', b'not in this coding'),
+        ('deflate', b'not in this coding'),
+        ('br', b'not in this coding'),
+        ('identity', b'a pan'),
+        ('GZIP', gzip.compress(b'a pan')),
+    ],
+    ids=[
+        'gzip',
+        'deflate',
+        'not-gzip',
+        'not-deflate',
+        'not-br',
+        'identity',
+        'upper-case',
+    ],
+)
+def test_body_reaches_the_upstream_in_its_coding(coding, body, is_chunked):
+    async def check():
+        async with forwarding([DONE], repeatable=False) as entry:
+            sent = in_chunks(body) if is_chunked else body
+            async with entry.post(
+                body=sent, **{'Content-Encoding': coding}
+            ) as response:
+                assert response.status == 200
+            ((_method, _target, headers, received),) = entry.upstreams[0].seen
+        assert received == body
+        assert headers['Content-Encoding'] == coding
+
+    run(check)
+
+
 @pytest.mark.parametrize(
     ('headers', 'status'),
     [
