--- a/src/skylarkpitch/config/documents.py
+++ b/src/skylarkpitch/config/documents.py
@@ -60,16 +60,18 @@
     )
 
 
-def parse_object(text: str, *, source: str) -> dict[str, Any]:
+def parse_object(
+    text: str, *, source: str, max_bytes: int = MAX_DOCUMENT_BYTES
+) -> dict[str, Any]:
     """Parse a JSON object; ``source`` is its name in error messages.
 
     Raises ``ValidationError`` if ``text`` is too long, malformed or nested
     too deeply, or if it is not an object.
     """
-    if len(text) > MAX_DOCUMENT_BYTES:
+    if len(text) > max_bytes:
         raise errors.ValidationError(
             f'{source} has {len(text)} characters, over the limit of '
-            f'{MAX_DOCUMENT_BYTES}; make it shorter'
+            f'{max_bytes}; make it shorter'
         )
     try:
         document = json.loads(
--- a/src/skylarkpitch/fleet/checks.py
+++ b/src/skylarkpitch/fleet/checks.py
@@ -1,5 +1,6 @@
 """Validate a configuration as a whole before it is accepted."""
 
+import collections
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -43,6 +44,7 @@
                 'host and path prefix'
             )
         route_names[match] = route.name
+    yield from _name_violations(configuration)
     yield from _limit_violations(configuration.limits)
     yield from _service_violations(configuration)
     yield from _organisation_violations(configuration)
@@ -81,6 +83,18 @@
         yield f'{label} has weights whose sum is not above 0'
 
 
+def _name_violations(configuration: model.Configuration) -> Iterator[str]:
+    for kind, items in (
+        ('routes', configuration.routes),
+        ('services', configuration.services),
+        ('organisations', configuration.organisations),
+    ):
+        names = collections.Counter(item.name for item in items)
+        for name, count in names.items():
+            if count > 1:
+                yield f'{count} {kind} have the name {name}'
+
+
 def _limit_violations(limits: model.CallerLimits) -> Iterator[str]:
     for field in dataclasses.fields(limits):
         if not _is_from_0(getattr(limits, field.name)):
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -261,6 +261,19 @@
             {'routes': (route(), route(name='r2'))},
             'same host and path prefix',
         ),
+        (
+            {'routes': (route(), route(path_prefix='/other/'))},
+            '2 routes have the name r1',
+        ),
+        (
+            {
+                'services': tuple(
+                    model.Service(name='desk', health_path=path)
+                    for path in ('/', '/h')
+                )
+            },
+            '2 services have the name desk',
+        ),
         (
             {
                 'organisations': (
