--- a/tests/test_fleet_losses.py
+++ b/tests/test_fleet_losses.py
@@ -185,7 +185,7 @@
         return None
 
 
-def _play(folder, *, hosts, tolerated, steps):
+def _run_series(folder, *, hosts, tolerated, steps):
     async def scenario():
         names = HOSTS[:hosts]
         cluster = fleet_cluster.FleetCluster(
@@ -294,7 +294,7 @@
 def test_acknowledged_change_outlives_tolerated_losses(
     tmp_path, hosts, tolerated, series
 ):
-    assert _play(
+    assert _run_series(
         tmp_path, hosts=hosts, tolerated=tolerated, steps=SERIES[series]
     )
 
@@ -304,7 +304,7 @@
 def test_acknowledged_change_outlives_two_losses_at_once(
     tmp_path, hosts, series
 ):
-    assert _play(
+    assert _run_series(
         tmp_path, hosts=hosts, tolerated=2, steps=DOUBLE_SERIES[series]
     )
 
@@ -341,4 +341,4 @@
     tmp_path, hosts, tolerated, seed
 ):
     steps = _random_steps(random.Random(seed), tolerated)
-    assert _play(tmp_path, hosts=hosts, tolerated=tolerated, steps=steps)
+    assert _run_series(tmp_path, hosts=hosts, tolerated=tolerated, steps=steps)
