Send no request whose caller has already left (GONE)

What callers saw: requests went on to upstreams over 0.5 s after their callers had closed the connection, wherever a host read late.

Cause: request and close wait in the socket together, and the request is read first. Until the event loop reads the close, nothing tells the request path; on an open connection to an upstream it is sent in the same step.

Change: the socket is asked, before each send, whether the caller has closed it, also where bytes of a next request hide the close. It holds for retries and for queued requests as well. It acts before the send and frees the slot.

--- a/src/skylarkpitch/forwarding/exchanges.py
+++ b/src/skylarkpitch/forwarding/exchanges.py
@@ -22,6 +22,7 @@
 from skylarkpitch.forwarding import sender as senders
 from skylarkpitch.forwarding import upstream_notices
 from skylarkpitch.forwarding import upstream_selector as selectors
+from skylarkpitch.requests import caller_connection
 
 __all__ = ['Exchanges']
 
@@ -82,7 +83,8 @@
     ) -> senders.UpstreamResponse | refusals.Refusal:
         """Send a request until there is a response to relay.
 
-        Returns a refusal when the request may not be sent again.
+        Returns a refusal when the request may not be sent again. Raises
+        ``CancelledError`` if the caller has left.
         """
         now_s = self._clock()
         self._retry_budgets.add_request(call.service, now_s=now_s)
@@ -98,6 +100,10 @@
                 # The quarantine began while the request waited.
                 self._scheduler.cancel(call, candidate)
                 return self._refusal_after_sending(call, refusal)
+            if caller_connection.has_left(call.request):
+                self._scheduler.cancel(call, candidate)
+                # As the listener does once it has read the close.
+                raise asyncio.CancelledError
             result = await self._send(call, candidate)
             if isinstance(result, senders.Failure):
                 final = await self._after_failure(call, candidate, result)
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -49,6 +49,16 @@
     target: str
 
 
+class _OpenTransport:
+    """Transport of a caller that stays connected, without a socket."""
+
+    def is_closing(self):
+        return False
+
+    def get_extra_info(self, name):
+        return None
+
+
 class Response(senders.UpstreamResponse):
     """Response of a stand-in upstream; ``rows`` are its headers."""
 
@@ -417,7 +427,7 @@
                 headers=multidict.CIMultiDict(headers),
                 content_length=0,
                 body_exists=False,
-                transport=None,
+                transport=_OpenTransport(),
             )
         )
 
