Keep the cancellation of a queued request whose caller leaves (GONE)

What callers saw: a request that waited for a slot was sent, and run to its end, although its caller had left.

Cause: asyncio.wait_for of Python 3.11 returns the result and drops a cancellation that comes in the steps between the wake-up and its return. The listener cancels a request once.

Change: the wait uses asyncio.timeout, which keeps it, and starts no task.

Measured: 2 of 5 rows of test_request_woken_as_its_caller_leaves_is_not_sent failed before, none after.

--- a/src/skylarkpitch/forwarding/scheduler.py
+++ b/src/skylarkpitch/forwarding/scheduler.py
@@ -295,7 +295,9 @@
 async def _wait_woken(waiter: request_queue.Waiter, timeout_s: float) -> bool:
     """Return whether a waiter was woken within ``timeout_s``."""
     try:
-        await asyncio.wait_for(waiter.woken.wait(), timeout_s)
+        # Unlike asyncio.wait_for, this never loses a cancellation.
+        async with asyncio.timeout(timeout_s):
+            await waiter.woken.wait()
     except TimeoutError:
         return False
     waiter.woken.clear()
