Keep cancellations in all other waits with a time limit

What users of it saw: nothing yet.

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that comes between the end of the wait and its return.

--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -160,7 +160,8 @@
         future = asyncio.get_running_loop().create_future()
         self._enqueue(functools.partial(self._request_read, future))
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return sentinels.Absent('no_quorum')
 
@@ -304,7 +305,8 @@
         future = asyncio.get_running_loop().create_future()
         self._enqueue(functools.partial(self._propose, propose, future))
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError as error:
             raise errors.UncertainError(
                 f'no quorum responded within {timeout_s} s; retry with '
--- a/src/skylarkpitch/dissemination/waiters.py
+++ b/src/skylarkpitch/dissemination/waiters.py
@@ -49,7 +49,8 @@
 
     async def _woken(self, timeout_s: float) -> bool:
         try:
-            await asyncio.wait_for(self._event.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._event.wait()
         except TimeoutError:
             return False
         return True
--- a/src/skylarkpitch/fleet/watches.py
+++ b/src/skylarkpitch/fleet/watches.py
@@ -58,7 +58,8 @@
         """Return the changes since an index, once there are any."""
         if self._has_to_wait(request):
             try:
-                await asyncio.wait_for(self._changed.wait(), request.wait_s)
+                async with asyncio.timeout(request.wait_s):
+                    await self._changed.wait()
             except TimeoutError:
                 # No change within wait_s: the response has the same index.
                 self.idle += 1
--- a/src/skylarkpitch/forwarding/callers_listener.py
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -110,7 +110,8 @@
             *(item.shutdown(timeout_s) for item in self._servers.values())
         )
         try:
-            await asyncio.wait_for(closing, 2 * ABORT_TIMEOUT_S + timeout_s)
+            async with asyncio.timeout(2 * ABORT_TIMEOUT_S + timeout_s):
+                await closing
         except TimeoutError:
             return False
         return True
--- a/src/skylarkpitch/forwarding/scheduler.py
+++ b/src/skylarkpitch/forwarding/scheduler.py
@@ -295,7 +295,6 @@
 async def _wait_woken(waiter: request_queue.Waiter, timeout_s: float) -> bool:
     """Return whether a waiter was woken within ``timeout_s``."""
     try:
-        # Unlike asyncio.wait_for, this never loses a cancellation.
         async with asyncio.timeout(timeout_s):
             await waiter.woken.wait()
     except TimeoutError:
--- a/src/skylarkpitch/limits/service.py
+++ b/src/skylarkpitch/limits/service.py
@@ -251,7 +251,8 @@
             queue.worker = asyncio.create_task(self._serve_queue(name, queue))
         try:
             remaining_s = max(0.0, end_s - self._clock())
-            return await asyncio.wait_for(waiter, remaining_s)
+            async with asyncio.timeout(remaining_s):
+                return await waiter
         except TimeoutError:
             return False
         finally:
@@ -285,7 +286,8 @@
     async def _pause(self, queue: _Queue, pause_s: float) -> None:
         queue.changed.clear()
         try:
-            await asyncio.wait_for(queue.changed.wait(), pause_s)
+            async with asyncio.timeout(pause_s):
+                await queue.changed.wait()
         except TimeoutError:
             return
 
--- a/src/skylarkpitch/peers/network.py
+++ b/src/skylarkpitch/peers/network.py
@@ -107,7 +107,8 @@
         try:
             if not self.send(message, request_id=request_id):
                 return sentinels.Absent('peer_not_connected')
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return sentinels.Absent('peer_timeout')
         finally:
