Ask for the caller's close before a send of our own interface too

What callers saw: the same as on the users' platform: a request was sent to an upstream although its caller's close had arrived with it.

Change: the same question before each send, and before an operation is claimed; a claimed operation runs on, so that a resend finds its result.

--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -1,5 +1,6 @@
 """Attempts to run an admitted request on one upstream after another."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import dataclasses
@@ -67,13 +68,15 @@
         admitted: request_admission.AdmittedRequest,
         body: bodies.CallerBody,
         request_id: bytes,
+        *,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> AttemptsOutcome:
         """Return the first response that is not retried, or a refusal.
 
         ``request_id`` is the fingerprint of the request. If a byte of the
         request may have been sent, it is sent again only if it is
         repeatable, its body was read to its end and the retry budget allows
-        it.
+        it. Raises ``CancelledError`` before a send if ``has_caller_left``.
         """
         service = admitted.route_match.service_name
         budget = self._budgets.setdefault(service, retry_budget.RetryBudget())
@@ -89,6 +92,10 @@
                 return outcome or AttemptsOutcome(sent=False, refusal=refusal)
             if outcome is not None and outcome.response is not None:
                 outcome.response.close()
+            if has_caller_left():
+                slot.finish(ports.ExchangeOutcome.NOT_SENT, latency_s=0.0)
+                # As the listener does once it has read the close.
+                raise asyncio.CancelledError
             with self._crash_watch.isolate_suspect(request_id, slot.upstream):
                 outcome = await self._attempt(admitted, body, slot, sent=sent)
             sent = outcome.sent
--- a/src/skylarkpitch/requests/request_handler.py
+++ b/src/skylarkpitch/requests/request_handler.py
@@ -20,6 +20,7 @@
 from skylarkpitch.requests import admission
 from skylarkpitch.requests import attempts
 from skylarkpitch.requests import bodies
+from skylarkpitch.requests import caller_connection
 from skylarkpitch.requests import crash_watch as crash_watches
 from skylarkpitch.requests import exchange
 from skylarkpitch.requests import refusals
@@ -202,7 +203,12 @@
             return self._refuse(state, spent)
         if needs_claim:
             return await self._handle_claimed(request, state, request_id)
-        outcome = await self._attempts.run(admitted, body, request_id)
+        outcome = await self._attempts.run(
+            admitted,
+            body,
+            request_id,
+            has_caller_left=lambda: caller_connection.has_left(request),
+        )
         return await self._respond(request, state, outcome)
 
     async def _spend_rate(
@@ -224,6 +230,9 @@
         request_id: bytes,
     ) -> web.StreamResponse:
         admitted, body = state.admitted, state.body
+        if caller_connection.has_left(request):
+            # Once claimed, an operation runs whether the caller waits or not.
+            raise asyncio.CancelledError
         claim = await self._ledger.claim(
             organisation=admitted.caller.organisation or '',
             operation_id=admitted.operation_id or '',
