--- a/src/skylarkpitch/daemon/fleet_main.py
+++ b/src/skylarkpitch/daemon/fleet_main.py
@@ -18,6 +18,7 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 MIN_SECRET_CHARACTERS = 16
+BYTES_PER_MB = 1024 * 1024
 
 
 def _read_secret(path: pathlib.Path, *, description: str) -> str:
@@ -93,6 +94,7 @@
         region_of=file.regions.get,
         drain_s=section.goodbye_s,
         grace_s=section.grace_s,
+        memory_bytes=section.memory_mb * BYTES_PER_MB,
     )
     return fleet_entry.factory(settings)
 
--- a/src/skylarkpitch/forwarding/admission.py
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -10,6 +10,7 @@
 
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
+from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import header_names
@@ -21,6 +22,7 @@
 
 DEFAULT_DEADLINE_S = 30.0
 RETRY_AFTER_S = 0.3
+BODY_RETRY_AFTER_S = 1.0
 FINGERPRINT_BYTES = 16
 MS_PER_S = 1000
 
@@ -52,7 +54,9 @@
         is_serving: Callable[[], bool],
         clock: Callable[[], float],
         rng: random.Random | None = None,
+        bodies: body_budget.BodyBudget,
     ) -> None:
+        self._bodies = bodies
         self._view = view
         self._names = names
         self._is_serving = is_serving
@@ -155,24 +159,43 @@
         left_s = max(0.0, call.deadline_s - self._clock())
         try:
             async with asyncio.timeout(left_s):
-                call.body = await _read_at_most(call.request, max_bytes)
+                return await self._receive_blocks(call, max_bytes)
         except TimeoutError:
             return refusals.refuse(refusals.Reason.BODY_LATE)
         except web.RequestPayloadError as error:
             return refusals.refuse(refusals.Reason.MALFORMED, str(error))
-        if len(call.body) > max_bytes:
-            return refusals.refuse(refusals.Reason.BODY_TOO_LARGE)
+
+    async def _receive_blocks(
+        self, call: calls.Call, max_bytes: int
+    ) -> refusals.Refusal | None:
+        """Read a body; stop after the chunk that exceeds ``max_bytes``."""
+        if not self._take(call, call.request.content_length or 0):
+            return _no_memory()
+        size = 0
+        while chunk := await call.request.content.readany():
+            size += len(chunk)
+            if size > max_bytes:
+                return refusals.refuse(refusals.Reason.BODY_TOO_LARGE)
+            if not self._take(call, size - call.held_bytes):
+                return _no_memory()
+            body_budget.append_chunk(call.body, chunk)
         return None
 
+    def _take(self, call: calls.Call, more_bytes: int) -> bool:
+        """Return whether the budget has room for more of a body."""
+        if more_bytes <= 0:
+            return True
+        size = call.held_bytes + more_bytes
+        if not self._bodies.take(more_bytes, body_bytes=size):
+            return False
+        call.held_bytes = size
+        return True
+
 
-async def _read_at_most(request: web.BaseRequest, max_bytes: int) -> bytes:
-    """Read a body; stop after the chunk that exceeds ``max_bytes``."""
-    chunks = []
-    size = 0
-    while size <= max_bytes and (chunk := await request.content.readany()):
-        chunks.append(chunk)
-        size += len(chunk)
-    return b''.join(chunks)
+def _no_memory() -> refusals.Refusal:
+    return refusals.refuse(
+        refusals.Reason.NO_MEMORY, retry_after_s=BODY_RETRY_AFTER_S
+    )
 
 
 def _fingerprint(call: calls.Call) -> bytes:
@@ -183,5 +206,7 @@
         identity.encode('utf-8', 'surrogateescape'),
         digest_size=FINGERPRINT_BYTES,
     )
-    hashed.update(b'\0' + call.body)
+    hashed.update(b'\0')
+    for block in call.body:
+        hashed.update(block)
     return hashed.digest()
--- /dev/null
+++ b/src/skylarkpitch/forwarding/body_budget.py
@@ -0,0 +1,54 @@
+"""Limit the bytes of request bodies that an entry host holds at a time."""
+
+__all__ = ['DEFAULT_MEMORY_BYTES', 'BodyBudget', 'append_chunk']
+
+DEFAULT_MEMORY_BYTES = 300 * 1024 * 1024
+# A host takes this much memory before it holds any body, with a margin.
+BASE_MEMORY_BYTES = 90 * 1024 * 1024
+# Larger bodies leave a part of the budget to all others.
+SMALL_BODY_BYTES = 64 * 1024
+SMALL_BODIES_SHARE = 0.2
+# Small chunks are joined, since each object takes memory of its own.
+BLOCK_BYTES = 256 * 1024
+
+
+class BodyBudget:
+    """Bytes that request bodies of all callers may take together.
+
+    ``memory_bytes`` is what the process may use. ``refused`` counts the
+    bodies that did not fit.
+    """
+
+    def __init__(self, *, memory_bytes: int) -> None:
+        self.max_bytes = max(0, memory_bytes - BASE_MEMORY_BYTES)
+        self.held_bytes = 0
+        self.refused = 0
+
+    def take(self, more_bytes: int, *, body_bytes: int) -> bool:
+        """Take bytes for a body of a known size or a size so far.
+
+        Returns whether they fit. A body that does not fit on an idle host
+        is taken there all the same, alone: the configured limit of a body
+        goes before this one.
+        """
+        limit = self.max_bytes
+        if body_bytes > SMALL_BODY_BYTES:
+            limit -= int(limit * SMALL_BODIES_SHARE)
+        held_by_others = self.held_bytes - (body_bytes - more_bytes)
+        if self.held_bytes + more_bytes > limit and held_by_others > 0:
+            self.refused += 1
+            return False
+        self.held_bytes += more_bytes
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Give back the bytes of a body that is no longer held."""
+        self.held_bytes -= size_bytes
+
+
+def append_chunk(blocks: list[bytearray], chunk: bytes) -> None:
+    """Append a chunk to a body, which is a list of blocks."""
+    if blocks and len(blocks[-1]) < BLOCK_BYTES:
+        blocks[-1] += chunk
+    else:
+        blocks.append(bytearray(chunk))
--- a/src/skylarkpitch/forwarding/calls.py
+++ b/src/skylarkpitch/forwarding/calls.py
@@ -19,7 +19,9 @@
     ``connect_failures`` counts connections that could not be made,
     ``exchanges`` the times that the request was sent. ``may_have_run`` is
     set once an upstream may have run it. ``queued_s`` is the total time in
-    queues, and ``sent_s`` when it was sent last. ``fingerprint`` is the same
+    queues, and ``sent_s`` when it was sent last. ``body`` is a list of
+    blocks, for which ``held_bytes`` are taken from the budget of the host.
+    ``fingerprint`` is the same
     for repetitions of a request. Of queued requests, the lowest ``rank`` is
     served first. ``candidate`` is what the last upstream in ``tried`` was
     selected by.
@@ -32,7 +34,8 @@
     route: model.Route | None = None
     organisation: model.Organisation | None = None
     service: str = ''
-    body: bytes = b''
+    body: list[bytearray] = dataclasses.field(default_factory=list)
+    held_bytes: int = 0
     fingerprint: bytes = b''
     rank: int = 0
     tried: list[str] = dataclasses.field(default_factory=list)
--- a/src/skylarkpitch/forwarding/refusals.py
+++ b/src/skylarkpitch/forwarding/refusals.py
@@ -21,6 +21,7 @@
     MALFORMED = 'request_malformed'
     BODY_TOO_LARGE = 'body_too_large'
     BODY_LATE = 'body_late'
+    NO_MEMORY = 'no_memory'
     OVER_RATE = 'over_rate'
     NO_UPSTREAM = 'no_upstream'
     NO_CAPACITY = 'no_room'
@@ -39,6 +40,7 @@
     Reason.MALFORMED: 400,
     Reason.BODY_TOO_LARGE: 413,
     Reason.BODY_LATE: 408,
+    Reason.NO_MEMORY: 503,
     Reason.OVER_RATE: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.NO_CAPACITY: 503,
@@ -57,6 +59,7 @@
     Reason.MALFORMED: 'correct the request',
     Reason.BODY_TOO_LARGE: 'send a smaller body',
     Reason.BODY_LATE: 'send the whole body sooner',
+    Reason.NO_MEMORY: 'come back at the time given',
     Reason.OVER_RATE: 'come back at the time given',
     Reason.NO_UPSTREAM: 'come back at the time given',
     Reason.NO_CAPACITY: 'come back at the time given',
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -16,6 +16,7 @@
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import admission
+from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import crash_tracker
@@ -58,7 +59,10 @@
 
 
 class RequestHandler:
-    """Handle all requests of callers on the entry host named ``host``."""
+    """Handle all requests of callers on the entry host named ``host``.
+
+    ``memory_bytes`` is what the process may use.
+    """
 
     def __init__(
         self,
@@ -72,6 +76,7 @@
         is_ready: Callable[[], bool],
         is_stopping: Callable[[], bool],
         on_finished: Callable[[RequestOutcome], None],
+        memory_bytes: int = body_budget.DEFAULT_MEMORY_BYTES,
         sender: senders.Sender | None = None,
         clock: Callable[[], float] = time.monotonic,
         unix_clock: Callable[[], float] = time.time,
@@ -83,6 +88,7 @@
         self._is_stopping = is_stopping
         self._on_finished = on_finished
         self._clock = clock
+        self._bodies = body_budget.BodyBudget(memory_bytes=memory_bytes)
         self._admission = admission.Admission(
             view=view,
             names=names,
@@ -90,6 +96,7 @@
             is_serving=lambda: is_ready() or is_stopping(),
             clock=clock,
             rng=rng,
+            bodies=self._bodies,
         )
         self.selector = selector
         self._scheduler = schedulers.RequestScheduler(
@@ -132,6 +139,8 @@
         """Return the counters since the start and the current gauges."""
         return {
             'running': self.running,
+            'body_bytes_held': self._bodies.held_bytes,
+            'bodies_refused': self._bodies.refused,
             'notices_malformed': self._exchanges.notices_malformed,
             **self.selector.notices.counts(),
             **self._crash_tracker.counts,
@@ -213,6 +222,7 @@
             raise
         finally:
             self.running -= 1
+            self._bodies.release(call.held_bytes)
             self._report_outcome(call, status, reason, detail)
 
     async def _relay(
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -48,12 +48,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamRequest:
-    """Request to an upstream; the target is sent byte for byte."""
+    """Request to an upstream; the target is sent byte for byte.
+
+    ``body`` is a list of blocks, which are sent one after another.
+    """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Sequence[bytes | bytearray]
     request_id: str | None
 
 
@@ -205,8 +208,8 @@
         response = await session.request(
             request.method,
             url,
-            headers=request.headers,
-            data=request.body or None,
+            headers=[*request.headers, *_length_header(request.body)],
+            data=_data(request.body),
             allow_redirects=False,
             skip_auto_headers=_SKIPPED_AUTO_HEADERS,
         )
@@ -269,6 +272,32 @@
         return ''
 
 
+def _length_header(
+    body: Sequence[bytes | bytearray],
+) -> list[tuple[str, str]]:
+    """Return the header that frames a body by its length."""
+    if not body:
+        return []
+    return [(header_rules.CONTENT_LENGTH, str(sum(map(len, body))))]
+
+
+def _data(
+    body: Sequence[bytes | bytearray],
+) -> bytes | bytearray | AsyncIterator[bytes | bytearray] | None:
+    """Return a body as the client sends it, without a copy of the whole."""
+    if len(body) > 1:
+        return _blocks(body)
+    return body[0] if body else None
+
+
+async def _blocks(
+    body: Sequence[bytes | bytearray],
+) -> AsyncIterator[bytes | bytearray]:
+    """Yield the parts of a body."""
+    for block in body:
+        yield block
+
+
 def _head(response: aiohttp.ClientResponse) -> ResponseHead:
     return ResponseHead(
         status=response.status,
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -16,6 +16,7 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import subscriber as subscribers
 from skylarkpitch.fleet import view as views
+from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import header_names
@@ -43,7 +44,8 @@
     ``region_of`` returns the region of a failure domain, or None. On a
     planned stop the host accepts new connections for another ``drain_s``,
     since callers cache the result of a look-up that long. Running requests
-    may take until ``grace_s`` after the stop began.
+    may take until ``grace_s`` after the stop began. Bodies of requests are
+    held within ``memory_bytes``, which is all that the process may use.
     """
 
     entry_host: model.EntryHost
@@ -53,6 +55,7 @@
     retry_limits: retry_budget.RetryLimits
     rate_tolerance: callers.RateTolerance
     region_of: Callable[[str], str | None]
+    memory_bytes: int = body_budget.DEFAULT_MEMORY_BYTES
     drain_s: float = 2.6
     grace_s: float = 6.0
 
@@ -87,6 +90,7 @@
             names=settings.names,
             retry_limits=settings.retry_limits,
             rate_tolerance=settings.rate_tolerance,
+            memory_bytes=settings.memory_bytes,
             is_ready=lambda: self._subscriber.is_ready,
             is_stopping=lambda: self._subscriber.is_leaving,
             on_finished=self._record_outcome,
--- a/src/skylarkpitch/operators/explain.py
+++ b/src/skylarkpitch/operators/explain.py
@@ -89,6 +89,10 @@
     'body_late': (
         'The request body did not arrive in time; the request has not run.'
     ),
+    'no_memory': (
+        'This host held too many request bodies to take another; the request '
+        'has not run.'
+    ),
     'body_too_large': (
         'The request body exceeds the size limit; the request has not run.'
     ),
--- a/src/skylarkpitch/settings/fleet.py
+++ b/src/skylarkpitch/settings/fleet.py
@@ -51,7 +51,8 @@
     apply to the whole fleet. ``ready`` and ``ready_path`` are the address and
     path of the readiness check. During a planned stop the host accepts
     requests for another ``goodbye_s``, since callers cache look-ups that
-    long; the stop ends within ``grace_s``.
+    long; the stop ends within ``grace_s``. ``memory_mb`` is what the process
+    may use; bodies that do not fit are refused.
     """
 
     callers: daemon.Address
@@ -65,6 +66,7 @@
     rate_window_s: float = pydantic.Field(default=5.0, gt=0, le=600)
     goodbye_s: float = pydantic.Field(default=2.6, ge=0, le=60)
     grace_s: float = pydantic.Field(default=6.0, gt=0, le=600)
+    memory_mb: int = pydantic.Field(default=300, ge=128, le=1_000_000)
 
 
 class FleetFile(_Model):
--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -11,6 +11,7 @@
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
+from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import header_names
@@ -48,7 +49,12 @@
 
 
 @contextlib.asynccontextmanager
-async def forwarding(*behaviours, repeatable, **options):
+async def forwarding(
+    *behaviours,
+    repeatable,
+    memory_bytes=body_budget.DEFAULT_MEMORY_BYTES,
+    **options,
+):
     """Run one entry host and one upstream for each list of behaviours.
 
     Yields an ``EntryHostClient``.
@@ -74,6 +80,7 @@
         names=header_names.HeaderNames(),
         retry_limits=retry_budget.RetryLimits(ratio=1.0, extra=50.0),
         rate_tolerance=callers.RateTolerance(),
+        memory_bytes=memory_bytes,
         is_ready=lambda: True,
         is_stopping=lambda: False,
         on_finished=outcomes.append,
--- a/tests/test_forwarding_harmful.py
+++ b/tests/test_forwarding_harmful.py
@@ -245,3 +245,55 @@
         play(fleet, gap_s=(1.0, 2.0), duration_s=900.0, per_s=0.1)
     )
     assert late_retries(fleet) <= MAX_RETRIES
+
+
+def play_at_full_load(*, targets, requests_at_once=1, leader_s=None, **fleet):
+    """Repeat harmful requests where all upstreams are full.
+
+    Each crash then leaves many other requests under suspicion. A new leader,
+    which has seen no report, begins every ``leader_s``.
+    """
+    played = handler_fleet.HandlerFleet(
+        hosts=8,
+        upstreams=14,
+        slots=6,
+        work_s=0.24,
+        crash_after_s=0.03,
+        **fleet,
+    )
+
+    async def replace_leaders():
+        while leader_s is not None:
+            await asyncio.sleep(leader_s)
+            played.new_leader()
+
+    async def check():
+        played.run_in_background(replace_leaders())
+        await play(
+            played,
+            targets=targets * requests_at_once,
+            gap_s=(0.15, 0.5),
+            per_s=450.0,
+        )
+
+    virtual_time.run(check())
+    return played
+
+
+# Guards against a harmful request that goes on crashing upstreams which are
+# full, so that each crash makes many other requests suspects as well.
+@pytest.mark.parametrize(
+    ('targets', 'options'),
+    [
+        ((HARMFUL,), {}),
+        ((HARMFUL,), {'leader_s': 0.4}),
+        ((HARMFUL,), {'leader_s': 1.5}),
+        ((HARMFUL,), {'requests_at_once': 6}),
+        (tuple(f'{HARMFUL}/{number}' for number in range(4)), {}),
+    ],
+    ids=['one', 'no-leader-for-long', 'new-leaders', 'six-at-once', 'four'],
+)
+def test_harmful_request_is_stopped_at_full_load(targets, options):
+    fleet = play_at_full_load(targets=targets, seed=1, **options)
+    counts = {target: late_retries(fleet, target) for target in targets}
+    assert all(count <= MAX_RETRIES for count in counts.values()), counts
--- a/tests/test_forwarding_keys.py
+++ b/tests/test_forwarding_keys.py
@@ -13,6 +13,7 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import admission as admissions
+from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import header_names
@@ -58,6 +59,9 @@
         view=view,
         names=header_names.HeaderNames(),
         rate_tolerance=callers.RateTolerance(),
+        bodies=body_budget.BodyBudget(
+            memory_bytes=body_budget.DEFAULT_MEMORY_BYTES
+        ),
         is_serving=lambda: True,
         clock=lambda: 0.0,
     )
