Found a group though the first seed has lost its disk

What operators saw: the seed whose address sorts first loses its disk while all hosts start for the first time, and no group is ever founded.

Cause: only that seed decides on the founders, and once emptied it may not.

Change: the next seed decides, after all others have heard the new identity of the emptied one, so that none can join what the old one decided on.

--- a/src/skylarkpitch/consensus/introductions.py
+++ b/src/skylarkpitch/consensus/introductions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import dataclasses
 
 from skylarkpitch.consensus import bootstrap
 from skylarkpitch.consensus import members as member_sets
@@ -9,7 +10,7 @@
 from skylarkpitch.peers import network
 from skylarkpitch import sentinels
 
-__all__ = ['discover_founders', 'request_introduction']
+__all__ = ['Discovery', 'discover_founders', 'request_introduction']
 
 INTRODUCTION_TIMEOUT_S = 1.0
 
@@ -33,14 +34,25 @@
     return response
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Discovery:
+    """Founders of a member's cluster, or why there are none yet.
+
+    ``heard`` are the identities of the hosts that responded.
+    """
+
+    founders: tuple[str, ...] | sentinels.Absent
+    heard: dict[str, str]
+
+
 async def discover_founders(
     peers: network.Peers,
     *,
     identity: str,
     voters: Iterable[str],
     may_bootstrap: bool = True,
-) -> tuple[str, ...] | sentinels.Absent:
-    """Return the founders of this member's cluster, or why there are none.
+) -> Discovery:
+    """Discover the founders of this member's cluster.
 
     Requests the introductions of all known control hosts and voters at once
     and applies :func:`bootstrap.decide_founders`.
@@ -56,14 +68,17 @@
             for host in hosts
         )
     )
-    return bootstrap.decide_founders(
+    introductions = {
+        host: response
+        for host, response in zip(hosts, responses, strict=True)
+        if not sentinels.is_absent(response)
+    }
+    founders = bootstrap.decide_founders(
         identity=identity,
         voters=voters,
         may_bootstrap=may_bootstrap,
         control_hosts=hosts,
-        introductions={
-            host: response
-            for host, response in zip(hosts, responses, strict=True)
-            if not sentinels.is_absent(response)
-        },
+        introductions=introductions,
     )
+    heard = {host: item.identity for host, item in introductions.items()}
+    return Discovery(founders=founders, heard=heard)
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -83,6 +83,7 @@
         self._peers = peers
         self._voters = voters
         self._may_bootstrap = may_bootstrap
+        self._heard: dict[str, str] = {}
         self._is_control = is_control or self._is_listed_control_host
         self._clock = clock
         self._rng = rng or random.Random()
@@ -372,6 +373,8 @@
             cluster=state.cluster,
             founders=state.founders,
             voters=self._voters,
+            may_bootstrap=self._may_bootstrap,
+            heard=self._heard,
         )
 
     @mode.Service.task
@@ -379,17 +382,23 @@
         """Join or bootstrap a cluster while this member belongs to none."""
         last_reported = None
         while not self.should_stop and not self._core.state.cluster:
-            founders = await introductions.discover_founders(
+            discovery = await introductions.discover_founders(
                 self._peers,
                 identity=self._engine.journal.identity,
                 voters=self._voters,
                 may_bootstrap=self._may_bootstrap,
             )
+            founders = discovery.founders
             if not sentinels.is_absent(founders):
+                # What it has heard stays as it was before this decision, so
+                # that nobody decides otherwise in the meantime.
                 self._enqueue(
                     functools.partial(self._bootstrap_with, founders)
                 )
-            elif founders != last_reported:
+                return
+            self._heard = {**self._heard, **discovery.heard}
+            self._update_introduction()
+            if founders != last_reported:
                 last_reported = founders
                 _log.info('waiting_to_join', reason=str(founders))
             await self.sleep(BOOTSTRAP_INTERVAL_S)
--- a/src/skylarkpitch/messages/consensus.py
+++ b/src/skylarkpitch/messages/consensus.py
@@ -83,13 +83,17 @@
 
     ``cluster`` is empty while the member belongs to none. ``founders`` are
     the identities that bootstrapped the cluster, empty for a member that
-    joined later. ``voters`` are host names.
+    joined later. ``voters`` are host names. ``may_bootstrap`` is False for a
+    host that has lost its disk. ``heard`` are the identities of other hosts
+    that it heard last, by host name.
     """
 
     identity: str
     cluster: str
     founders: tuple[str, ...]
     voters: tuple[str, ...]
+    may_bootstrap: bool = True
+    heard: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @codec.message('consensus.vote_ask')
--- a/tests/test_fleet_founding.py
+++ b/tests/test_fleet_founding.py
@@ -51,3 +51,35 @@
 @pytest.mark.parametrize('count', [5, 6, 9, 18])
 def test_a_new_group_acknowledges_in_time(tmp_path, count):
     assert seconds_until_acknowledged(tmp_path, count) < ACKNOWLEDGED_S
+
+
+# Guards against a group that is never founded since the seed whose address
+# sorts first loses its disk while all hosts start for the first time.
+@pytest.mark.parametrize('lost', ['a', 'b', 'c'])
+@pytest.mark.parametrize('after_s', [0.02, 0.1, 0.2, 0.35, 0.5, 0.8, 1.3, 2.0])
+def test_group_is_founded_though_a_seed_loses_its_disk(
+    tmp_path, lost, after_s
+):
+    names = 'abcdef'
+
+    async def run():
+        cluster = fleet_cluster.FleetCluster(
+            folder=tmp_path,
+            names=names,
+            timing=TIMING,
+            message_delay_s=ONE_WAY_S,
+            disk_delay_s=SYNC_S,
+        )
+        for name in reversed(names):
+            await cluster.start(name)
+        await asyncio.sleep(after_s)
+        await cluster.kill(lost)
+        cluster.wipe(lost)
+        await asyncio.sleep(0.3)
+        await cluster.start(lost, is_first_start=False)
+        await cluster.submit_until_accepted(lost, fleet_fixtures.put(1))
+        clusters = {log.cluster for log in cluster.logs.values()}
+        await cluster.stop()
+        return clusters
+
+    assert len(virtual_time.run(run()) - {''}) == 1
