Ask for the caller's close once more when a connection is ready (GONE)

What callers saw: a request was sent on over 0.5 s after its caller had left: the host was frozen while it opened a connection to the upstream.

Cause: the caller was asked for only before that, which takes time.

Now the connector asks too, right before it hands the connection over; nothing has been sent on it by then and it is kept.

--- a/src/skylarkpitch/forwarding/exchanges.py
+++ b/src/skylarkpitch/forwarding/exchanges.py
@@ -141,6 +141,10 @@
                 address=upstream.address,
                 deadline_s=call.deadline_s,
                 on_head=lambda head: self._record_head(call, head),
+                # Asked again, since opening a connection takes time.
+                has_caller_left=lambda: caller_connection.has_left(
+                    call.request
+                ),
             )
         finally:
             self._scheduler.release(call, candidate)
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -149,15 +149,17 @@
         address: str,
         deadline_s: float,
         on_head: Callable[[ResponseHead], None] = _ignore_head,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> UpstreamResponse | Failure:
         """Send a request and return its response or a failure.
 
         ``on_head`` is called with the head of the response to this request,
         before its body is read, and also if the response is not usable.
+        Raises ``CancelledError`` instead of sending if ``has_caller_left``.
         The connection is closed on a time-out, on cancellation and after a
         response that is incomplete or belongs to another request.
         """
-        progress = sessions.Progress()
+        progress = sessions.Progress(has_caller_left=has_caller_left)
         sessions.progress.set(progress)
         left_s = deadline_s - time.monotonic()
         try:
--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -97,7 +97,13 @@
                 # As the listener does once it has read the close.
                 raise asyncio.CancelledError
             with self._crash_watch.isolate_suspect(request_id, slot.upstream):
-                outcome = await self._attempt(admitted, body, slot, sent=sent)
+                outcome = await self._attempt(
+                    admitted,
+                    body,
+                    slot,
+                    sent=sent,
+                    has_caller_left=has_caller_left,
+                )
             sent = outcome.sent
             self._record_outcome(request_id, slot.upstream, outcome)
             if self._crash_watch.quarantine_left_s(request_id) > 0:
@@ -156,6 +162,7 @@
         slot: ports.Slot,
         *,
         sent: bool,
+        has_caller_left: Callable[[], bool],
     ) -> AttemptsOutcome:
         started_s = self._clock()
 
@@ -165,7 +172,10 @@
         upstream_request = _upstream_request(admitted, body, now_s=started_s)
         try:
             result = await self._client.run(
-                slot, upstream_request, deadline_s=admitted.deadline_s
+                slot,
+                upstream_request,
+                deadline_s=admitted.deadline_s,
+                has_caller_left=has_caller_left,
             )
         except BaseException:
             finish(ports.ExchangeOutcome.CANCELLED)
--- a/src/skylarkpitch/requests/exchange.py
+++ b/src/skylarkpitch/requests/exchange.py
@@ -71,14 +71,20 @@
             await session.close()
 
     async def run(
-        self, slot: ports.Slot, request: UpstreamRequest, *, deadline_s: float
+        self,
+        slot: ports.Slot,
+        request: UpstreamRequest,
+        *,
+        deadline_s: float,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> results.UpstreamResponse | results.Failure:
         """Send a request and return its response, or a failure.
 
         The connection is closed on a timeout, on cancellation and after a
-        response with invalid framing.
+        response with invalid framing. Raises ``CancelledError`` instead of
+        sending if ``has_caller_left``.
         """
-        progress = sessions.Progress()
+        progress = sessions.Progress(has_caller_left=has_caller_left)
         sessions.progress.set(progress)
         try:
             async with asyncio.timeout(deadline_s - self._clock()):
--- a/src/skylarkpitch/requests/exchange_sessions.py
+++ b/src/skylarkpitch/requests/exchange_sessions.py
@@ -33,14 +33,21 @@
 TCP_USER_TIMEOUT_MS = 3000
 
 
+def _stays() -> bool:
+    """Return that a caller is still there."""
+    return False
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """Progress of the exchange of the current task.
 
     ``connected`` is True once a byte of the request may have been sent.
+    ``has_caller_left`` is asked when a connection is ready for it.
     """
 
     connected: bool = False
+    has_caller_left: Callable[[], bool] = _stays
 
 
 progress: contextvars.ContextVar[Progress] = contextvars.ContextVar(
@@ -60,13 +67,20 @@
     """Connector that never reuses a connection with unread bytes."""
 
     async def connect(self, req, traces, timeout):
-        """Return a connection and record that bytes may be sent on it."""
+        """Return a connection and record that bytes may be sent on it.
+
+        Raises ``CancelledError`` if the caller has left in the meantime.
+        """
         while True:
             connection = await super().connect(req, traces, timeout)
             if not connection.protocol.should_close:
                 break
             connection.close()
-        progress.get().connected = True
+        current = progress.get()
+        if current.has_caller_left():
+            connection.release()
+            raise asyncio.CancelledError
+        current.connected = True
         return connection
 
 
--- a/tests/test_forwarding_caller_left.py
+++ b/tests/test_forwarding_caller_left.py
@@ -4,9 +4,11 @@
 import socket
 import struct
 
+import aiohttp
 import pytest
 import uvloop
 
+from skylarkpitch.requests import caller_connection
 from tests.stand_ins import handler_fleet
 from tests.stand_ins import raw_upstream as upstreams
 from tests.stand_ins import virtual_time
@@ -147,6 +149,31 @@
     asyncio.run(check())
 
 
+# Guards against a request that is sent although its caller has left while a
+# connection to the upstream was opened.
+@pytest.mark.parametrize('answers', [[True], [False, True]])
+@pytest.mark.parametrize('opened', [0, CONNECTIONS], ids=['new', 'reused'])
+def test_caller_is_asked_for_once_a_connection_is_ready(
+    monkeypatch, opened, answers
+):
+    async def check():
+        async with exchange_tests.forwarding(
+            [upstreams.respond()], repeatable=False
+        ) as entry:
+            runs = await open_upstream_connections(entry, opened)
+            remaining = iter(answers)
+            monkeypatch.setattr(
+                caller_connection, 'has_left', lambda request: next(remaining)
+            )
+            with pytest.raises(aiohttp.ServerDisconnectedError):
+                async with entry.post():
+                    pass
+            assert entry.runs == runs
+            assert list(remaining) == []
+
+    asyncio.run(check())
+
+
 # Guards against a check that takes callers for gone who are still there.
 @pytest.mark.parametrize('stands_still_s', [0.0, 0.3])
 def test_request_of_a_caller_that_waits_is_sent(stands_still_s):
