--- a/tests/stand_ins/virtual_time.py
+++ b/tests/stand_ins/virtual_time.py
@@ -3,6 +3,9 @@
 import asyncio
 
 MIN_DELAY_S = 1e-9
+# Time that each step takes. Without it, a task that waits for a rest of time
+# which is lost to rounding would find the same rest again, for ever.
+STEP_S = 1e-11
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -23,6 +26,7 @@
         return super().call_later(delay, callback, *args, context=context)
 
     def _run_once(self):
+        self._virtual_s += STEP_S
         if not self._ready and self._scheduled:
             due_s = self._scheduled[0]._when
             self._virtual_s = max(self._virtual_s, due_s)
