--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import json
 import pathlib
 import random
@@ -95,18 +96,45 @@
             self._fleet.start(name, 'new')
         upstreams = []
         for number in range(UPSTREAMS):
+            changed = asyncio.Event()
             upstream = parts.Upstream(
-                rng=random.Random(self._rng.random()), seen=self.seen
+                name=f'u{number}',
+                rng=random.Random(self._rng.random()),
+                seen=self.seen,
+                announce=changed.set,
             )
             await upstream.start()
             stack.push_async_callback(upstream.stop)
             upstreams.append(upstream)
-            self._start(self._fleet._announce(number, upstream.address))
+            self._start(self._announce(number, upstream, changed))
         await self._change()
         for domain in upgrade_fleet.DOMAINS:
             await self._fleet._until_ready(f'entry-{domain}')
         return upstreams
 
+    async def _announce(
+        self, number: int, upstream: parts.Upstream, changed: asyncio.Event
+    ) -> None:
+        """Send heartbeats, and one at once when the instance has changed."""
+        domains = upgrade_fleet.DOMAINS
+        for sequence in itertools.count(1):
+            body = {
+                'born_ms': upstream.born_ms,
+                'sequence': sequence,
+                'service': 'desk',
+                'address': upstream.address,
+                'failure_domain': domains[number % len(domains)],
+                'slots': 8,
+            }
+            path = f'/v1/upstreams/{upstream.name}'
+            for name in self._fleet.controls():
+                if await self._fleet.answer('PUT', name, path, json=body):
+                    break
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(upgrade_fleet.HEARTBEAT_S):
+                    await changed.wait()
+            changed.clear()
+
     async def _call(self) -> None:
         entries = [
             address
--- a/benchmarks/process_soak_parts.py
+++ b/benchmarks/process_soak_parts.py
@@ -1,6 +1,7 @@
 """Callers and upstreams of the process soak."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import hashlib
 import itertools
@@ -14,6 +15,16 @@
 
 WORK_S = (0.005, 0.2)
 RESTART_S = (0.2, 1.5)
+# An upstream that is started again at once, as another instance.
+REPLACEMENT_S = (0.002, 0.02)
+REPLACEMENT_SHARE = 0.5
+SECOND_COPY_S = (0.0005, 0.02)
+SECOND_COPY_SHARE = 0.5
+MISDIRECTED = 421
+REJECTIONS = (429, 503)
+FAULTS = ('reject', 'abort', 'half', 'error', 'unmarked')
+# Statuses that would tell a caller that its request has not run.
+UNMARKED_STATUSES = (408, 429, 503)
 RESPONSE_TIMEOUT_S = 6.0
 PAUSE_S = (0.0, 0.1)
 LEAVES_AFTER_S = (0.0, 0.3)
@@ -53,11 +64,23 @@
 
 
 class Upstream:
-    """Upstream that crashes, breaks off and rejects now and then."""
+    """Upstream that crashes, breaks off and rejects now and then.
+
+    ``name`` is its id for as long as no other instance takes its address.
+    ``announce`` is called when another one has.
+    """
 
     def __init__(
-        self, *, rng: random.Random, seen: checks.Observations
+        self,
+        *,
+        name: str,
+        rng: random.Random,
+        seen: checks.Observations,
+        announce: Callable[[], None] = lambda: None,
     ) -> None:
+        self._first_name = name
+        self._replacements = 0
+        self._announce = announce
         self._rng = rng
         self._seen = seen
         self._faulty_share = 0.0
@@ -65,6 +88,18 @@
         self._restarting: asyncio.Task | None = None
         self.address = ''
 
+    @property
+    def name(self) -> str:
+        """Return the id of the instance that listens."""
+        if not self._replacements:
+            return self._first_name
+        return f'{self._first_name}-{self._replacements}'
+
+    @property
+    def born_ms(self) -> int:
+        """Return when the instance started."""
+        return 1000 + self._replacements
+
     async def start(self) -> None:
         """Listen, at the same address as before."""
         port = int(self.address.rpartition(':')[2] or 0)
@@ -96,6 +131,12 @@
 
     async def _crash(self) -> None:
         await self.stop()
+        if self._rng.random() < REPLACEMENT_SHARE:
+            await asyncio.sleep(self._rng.uniform(*REPLACEMENT_S))
+            self._replacements += 1
+            await self.start()
+            self._announce()
+            return
         await asyncio.sleep(self._rng.uniform(*RESTART_S))
         await self.start()
 
@@ -112,28 +153,63 @@
 
     async def _respond(self, writer, headers, body) -> None:
         request_id = headers.get('request-id', '')
-        is_faulty = self._rng.random() < self._faulty_share
-        fault = self._rng.choice(('reject', 'abort', 'half', 'error'))
-        rows = [f'Request-Id: {request_id}', 'Answer-Seal: s']
+        if headers.get('expect-upstream') != self.name:
+            await self._reject(writer, request_id, MISDIRECTED)
+            return
+        fault = ''
+        if self._rng.random() < self._faulty_share:
+            fault = self._rng.choice(FAULTS)
+        if fault == 'reject':
+            status = self._rng.choice(REJECTIONS)
+            await self._reject(writer, request_id, status)
+            return
+        self._seen.arrived(request_id)
+        await asyncio.sleep(self._rng.uniform(*WORK_S))
         status, content = 200, digest(request_id, body)
-        if is_faulty and fault == 'reject':
-            status, content = 503, b''
-            rows.append('Answer-Not-Run: 1')
-        else:
-            self._seen.arrived(request_id)
-            await asyncio.sleep(self._rng.uniform(*WORK_S))
-        if is_faulty and fault == 'error':
+        if fault == 'error':
             status, content = 500, b''
-        rows.append(f'Content-Length: {len(content)}')
-        data = f'HTTP/1.1 {status} X\r\n' + '\r\n'.join([*rows, '', ''])
-        if is_faulty and fault == 'abort':
+        if fault == 'unmarked':
+            status, content = self._rng.choice(UNMARKED_STATUSES), b''
+        data = _message(status, request_id, content)
+        if fault == 'abort':
             raise ConnectionError
-        if is_faulty and fault == 'half':
-            writer.write(data.encode() + content[:10])
+        if fault == 'half':
+            writer.write(data[: 10 - len(content)])
             raise ConnectionError
-        writer.write(data.encode() + content)
+        writer.write(data)
         await writer.drain()
 
+    async def _reject(self, writer, request_id: str, status: int) -> None:
+        """Reject a request, and perhaps say so once more a little later."""
+        data = _message(status, request_id, b'', 'Answer-Not-Run: 1')
+        writer.write(data)
+        await writer.drain()
+        if self._rng.random() > SECOND_COPY_SHARE:
+            return
+        delay_s = self._rng.uniform(*SECOND_COPY_S)
+        asyncio.get_running_loop().call_later(delay_s, _write, writer, data)
+
+
+def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
+def _message(
+    status: int, request_id: str, content: bytes, *rows: str
+) -> bytes:
+    """Return a response of an upstream."""
+    lines = [
+        f'HTTP/1.1 {status} X',
+        f'Request-Id: {request_id}',
+        'Answer-Seal: s',
+        f'Content-Length: {len(content)}',
+        *rows,
+        '',
+        '',
+    ]
+    return '\r\n'.join(lines).encode() + content
+
 
 class Caller:
     """Caller that keeps its connection until it ends, or leaves."""
