Log each response of an upstream that rejects a request

REFUSED: the logs did not tell which of an upstream's responses a refusal came from. The new line has the request, the upstream and its address, the local port of the connection, the status and whether the upstream marked it as not run. The statuses that state it are named once, in refusals.

--- a/src/skylarkpitch/forwarding/exchanges.py
+++ b/src/skylarkpitch/forwarding/exchanges.py
@@ -120,7 +120,10 @@
         The statuses 408, 421, 429 and 503 guarantee that the request has not
         run, so they are replaced if it may have.
         """
-        if not call.may_have_run or refusal.status not in (408, 421, 429, 503):
+        if (
+            not call.may_have_run
+            or refusal.status not in refusals.NOT_RUN_STATUSES
+        ):
             return refusal
         return refusals.refuse(
             refusals.Reason.UPSTREAM_BROKE_OFF, refusal.detail
@@ -249,6 +252,8 @@
             or response.status == STATUS_MISDIRECTED_REQUEST
         )
         now_s = self._clock()
+        if response.status in refusals.NOT_RUN_STATUSES:
+            self._log_rejection(call, candidate, response, not_run=not_run)
         if not not_run:
             if response.rest is None:
                 self._crash_tracker.record_response(
@@ -291,6 +296,27 @@
             now_s=now_s,
         )
 
+    def _log_rejection(
+        self,
+        call: calls.Call,
+        candidate: candidates.Candidate,
+        response: senders.UpstreamResponse,
+        *,
+        not_run: bool,
+    ) -> None:
+        now_s = self._clock()
+        _log.info(
+            'exchange_rejected',
+            request_id=call.request_id,
+            upstream=candidate.load.upstream.upstream_id,
+            address=candidate.load.upstream.address,
+            local_port=response.local_port,
+            status=response.status,
+            not_run=not_run,
+            took_ms=round((now_s - call.sent_s) * MS_PER_S, 1),
+            left_ms=int((call.deadline_s - now_s) * MS_PER_S),
+        )
+
     def _log_failure(
         self,
         call: calls.Call,
--- a/src/skylarkpitch/forwarding/refusals.py
+++ b/src/skylarkpitch/forwarding/refusals.py
@@ -9,7 +9,10 @@
 
 import msgspec
 
-__all__ = ['Reason', 'Refusal', 'refuse']
+__all__ = ['NOT_RUN_STATUSES', 'Reason', 'Refusal', 'refuse']
+
+# What guarantees that a request has not run and never will.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class Reason(enum.StrEnum):
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -88,7 +88,8 @@
     """Response of an upstream.
 
     ``body`` is the whole body if ``rest`` is None, otherwise its first part;
-    ``rest`` then yields the remaining chunks.
+    ``rest`` then yields the remaining chunks. ``local_port`` is that of the
+    connection.
     """
 
     def __init__(
@@ -98,7 +99,9 @@
         headers: header_rules.HeaderPairs,
         body: bytes,
         rest: AsyncIterator[bytes] | None,
+        local_port: int,
     ) -> None:
+        self.local_port = local_port
         self.status = response.status
         self.headers = headers
         self.body = body
@@ -250,6 +253,7 @@
             headers=header_rules.end_to_end(response.headers),
             body=b''.join(chunks),
             rest=None if is_complete else _rest(response),
+            local_port=sessions.progress.get().local_port,
         )
 
     def _belongs_to(
--- a/src/skylarkpitch/requests/exchange_protocol.py
+++ b/src/skylarkpitch/requests/exchange_protocol.py
@@ -5,6 +5,7 @@
 no exchange uses.
 """
 
+import asyncio
 from typing import Any
 
 import aiohttp
@@ -31,11 +32,22 @@
     complete response belong to no request: the connection is reset when they
     arrive. A response that is complete by then can still be read. The same
     happens after ``MAX_HEAD_BYTES`` without the head of a response.
+
+    ``local_port`` identifies the connection in logs.
     """
 
+    local_port = 0
+
     _responses = 0
     _head_bytes = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record the port of this host."""
+        super().connection_made(transport)
+        address = transport.get_extra_info('sockname')
+        if address is not None:
+            self.local_port = address[1]
+
     def set_response_params(self, **options: Any) -> None:
         """Expect the response to a new request."""
         self._responses = 0
--- a/src/skylarkpitch/requests/exchange_sessions.py
+++ b/src/skylarkpitch/requests/exchange_sessions.py
@@ -44,9 +44,11 @@
 
     ``connected`` is True once a byte of the request may have been sent.
     ``has_caller_left`` is asked when a connection is ready for it.
+    ``local_port`` is that of the connection.
     """
 
     connected: bool = False
+    local_port: int = 0
     has_caller_left: Callable[[], bool] = _stays
 
 
@@ -81,6 +83,7 @@
             connection.release()
             raise asyncio.CancelledError
         current.connected = True
+        current.local_port = connection.protocol.local_port
         return connection
 
 
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -67,6 +67,7 @@
         self.headers = tuple(rows.items())
         self.body = body
         self.rest = None
+        self.local_port = 0
         self._rows = multidict.CIMultiDict(rows)
 
     def header(self, name):
