--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
@@ -24,9 +25,8 @@
 HOST = 'pans.example'
 
 
-def view_of(behaviours, addresses, *, repeatable, timeout_ms=800.0):
+def state_of(addresses, *, repeatable, timeout_ms=800.0):
     organisation = model.Organisation(name='o', api_keys=('key',))
-    view = views.FleetView()
     items = [
         fleet_fixtures.put(
             1,
@@ -42,10 +42,7 @@
         fleet_fixtures.record(f'u{number}', address=address)
         for number, address in enumerate(addresses)
     ]
-    view.apply(
-        fleet_fixtures.watch_response(fleet_fixtures.applied(*items), 0)
-    )
-    return view
+    return fleet_fixtures.applied(*items)
 
 
 @contextlib.asynccontextmanager
@@ -62,12 +59,11 @@
     running = [upstreams.RawUpstream(*items) for items in behaviours]
     for item in running:
         await item.start()
-    view = view_of(
-        behaviours,
-        [item.address for item in running],
-        repeatable=repeatable,
-        **options,
+    view = views.FleetView()
+    state = state_of(
+        [item.address for item in running], repeatable=repeatable, **options
     )
+    view.apply(fleet_fixtures.watch_response(state, 0))
     outcomes = []
     handler = handlers.RequestHandler(
         view=view,
@@ -96,7 +92,12 @@
     )
     await listener.open(model.CallerLimits())
     async with aiohttp.ClientSession() as session:
-        yield EntryHostClient(session, port, running, outcomes, handler)
+        client = EntryHostClient(session, port, running, outcomes, handler)
+        client.follow = lambda: handler.apply_view_changes(
+            view.apply(fleet_fixtures.watch_response(state, view.index))
+        )
+        client.state = state
+        yield client
     await listener.close(timeout_s=0.1)
     await handler.close()
     for item in running:
@@ -104,7 +105,10 @@
 
 
 class EntryHostClient:
-    """Caller of one entry host, with its upstreams and outcomes."""
+    """Caller of one entry host, with its upstreams and outcomes.
+
+    ``follow`` lets the host follow the changes of ``state``.
+    """
 
     def __init__(self, session, port, running, outcomes, handler):
         self._handler = handler
@@ -124,6 +128,16 @@
     def counter(self, name):
         return self._handler.counters()[name]
 
+    def replace_upstream(self, number, upstream_id, *, born_ms):
+        """Let another instance take the address of an upstream."""
+        record = fleet_fixtures.record(
+            upstream_id,
+            address=self.upstreams[number].address,
+            born_ms=born_ms,
+        )
+        self.state.apply(self.state.index + 1, commands.encode(record))
+        self.follow()
+
     def post(self, request_id='r1', *, body=b'pan', **headers):
         return self.session.post(
             f'http://127.0.0.1:{self.port}/pans/a%2Fb?x=%20',
--- /dev/null
+++ b/tests/test_forwarding_not_run.py
@@ -0,0 +1,78 @@
+"""Test that a request which was refused as not run has not run."""
+
+import asyncio
+
+import pytest
+
+from skylarkpitch.forwarding import refusals
+from tests.stand_ins import raw_upstream as upstreams
+from tests.test_forwarding_exchange import forwarding
+from tests.test_forwarding_exchange import run
+
+SEALED = f'{upstreams.SEAL}: s'
+MARKED = f'{upstreams.NOT_RUN}: 1'
+WORK_S = 0.2
+
+
+async def run_slowly(request_id, reader, writer):
+    """Run a request, and respond after ``WORK_S``."""
+    await asyncio.sleep(WORK_S)
+    await upstreams.respond()(request_id, reader, writer)
+
+
+# Guards against "not run" said of a request that runs: an upstream writes its
+# refusal once more when the request has come back to it on the connection,
+# since another instance has taken the address meanwhile.
+@pytest.mark.parametrize('delay_s', [0.0005, 0.02, 0.1])
+@pytest.mark.parametrize('status', [421, 429, 503])
+def test_second_copy_of_a_refusal_is_not_taken_for_that_of_a_retry(
+    status, delay_s
+):
+    async def check():
+        async def reject_twice(request_id, reader, writer):
+            entry.replace_upstream(0, 'another', born_ms=10_000)
+            twice = upstreams.respond_again_later(
+                upstreams.reject(status), delay_s=delay_s
+            )
+            await twice(request_id, reader, writer)
+
+        behaviours = [reject_twice, run_slowly]
+        async with forwarding(behaviours, repeatable=False) as entry:
+            async with entry.post() as response:
+                await response.read()
+            assert entry.runs == 2
+            assert response.status not in refusals.NOT_RUN_STATUSES
+
+    run(check)
+
+
+# Guards against a status that states "not run" of a request that an upstream
+# has run: the upstream did not state so, the entry host passed it on.
+@pytest.mark.parametrize(
+    ('status', 'repeatable', 'expected'),
+    [
+        (408, False, 502),
+        (429, False, 502),
+        (503, False, 502),
+        (500, False, 500),
+        (408, True, 408),
+        (429, True, 429),
+    ],
+)
+def test_rejection_that_is_not_marked_does_not_state_not_run(
+    status, repeatable, expected
+):
+    async def check():
+        unmarked = upstreams.respond(status, b'ran', rows=(SEALED,))
+        async with forwarding([unmarked], repeatable=repeatable) as entry:
+            async with entry.post() as response:
+                body = await response.read()
+            assert entry.runs == 1
+            assert response.status == expected
+            if expected == status:
+                assert body == b'ran'
+            else:
+                assert upstreams.SEAL not in response.headers
+                assert 'Retry-After' not in response.headers
+
+    run(check)
