--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -2,7 +2,8 @@
 
 A response is accepted only if it echoes the id of the request, since data on
 a reused connection may belong to an earlier request. A request without an id
-gets a connection of its own.
+gets a connection of its own, and one that is sent again goes over another
+connection than before.
 """
 
 import asyncio
@@ -162,7 +163,9 @@
         The connection is closed on a time-out, on cancellation and after a
         response that is incomplete or belongs to another request.
         """
-        progress = sessions.Progress(has_caller_left=has_caller_left)
+        progress = sessions.Progress(
+            request_id=request.request_id, has_caller_left=has_caller_left
+        )
         sessions.progress.set(progress)
         left_s = deadline_s - time.monotonic()
         try:
--- a/src/skylarkpitch/requests/exchange_protocol.py
+++ b/src/skylarkpitch/requests/exchange_protocol.py
@@ -20,6 +20,9 @@
 PIECE_BYTES = 32 * 1024
 # Limit of the head of a response, with the interim responses before it.
 MAX_HEAD_BYTES = 64 * 1024
+# A connection is closed after so many requests, which bounds the ids that it
+# remembers.
+MAX_REQUESTS = 256
 
 _log = structlog.get_logger(__name__)
 
@@ -33,7 +36,8 @@
     arrive. A response that is complete by then can still be read. The same
     happens after ``MAX_HEAD_BYTES`` without the head of a response.
 
-    ``local_port`` identifies the connection in logs.
+    ``local_port`` identifies the connection in logs. ``request_ids`` are
+    those of the requests that were sent on it.
     """
 
     local_port = 0
@@ -41,6 +45,18 @@
     _responses = 0
     _head_bytes = 0
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.request_ids: set[str] = set()
+
+    def record_request(self, request_id: str | None) -> None:
+        """Record that a request is sent; the last one closes afterwards."""
+        if request_id is None:
+            return
+        self.request_ids.add(request_id)
+        if len(self.request_ids) >= MAX_REQUESTS:
+            self.force_close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the port of this host."""
         super().connection_made(transport)
--- a/src/skylarkpitch/requests/exchange_sessions.py
+++ b/src/skylarkpitch/requests/exchange_sessions.py
@@ -44,9 +44,11 @@
 
     ``connected`` is True once a byte of the request may have been sent.
     ``has_caller_left`` is asked when a connection is ready for it.
-    ``local_port`` is that of the connection.
+    ``local_port`` is that of the connection. ``request_id`` is the id that
+    the response repeats, None if it repeats none.
     """
 
+    request_id: str | None = None
     connected: bool = False
     local_port: int = 0
     has_caller_left: Callable[[], bool] = _stays
@@ -66,22 +68,35 @@
 
 
 class _Connector(aiohttp.TCPConnector):
-    """Connector that never reuses a connection with unread bytes."""
+    """Connector that never reuses a connection with unread bytes.
+
+    Nor does it reuse one for a request id that was sent on it before: a
+    second copy of the earlier response could not be told from the new one.
+    """
 
     async def connect(self, req, traces, timeout):
         """Return a connection and record that bytes may be sent on it.
 
         Raises ``CancelledError`` if the caller has left in the meantime.
         """
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            if not connection.protocol.should_close:
-                break
-            connection.close()
         current = progress.get()
+        used: list[aiohttp.connector.Connection] = []
+        try:
+            while True:
+                connection = await super().connect(req, traces, timeout)
+                if connection.protocol.should_close:
+                    connection.close()
+                elif current.request_id in connection.protocol.request_ids:
+                    used.append(connection)
+                else:
+                    break
+        finally:
+            for other in used:
+                other.release()
         if current.has_caller_left():
             connection.release()
             raise asyncio.CancelledError
+        connection.protocol.record_request(current.request_id)
         current.connected = True
         current.local_port = connection.protocol.local_port
         return connection
--- a/tests/test_forwarding_not_run.py
+++ b/tests/test_forwarding_not_run.py
@@ -5,6 +5,7 @@
 import pytest
 
 from skylarkpitch.forwarding import refusals
+from skylarkpitch.requests import exchange_protocol
 from tests.stand_ins import raw_upstream as upstreams
 from tests.test_forwarding_exchange import forwarding
 from tests.test_forwarding_exchange import run
@@ -46,6 +47,38 @@
     run(check)
 
 
+# Guards against the same for a caller that sends an id again itself.
+def test_second_copy_of_a_refusal_is_not_taken_for_that_of_a_repetition():
+    async def check():
+        twice = upstreams.respond_again_later(upstreams.reject(503))
+        async with forwarding([twice, run_slowly], repeatable=False) as entry:
+            statuses = []
+            for _number in range(2):
+                async with entry.post('same') as response:
+                    await response.read()
+                    statuses.append(response.status)
+            assert entry.runs == 2
+            assert statuses == [503, 200]
+
+    run(check)
+
+
+# Guards against a connection that remembers ids without end.
+def test_connection_is_replaced_after_many_requests():
+    async def check():
+        done = upstreams.respond()
+        async with forwarding([done], repeatable=False) as entry:
+            for number in range(exchange_protocol.MAX_REQUESTS):
+                assert not entry.upstreams[0].closed.is_set()
+                async with entry.post(f'r{number}') as response:
+                    assert response.status == 200
+            await asyncio.wait_for(entry.upstreams[0].closed.wait(), 1.0)
+            async with entry.post('next') as response:
+                assert response.status == 200
+
+    run(check)
+
+
 # Guards against a status that states "not run" of a request that an upstream
 # has run: the upstream did not state so, the entry host passed it on.
 @pytest.mark.parametrize(
