--- a/src/skylarkpitch/forwarding/exchanges.py
+++ b/src/skylarkpitch/forwarding/exchanges.py
@@ -251,23 +251,41 @@
             response.header(self._names.not_run) is not None
             or response.status == STATUS_MISDIRECTED_REQUEST
         )
-        now_s = self._clock()
         if response.status in refusals.NOT_RUN_STATUSES:
             self._log_rejection(call, candidate, response, not_run=not_run)
-        if not not_run:
-            if response.rest is None:
-                self._crash_tracker.record_response(
-                    call, status=response.status, now_s=now_s
-                )
-            if response.status >= 500:
-                candidate.load.record_failure()
-            if not call.route.repeatable:
-                return _without_false_promise(response)
-            if response.status < 500 or not self._claim_retry(call):
-                return response
-            response.close()
-            call.may_have_run = True
-            return None
+        if not_run:
+            return self._after_rejection(call, candidate, response)
+        return self._after_run(call, candidate, response)
+
+    def _after_run(
+        self,
+        call: calls.Call,
+        candidate: candidates.Candidate,
+        response: senders.UpstreamResponse,
+    ) -> senders.UpstreamResponse | refusals.Refusal | None:
+        """Handle the response to a request that has or may have run."""
+        if response.rest is None:
+            self._crash_tracker.record_response(
+                call, status=response.status, now_s=self._clock()
+            )
+        if response.status >= 500:
+            candidate.load.record_failure()
+        if not call.route.repeatable:
+            return _without_false_promise(response)
+        if response.status < 500 or not self._claim_retry(call):
+            return response
+        response.close()
+        call.may_have_run = True
+        return None
+
+    def _after_rejection(
+        self,
+        call: calls.Call,
+        candidate: candidates.Candidate,
+        response: senders.UpstreamResponse,
+    ) -> senders.UpstreamResponse | refusals.Refusal | None:
+        """Handle the response to a request that has not run."""
+        now_s = self._clock()
         if response.status == STATUS_MISDIRECTED_REQUEST:
             candidate.load.record_unreachable(now_s=now_s)
         elif response.status == 400:
@@ -275,10 +293,9 @@
         elif now_s >= candidate.load.notices.back_off_until_s:
             # An upstream that asked for a pause instead has not failed.
             candidate.load.record_rejection(now_s=now_s)
+        response.close()
         if self._claim_retry(call):
-            response.close()
             return None
-        response.close()
         refusal = self._scheduler.refuse(call)
         return self._refusal_after_sending(
             call, dataclasses.replace(refusal, reason=refusals.Reason.REJECTED)
