Give peers no response of before a restart (class of REFUSED)

What could be seen: a host that restarted took the response to a request of its earlier process for that to a new one; between control hosts a response may be a vote or an acknowledgement. Requests to a peer are numbered from 1 in each process, and hosts of a fleet keep their routing id, so that a slow peer's response reaches the new process. Why this works: an id begins with 8 random bytes of the connection.

--- a/src/skylarkpitch/peers/network.py
+++ b/src/skylarkpitch/peers/network.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import itertools
+import secrets
 from typing import Any
 from typing import Protocol
 
@@ -34,6 +35,7 @@
 HANDSHAKE_TIMEOUT_MS = 2000
 SEND_QUEUE_MESSAGES = 2000
 MAX_CONCURRENT_HANDLERS = 2000
+ID_PREFIX_BYTES = 8
 # Domain of the ZeroMQ authentication protocol (ZAP).
 ZAP_DOMAIN = 'peers'
 MAX_FRAME_BYTES = codec.MAX_BODY_BYTES
@@ -82,7 +84,10 @@
         self._socket = socket
         self._counts = counts
         self._pending: dict[bytes, asyncio.Future[Any]] = {}
-        self._request_ids = itertools.count(1)
+        # A peer may still respond to requests of an earlier process of this
+        # host, which had the same routing id.
+        self._id_prefix = secrets.token_bytes(ID_PREFIX_BYTES)
+        self._request_numbers = itertools.count(1)
         self._reader = asyncio.create_task(self._read())
 
     def send(self, message: object, *, request_id: bytes = b'') -> bool:
@@ -101,7 +106,8 @@
     async def request(
         self, message: object, *, timeout_s: float
     ) -> Any | sentinels.Absent:
-        request_id = next(self._request_ids).to_bytes(8, 'big')
+        number = next(self._request_numbers).to_bytes(8, 'big')
+        request_id = self._id_prefix + number
         future = asyncio.get_running_loop().create_future()
         self._pending[request_id] = future
         try:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -228,3 +228,66 @@
             assert answering.counters()['messages_dropped'] == 3
 
     asyncio.run(check())
+
+
+def make_sharing_network(local_host, ports, keys):
+    """Return the network of a host whose fleet shares one key."""
+    public, secret = keys
+    hosts = {
+        name: dataclasses.replace(
+            fake_peers.host(name),
+            peers_address=f'127.0.0.1:{port}',
+            public_key=public.decode(),
+        )
+        for name, port in ports.items()
+    }
+    return network.PeerNetwork(
+        directory=directory.Directory(
+            local_host=local_host,
+            hosts=[hosts[local_host]],
+            derive_host=hosts.get,
+        ),
+        secret_key=secret.decode(),
+    )
+
+
+# Guards against a response to a request of before a restart that is taken for
+# the response to another request: both requests had the same number.
+def test_restarted_host_gets_no_response_of_before():
+    async def scenario():
+        ports = dict(zip('ab', fleet.free_ports(2), strict=True))
+        keys = zmq.curve_keypair()
+        released = asyncio.Event()
+
+        async def respond(sender, message):
+            if message.text == 'earlier':
+                await released.wait()
+            elif message.text == 'later':
+                # The responses to the earlier requests go first.
+                released.set()
+                await asyncio.sleep(0.2)
+            return EchoResponse(text=message.text)
+
+        async with make_sharing_network('b', ports, keys) as server:
+            server.handle(EchoRequest, respond)
+            async with make_sharing_network('a', ports, keys) as client:
+                await request_until_connected(
+                    client, 'b', EchoRequest(text='hello')
+                )
+                # So many that the later host uses the same numbers.
+                earlier = EchoRequest(text='earlier')
+                requests = [
+                    client.request('b', earlier, timeout_s=0.2)
+                    for _number in range(100)
+                ]
+                assert not any(await asyncio.gather(*requests))
+            async with make_sharing_network('a', ports, keys) as client:
+                for _number in range(50):
+                    await request_until_connected(
+                        client, 'b', EchoRequest(text='hello')
+                    )
+                return await client.request(
+                    'b', EchoRequest(text='later'), timeout_s=1.0
+                )
+
+    assert asyncio.run(scenario()) == EchoResponse(text='later')
