--- a/src/skylarkpitch/forwarding/exchanges.py
+++ b/src/skylarkpitch/forwarding/exchanges.py
@@ -29,6 +29,7 @@
 MAX_CONNECT_FAILURES = 4
 RETRY_AFTER_S = 0.2
 MS_PER_S = 1000
+MIN_ERROR_STATUS = 400
 STATUS_MISDIRECTED_REQUEST = 421
 
 _log = structlog.get_logger(__name__)
@@ -155,7 +156,7 @@
         took_s = now_s - call.sent_s
         if isinstance(result, senders.UpstreamResponse):
             self._record_load(candidate, result, now_s=now_s)
-            if result.status < 400:
+            if result.status < MIN_ERROR_STATUS:
                 self._scheduler.record_response(call, candidate, took_s=took_s)
         elif result.reason is refusals.Reason.TOO_LATE:
             self._scheduler.record_timeout(call, candidate, took_s=took_s)
@@ -247,16 +248,24 @@
         request again.
         """
         call.exchanges += 1
-        not_run = (
-            response.header(self._names.not_run) is not None
-            or response.status == STATUS_MISDIRECTED_REQUEST
-        )
+        not_run = self._states_not_run(response)
         if response.status in refusals.NOT_RUN_STATUSES:
             self._log_rejection(call, candidate, response, not_run=not_run)
         if not_run:
             return self._after_rejection(call, candidate, response)
         return self._after_run(call, candidate, response)
 
+    def _states_not_run(self, response: senders.UpstreamResponse) -> bool:
+        """Return whether an upstream states that it did not run a request.
+
+        A success contradicts the mark, so that the request may have run.
+        """
+        if response.status < MIN_ERROR_STATUS:
+            return False
+        if response.status == STATUS_MISDIRECTED_REQUEST:
+            return True
+        return response.header(self._names.not_run) is not None
+
     def _after_run(
         self,
         call: calls.Call,
--- a/tests/test_forwarding_not_run.py
+++ b/tests/test_forwarding_not_run.py
@@ -63,6 +63,22 @@
     run(check)
 
 
+# Guards against a second run of a request whose success bears the mark "not
+# run", which contradicts it: the success was dropped and the request sent
+# again.
+@pytest.mark.parametrize('repeatable', [True, False])
+@pytest.mark.parametrize('status', [200, 304])
+def test_success_that_is_marked_as_not_run_is_delivered(status, repeatable):
+    async def check():
+        marked = upstreams.respond(status, b'', rows=(SEALED, MARKED))
+        async with forwarding([marked], [marked], repeatable=repeatable) as e:
+            async with e.post() as response:
+                assert response.status == status
+            assert e.runs == 1
+
+    run(check)
+
+
 # Guards against a connection that remembers ids without end.
 def test_connection_is_replaced_after_many_requests():
     async def check():
