--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -14,7 +14,6 @@
 import time
 
 import aiohttp
-import yarl
 
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import refusals
@@ -209,7 +208,7 @@
         address: str,
         on_head: Callable[[ResponseHead], None],
     ) -> UpstreamResponse | Failure:
-        url = yarl.URL(f'http://{address}{request.target}', encoded=True)
+        url = sessions.url_of(f'http://{address}', request.target)
         session = self._session
         if request.request_id is None:
             session = self._single_use_session
--- a/src/skylarkpitch/requests/exchange.py
+++ b/src/skylarkpitch/requests/exchange.py
@@ -184,7 +184,7 @@
     if header_rules.TICKET_HEADER in slot.headers:
         extra.append((header_rules.TARGET_HEADER, target))
         return yarl.URL(slot.url, encoded=True), extra
-    return yarl.URL(slot.url.rstrip('/') + target, encoded=True), extra
+    return sessions.url_of(slot.url, target), extra
 
 
 async def _read_prefix(
--- a/src/skylarkpitch/requests/exchange_sessions.py
+++ b/src/skylarkpitch/requests/exchange_sessions.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import aiohttp
+import yarl
 
 from skylarkpitch.requests import exchange_protocol
 
@@ -24,6 +25,7 @@
     'enable_dead_peer_detection',
     'new_session',
     'progress',
+    'url_of',
 ]
 
 CONNECT_TIMEOUT_S = 1.0
@@ -168,3 +170,16 @@
         auto_decompress=False,
         middlewares=(_translate_errors,),
     )
+
+
+def url_of(base_url: str, target: str) -> yarl.URL:
+    """Return the URL by which a target is sent byte for byte."""
+    base = yarl.URL(base_url, encoded=True)
+    # All of the target is the path: as a query, an empty one is dropped.
+    return yarl.URL.build(
+        scheme=base.scheme,
+        host=base.host,
+        port=base.port,
+        path=base.raw_path.rstrip('/') + target,
+        encoded=True,
+    )
--- a/tests/test_requests_path.py
+++ b/tests/test_requests_path.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 import pytest
 
+from skylarkpitch.requests import exchange_sessions
 from skylarkpitch.requests import request_handler
 from skylarkpitch import sentinels
 from skylarkpitch.settings import daemon
@@ -67,6 +68,22 @@
     )
 
 
+# Guards against a target that a library normalises on the way.
+@pytest.mark.parametrize('target', ['/svc/a?', '/svc/a', '/svc/a?x=%20&'])
+def test_target_reaches_upstream_unchanged(target):
+    async def go():
+        async with (
+            request_ports.serving(echo) as upstream,
+            serve_bench(upstream) as bench,
+        ):
+            url = exchange_sessions.url_of(bench.url, target)
+            async with aiohttp.ClientSession() as caller:
+                async with caller.get(url, headers=KEY) as response:
+                    return json.loads(await response.read())['target']
+
+    assert run(go()) == target
+
+
 def test_request_reaches_upstream_with_organisation_and_without_key():
     async def go():
         async with (
