End an exchange at once whose body cannot be parsed

What callers saw: 504 at their deadline, for a response whose chunks are malformed, if the head of the response came in an earlier read. Cause: the parser's error reaches only who waits for a head; the body stays open until the deadline. In one read with the head it came out at once. Why this works: the protocol fails the body that is read with the error.

--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -17,6 +17,7 @@
 
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import refusals
+from skylarkpitch.requests import exchange_protocol
 from skylarkpitch.requests import exchange_sessions as sessions
 from skylarkpitch.requests import headers as header_rules
 
@@ -180,16 +181,12 @@
             )
         except sessions.UnsentError as error:
             return _unsent(str(error))
+        except exchange_protocol.MalformedBodyError as error:
+            return _malformed(str(error), sent=progress.connected)
         except (sessions.BrokenError, aiohttp.ClientPayloadError) as error:
             return _broken_off(str(error), sent=progress.connected)
         except (aiohttp.ClientError, ValueError) as error:
-            if not progress.connected:
-                return _unsent(str(error))
-            return Failure(
-                sent=True,
-                reason=refusals.Reason.MALFORMED_RESPONSE,
-                detail=str(error),
-            )
+            return _malformed(str(error), sent=progress.connected)
 
     async def is_listening(self, address: str) -> bool:
         """Return whether an upstream accepts a connection at its address."""
@@ -331,3 +328,11 @@
     return Failure(
         sent=True, reason=refusals.Reason.UPSTREAM_BROKE_OFF, detail=detail
     )
+
+
+def _malformed(detail: str, *, sent: bool) -> Failure:
+    if not sent:
+        return _unsent(detail)
+    return Failure(
+        sent=True, reason=refusals.Reason.MALFORMED_RESPONSE, detail=detail
+    )
--- a/src/skylarkpitch/requests/exchange.py
+++ b/src/skylarkpitch/requests/exchange.py
@@ -16,6 +16,7 @@
 import yarl
 
 from skylarkpitch import ports
+from skylarkpitch.requests import exchange_protocol
 from skylarkpitch.requests import exchange_results as results
 from skylarkpitch.requests import exchange_sessions as sessions
 from skylarkpitch.requests import headers as header_rules
@@ -98,6 +99,8 @@
             return results.timed_out(connected=progress.connected)
         except sessions.UnsentError as error:
             return results.unsent(str(error))
+        except exchange_protocol.MalformedBodyError as error:
+            return results.malformed(str(error), connected=progress.connected)
         except (sessions.BrokenError, aiohttp.ClientPayloadError) as error:
             return results.broken(str(error), connected=progress.connected)
         except (aiohttp.ClientError, ValueError) as error:
--- a/src/skylarkpitch/requests/exchange_protocol.py
+++ b/src/skylarkpitch/requests/exchange_protocol.py
@@ -13,7 +13,7 @@
 from aiohttp import http
 import structlog
 
-__all__ = ['ExchangeProtocol']
+__all__ = ['ExchangeProtocol', 'MalformedBodyError']
 
 # Bytes that are parsed at once. Even of the shortest responses, that makes
 # only some hundreds.
@@ -27,6 +27,10 @@
 _log = structlog.get_logger(__name__)
 
 
+class MalformedBodyError(aiohttp.ClientPayloadError):
+    """The body of a response cannot be parsed."""
+
+
 class ExchangeProtocol(client_proto.ResponseHandler):
     """Protocol that reads one response for each request.
 
@@ -89,6 +93,9 @@
                 return
             piece = data[start : start + PIECE_BYTES]
             super().data_received(piece)
+            if self.exception() is not None:
+                self._fail_body(MalformedBodyError(str(self.exception())))
+                return
             if self._responses == 0:
                 self._head_bytes += len(piece)
             if self._head_bytes > MAX_HEAD_BYTES:
@@ -99,13 +106,18 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the response that is being read if the connection is reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
+        if exc is not None:
+            self._fail_body(
                 aiohttp.ClientPayloadError(f'connection reset ({exc})')
             )
         super().connection_lost(exc)
 
+    def _fail_body(self, error: aiohttp.ClientPayloadError) -> None:
+        """Fail the body that is being read, if there is one."""
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+
     def _is_complete(self) -> bool:
         payload = self._payload
         return self._responses > 0 and (payload is None or payload.is_eof())
--- a/tests/test_forwarding_faulty_upstreams.py
+++ b/tests/test_forwarding_faulty_upstreams.py
@@ -243,6 +243,27 @@
     run(check)
 
 
+# Guards against a caller that waits for its deadline after a body that cannot
+# be read, since its head came in an earlier read.
+@pytest.mark.parametrize('delay_s', [0.0, 0.05])
+def test_malformed_chunks_end_the_exchange(delay_s):
+    async def malformed(request_id, reader, writer):
+        head = HEAD.replace(b'%ID%', request_id.encode())
+        writer.write(head + b'Transfer-Encoding: chunked\r\n\r\n')
+        await asyncio.sleep(delay_s)
+        writer.write(b'zz\r\nhalf\r\n')
+
+    async def check():
+        async with forwarding(
+            [malformed], repeatable=False, timeout_ms=5000.0
+        ) as entry:
+            async with asyncio.timeout(1.0):
+                assert await read(entry) == (502, True)
+            assert entry.outcomes[0].reason == 'answer_malformed'
+
+    run(check)
+
+
 async def read(entry):
     """Return the status of a response, and whether it is complete."""
     status = None
