--- a/src/skylarkpitch/requests/exchange_protocol.py
+++ b/src/skylarkpitch/requests/exchange_protocol.py
@@ -20,6 +20,7 @@
 PIECE_BYTES = 32 * 1024
 # Limit of the head of a response, with the interim responses before it.
 MAX_HEAD_BYTES = 64 * 1024
+HEAD_END = b'\r\n\r\n'
 # A connection is closed after so many requests, which bounds the ids that it
 # remembers.
 MAX_REQUESTS = 256
@@ -48,6 +49,10 @@
 
     _responses = 0
     _head_bytes = 0
+    # End of the bytes read so far of a head, which may be a part of HEAD_END.
+    _head_rest = b''
+    # Bytes that are left of a body whose length is known, otherwise None.
+    _body_left: int | None = None
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -72,26 +77,37 @@
         """Expect the response to a new request."""
         self._responses = 0
         self._head_bytes = 0
+        self._head_rest = b''
+        self._body_left = None
         super().set_response_params(**options)
 
     def feed_data(
         self, item: tuple[http.RawResponseMessage, Any], size: int = 0
     ) -> None:
         """Queue the head of a response, and count it unless it is interim."""
-        if item[0].code >= 200:
+        message = item[0]
+        if message.code >= 200:
             self._responses += 1
+            self._body_left = _body_length(message)
         super().feed_data(item, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the expected response; reset the connection at more.
 
-        Empty ``data`` makes the parser go on with what it holds.
+        Heads and bodies are parsed one by one, as far as their ends are
+        known, since the parser drops a response if it gets bytes with it
+        that are none. Empty ``data`` makes it go on with what it holds.
         """
-        for start in range(0, max(1, len(data)), PIECE_BYTES):
-            if data and self._is_complete():
+        if not data:
+            super().data_received(data)
+        start = 0
+        while start < len(data):
+            if self._is_complete():
                 self._reset('bytes_after_response')
                 return
             piece = data[start : start + PIECE_BYTES]
+            piece = piece[: self._size_of_part(piece)]
+            start += len(piece)
             super().data_received(piece)
             if self.exception() is not None:
                 self._fail_body(MalformedBodyError(str(self.exception())))
@@ -118,6 +134,23 @@
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
 
+    def _size_of_part(self, data: bytes) -> int:
+        """Return how many bytes belong to the head or body being read."""
+        if self._responses > 0:
+            if self._body_left is None:
+                return len(data)
+            size = min(len(data), self._body_left)
+            self._body_left -= size
+            return size
+        seen = self._head_rest + data
+        end = seen.find(HEAD_END)
+        if end < 0:
+            self._head_rest = seen[1 - len(HEAD_END) :]
+            return len(data)
+        size = end + len(HEAD_END) - len(self._head_rest)
+        self._head_rest = b''
+        return size
+
     def _is_complete(self) -> bool:
         payload = self._payload
         return self._responses > 0 and (payload is None or payload.is_eof())
@@ -133,3 +166,11 @@
             peer=self.transport.get_extra_info('peername'),
         )
         self.transport.abort()
+
+
+def _body_length(message: http.RawResponseMessage) -> int | None:
+    """Return the length of a body, None if only its parser can tell."""
+    length = message.headers.get('Content-Length', '')
+    if message.chunked or not length.isascii() or not length.isdigit():
+        return None
+    return int(length)
--- a/tests/test_forwarding_faulty_upstreams.py
+++ b/tests/test_forwarding_faulty_upstreams.py
@@ -264,6 +264,31 @@
     run(check)
 
 
+# Guards against a complete response that is dropped with the bytes behind it.
+@pytest.mark.parametrize('parts', [1, 2, 40], ids=str)
+@pytest.mark.parametrize(
+    'tail', [b'x' * 100, b'HTTP/1.1 \0', b'HTTP/1.1 200 OK\r\n\r\n']
+)
+@pytest.mark.parametrize('body', [b'', b'done\r\n\r\n'])
+def test_response_is_delivered_despite_the_bytes_behind_it(body, tail, parts):
+    async def behave(request_id, reader, writer):
+        length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
+        head = HEAD.replace(b'%ID%', request_id.encode()) + length
+        data = head + body + tail
+        size = len(data) // parts + 1
+        for start in range(0, len(data), size):
+            writer.write(data[start : start + size])
+            await asyncio.sleep(0.001)
+
+    async def check():
+        async with forwarding([behave, DONE], repeatable=False) as entry:
+            async with entry.post() as response:
+                assert (response.status, await response.read()) == (200, body)
+            assert await read(entry) == (200, True)
+
+    run(check)
+
+
 async def read(entry):
     """Return the status of a response, and whether it is complete."""
     status = None
