Add floods and unknown keys to the process soak

Upstreams go on writing responses that nobody asked for, and some callers use a key that no configuration ever held.

--- a/benchmarks/process_soak_checks.py
+++ b/benchmarks/process_soak_checks.py
@@ -18,10 +18,14 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Request:
-    """One request of a caller; ``left_s`` is when the caller left."""
+    """One request of a caller; ``left_s`` is when the caller left.
+
+    One without ``has_key`` has a key that no configuration ever held.
+    """
 
     repeatable: bool
     sent_s: float
+    has_key: bool = True
     left_s: float | None = None
     status: int | None = None
     is_wrong: bool = False
@@ -79,6 +83,8 @@
     name: str, item: Request, arrivals: list[float], *, is_timed: bool
 ) -> str | None:
     """Return what a request violates, or None."""
+    if arrivals and not item.has_key:
+        return f'{name} ran with a key that nobody holds'
     if not item.repeatable and len(arrivals) > 1:
         return f'{name} ran {len(arrivals)} times'
     if item.status in NOT_RUN_STATUSES and arrivals and not item.repeatable:
@@ -103,7 +109,9 @@
     calm = [
         item.status == 200
         for item in seen.requests.values()
-        if item.sent_s > seen.calm_since_s and item.left_s is None
+        if item.sent_s > seen.calm_since_s
+        and item.left_s is None
+        and item.has_key
     ]
     if calm and sum(calm) < MIN_CALM_SHARE * len(calm):
         found.append(f'{sum(calm)} of {len(calm)} answered once all was calm')
--- a/benchmarks/process_soak_parts.py
+++ b/benchmarks/process_soak_parts.py
@@ -22,7 +22,12 @@
 SECOND_COPY_SHARE = 0.5
 MISDIRECTED = 421
 REJECTIONS = (429, 503)
-FAULTS = ('reject', 'abort', 'half', 'error', 'unmarked')
+FAULTS = ('reject', 'abort', 'half', 'error', 'unmarked', 'flood')
+FLOOD_S = 1.0
+FLOOD_PIECE = b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na' * 500
+KEY = 'key-of-the-kitchens'
+UNKNOWN_KEY = 'key-of-nobody'
+UNKNOWN_KEY_SHARE = 0.03
 # Statuses that would tell a caller that its request has not run.
 UNMARKED_STATUSES = (408, 429, 503)
 RESPONSE_TIMEOUT_S = 6.0
@@ -178,6 +183,8 @@
             raise ConnectionError
         writer.write(data)
         await writer.drain()
+        if fault == 'flood':
+            await _flood(writer)
 
     async def _reject(self, writer, request_id: str, status: int) -> None:
         """Reject a request, and perhaps say so once more a little later."""
@@ -190,6 +197,15 @@
         asyncio.get_running_loop().call_later(delay_s, _write, writer, data)
 
 
+async def _flood(writer: asyncio.StreamWriter) -> None:
+    """Send bytes that nobody asked for, until the connection is closed."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FLOOD_S):
+            while not writer.is_closing():
+                writer.write(FLOOD_PIECE)
+                await writer.drain()
+
+
 def _write(writer: asyncio.StreamWriter, data: bytes) -> None:
     if not writer.is_closing():
         writer.write(data)
@@ -237,7 +253,11 @@
         await asyncio.sleep(self._rng.uniform(*PAUSE_S))
         request_id = f's{next(_numbers)}'
         repeatable = self._rng.random() < 0.5
-        item = checks.Request(repeatable=repeatable, sent_s=time.monotonic())
+        item = checks.Request(
+            repeatable=repeatable,
+            sent_s=time.monotonic(),
+            has_key=self._rng.random() > UNKNOWN_KEY_SHARE,
+        )
         self._seen.requests[request_id] = item
         leaves = self._rng.random() < LEAVES_SHARE
         limit_s = RESPONSE_TIMEOUT_S
@@ -269,7 +289,7 @@
         rows = [
             f'POST /{path}/{request_id} HTTP/1.1',
             'Host: pans.example',
-            'Request-Key: key-of-the-kitchens',
+            f'Request-Key: {KEY if item.has_key else UNKNOWN_KEY}',
             f'Request-Id: {request_id}',
             'Request-Deadline-Ms: 3000',
             f'Content-Length: {len(body)}',
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -30,6 +30,8 @@
         (observations(arrivals=[1.0], status=503), 'answered 503 and ran'),
         (observations(arrivals=[1.0], status=502), ''),
         (observations(arrivals=[1.0], is_wrong=True), 'a wrong response'),
+        (observations(arrivals=[1.0], has_key=False), 'nobody holds'),
+        (observations(status=401, has_key=False), ''),
         (observations(arrivals=[1.4], left_s=1.0), ''),
         (observations(arrivals=[1.6], left_s=1.0), 'after its caller'),
         (observations(arrivals=[1.6], left_s=1.0, lag_s=0.3), ''),
