--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -154,25 +154,20 @@
         """Send one change of the configuration until it is acknowledged."""
         self._version += 1
         version = self._version
-        name = self._rng.choice(self._fleet.controls())
+        while not await self._put(version):
+            await asyncio.sleep(0.1)
+        self.seen.acknowledged(version)
+
+    async def _put(self, version: int) -> bool:
+        """Send a configuration; return whether it was acknowledged."""
         body = await self._fleet.answer(
             'PUT',
-            name,
+            self._rng.choice(self._fleet.controls()),
             '/v1/configuration',
             headers=AUTHORISED,
             json=parts.configuration(version),
         )
-        while body is None:
-            await asyncio.sleep(0.1)
-            name = self._rng.choice(self._fleet.controls())
-            body = await self._fleet.answer(
-                'PUT',
-                name,
-                '/v1/configuration',
-                headers=AUTHORISED,
-                json=parts.configuration(version),
-            )
-        self.seen.acknowledged(version)
+        return body is not None
 
     async def _change_until(self, ends_s: float) -> None:
         while time.monotonic() < ends_s:
