Leave a part of a rate for an entry host that starts

What callers saw: 429 at a host that had just started, for up to half a second, though their organisation used 0.2% of its rate. Cause: hosts are granted their demand and equal parts of all of the rest. A host that starts gets what the others do not hold: nothing, until they have reported again. It passes two requests between two grants meanwhile. Why this works: the rest is divided as if there were one host more, so that one that starts has an equal part at once, and the sum stays the rate. If demand reaches the rate there is no rest and nothing is left out. The price: idle hosts hold that much less of a burst (a fleet of one host half of it).

--- a/src/skylarkpitch/fleet/rate_shares.py
+++ b/src/skylarkpitch/fleet/rate_shares.py
@@ -1,8 +1,9 @@
 """Divide the rate of each organisation among the entry hosts.
 
 While the demand for an organisation is below its rate, each host is granted
-its own demand and an equal part of the remainder. Above the rate, the rate
-is divided in proportion to demand. What other hosts may still use under an
+its own demand and an equal part of the remainder, of which one part is left
+for a host that starts. Above the rate, the rate is divided in proportion to
+demand. What other hosts may still use under an
 unexpired grant is subtracted first.
 
 A share can be far below one request, if hosts are many and an organisation
@@ -238,7 +239,8 @@
             rate_per_s,
             claimed_per_s=claimed_per_s,
             total_claimed_per_s=total.claimed_per_s + others * min_claim_per_s,
-            host_count=host_count,
+            # One part of the remainder is left for a host that starts.
+            host_count=host_count + 1,
         )
         granted_to_others_per_s = total.granted_per_s - share.granted_per_s
         granted_per_s = max(
--- a/tests/test_fleet_deciding.py
+++ b/tests/test_fleet_deciding.py
@@ -133,6 +133,40 @@
         assert sum(granted.values()) <= 90.0 + 1e-6
 
 
+# Guards against refusals far below the rate at a host that has just started:
+# the others held all of the rate, most of it without a need.
+@pytest.mark.parametrize('hosts', [1, 2, 9, 88])
+def test_host_that_starts_has_a_share_at_once(hosts):
+    shares = rate_shares.RateShares()
+    limits = {'o': rate_shares.Limit(rate_per_s=1000.0, burst=1000.0)}
+
+    def granted(host, demand_per_s, *, host_count, now_s):
+        usage = rate_shares.Usage(demand_per_s={'o': demand_per_s})
+        grant = shares.grant(
+            host,
+            usage=usage,
+            limits=limits,
+            host_count=host_count,
+            now_s=now_s,
+        )
+        return grant.rate_per_s['o']
+
+    demand_per_s = 100.0 / hosts
+    for step in range(4):
+        held = [
+            granted(
+                f'h{number}',
+                demand_per_s,
+                host_count=hosts,
+                now_s=0.5 * step,
+            )
+            for number in range(hosts)
+        ]
+    joined = granted('new', 0.0, host_count=hosts + 1, now_s=1.6)
+    assert sum(held) + joined <= 1000.0 + 1e-6
+    assert joined > demand_per_s
+
+
 def test_rate_of_a_silent_host_is_divided_after_its_lease():
     shares = rate_shares.RateShares()
     limits = {'o': rate_shares.Limit(rate_per_s=90.0, burst=90.0)}
