--- a/src/skylarkpitch/fleet/rate_shares.py
+++ b/src/skylarkpitch/fleet/rate_shares.py
@@ -3,8 +3,8 @@
 While the demand for an organisation is below its rate, each host is granted
 its own demand and an equal part of the remainder, of which one part is left
 for a host that starts. Above the rate, the rate is divided in proportion to
-demand. What other hosts may still use under an
-unexpired grant is subtracted first.
+demand. What other hosts may still use under an unexpired grant is subtracted
+first.
 
 A share can be far below one request, if hosts are many and an organisation
 sends little. Hosts may therefore pass a few requests beyond their share, and
