--- a/tests/test_forwarding_not_run.py
+++ b/tests/test_forwarding_not_run.py
@@ -1,7 +1,9 @@
 """Test that a request which was refused as not run has not run."""
 
 import asyncio
+import time
 
+import aiohttp
 import pytest
 
 from skylarkpitch.forwarding import refusals
@@ -9,6 +11,7 @@
 from tests.stand_ins import raw_upstream as upstreams
 from tests.test_forwarding_exchange import forwarding
 from tests.test_forwarding_exchange import run
+from tests import test_forwarding_unchanged as raw_requests
 
 SEALED = f'{upstreams.SEAL}: s'
 MARKED = f'{upstreams.NOT_RUN}: 1'
@@ -79,6 +82,63 @@
     run(check)
 
 
+async def return_at_once():
+    """Return without letting the event loop run."""
+
+
+async def let_the_loop_run():
+    """Let the event loop run once."""
+    await asyncio.sleep(0)
+
+
+# Guards against "not sent" said of a request that is sent after its time, by
+# a host that stands still while it opens a connection.
+@pytest.mark.parametrize('pause', [return_at_once, let_the_loop_run])
+@pytest.mark.parametrize('stands_still_s', [0.0, 0.1, 0.4])
+def test_request_that_was_refused_is_not_sent_by_a_host_that_stood_still(
+    monkeypatch, stands_still_s, pause
+):
+    connect = aiohttp.TCPConnector.connect
+
+    async def connect_slowly(*arguments):
+        connection = await connect(*arguments)
+        time.sleep(stands_still_s)
+        try:
+            await pause()
+        except BaseException:
+            connection.close()
+            raise
+        return connection
+
+    async def check():
+        async with forwarding(
+            [upstreams.respond()], repeatable=False, timeout_ms=200.0
+        ) as entry:
+            # The connector of the host, not that of the caller.
+            monkeypatch.setattr(
+                aiohttp.TCPConnector, 'connect', connect_slowly
+            )
+            statuses = await send_all(entry)
+            monkeypatch.undo()
+            await asyncio.sleep(WORK_S)
+            refused = statuses.count(503)
+            assert entry.runs <= len(statuses) - refused
+
+    run(check)
+
+
+async def send_all(entry):
+    """Send requests on connections of their own; return their statuses."""
+    return await asyncio.gather(
+        *(
+            raw_requests.send(
+                entry, 'POST', '/pans/a', request_id=f'r{number}'
+            )
+            for number in range(4)
+        )
+    )
+
+
 # Guards against a connection that remembers ids without end.
 def test_connection_is_replaced_after_many_requests():
     async def check():
--- a/tests/test_forwarding_unchanged.py
+++ b/tests/test_forwarding_unchanged.py
@@ -11,16 +11,15 @@
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
 
-async def send(entry, method, target, *, rows=(), body=b''):
+async def send(entry, method, target, *, request_id='r1', body=b''):
     """Send a request as it is written here; return its status."""
     reader, writer = await asyncio.open_connection('127.0.0.1', entry.port)
     lines = [
         f'{method} {target} HTTP/1.1',
         'Host: pans.example',
-        'Request-Id: r1',
+        f'Request-Id: {request_id}',
         'Request-Key: key',
         f'Content-Length: {len(body)}',
-        *rows,
     ]
     writer.write('\r\n'.join([*lines, '', '']).encode() + body)
     status = int((await reader.readline()).split(b' ')[1])
