--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -1,192 +1,17 @@
 """Decisions of an entry host about a request, without any I/O."""
 
-import collections
-import random
-
 import pytest
 
 from skylarkpitch.fleet import host_parts
 from skylarkpitch.fleet import model
-from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import candidates
 from skylarkpitch.forwarding import regions
-from skylarkpitch.forwarding import request_queue
-from skylarkpitch.forwarding import retry_budget
-from skylarkpitch.forwarding import routing
 from skylarkpitch.forwarding import upstream_load
 from skylarkpitch.forwarding import upstream_notices
 from skylarkpitch.forwarding import upstream_selector as selectors
 from skylarkpitch import sentinels
 
 
-def route(name='r', prefix='/', **fields):
-    values = {
-        'name': name,
-        'host': 'pans.example',
-        'path_prefix': prefix,
-        'repeatable': True,
-        'timeout_ms': 800.0,
-        'objective_ms': 300.0,
-        'max_upstreams': 2,
-        'rank': 1,
-        'services': (model.WeightedService(service='desk', weight=1),),
-        **fields,
-    }
-    return model.Route(**values)
-
-
-ROUTES = [
-    route('root', '/'),
-    route('pans', '/pans/'),
-    route('lids', '/pans/lids/'),
-    route('other', '/pans/', host='other.example'),
-]
-
-
-@pytest.mark.parametrize(
-    ('host', 'path', 'expected'),
-    [
-        ('pans.example', '/pans/lids/7', 'lids'),
-        ('PANS.example', '/pans/7', 'pans'),
-        ('pans.example', '/pans', 'root'),
-        ('pans.example', '/pans/lidsx', 'pans'),
-        ('other.example', '/pans/lids/7', 'other'),
-        ('other.example', '/', None),
-        ('else.example', '/pans/', None),
-        ('pans.example', '', None),
-    ],
-)
-def test_longest_prefix_wins(host, path, expected):
-    found = routing.RoutingTable(ROUTES).find(host, path)
-    assert (found.name if found else None) == expected
-
-
-def test_split_follows_its_weights_at_every_step():
-    parts = (('a', 70), ('b', 30), ('c', 0))
-    split = route(
-        services=tuple(
-            model.WeightedService(service=name, weight=weight)
-            for name, weight in parts
-        )
-    )
-    splitter = routing.Splitter()
-    counts = {'a': 0, 'b': 0, 'c': 0}
-    for number in range(1, 201):
-        counts[splitter.next_service(split)] += 1
-        assert abs(counts['a'] - 0.7 * number) <= 1
-    assert counts['c'] == 0
-
-
-# Guards against internal errors by weights that an earlier release took.
-@pytest.mark.parametrize(
-    ('weights', 'expected'),
-    [
-        ((float('nan'), float('nan')), {'a': 20}),
-        ((float('nan'), 1.0), {'b': 20}),
-        ((float('inf'), 1.0), {'b': 20}),
-        ((1e308, 1e308), {'a': 10, 'b': 10}),
-        ((5e-324, 5e-324), {'a': 10, 'b': 10}),
-    ],
-    ids=['none', 'one-is-no-number', 'infinite', 'very-large', 'very-small'],
-)
-def test_split_with_odd_weights_has_a_service_for_each_request(
-    weights, expected
-):
-    split = route(
-        services=tuple(
-            model.WeightedService(service=name, weight=weight)
-            for name, weight in zip('ab', weights, strict=True)
-        )
-    )
-    splitter = routing.Splitter()
-    counts = collections.Counter(
-        splitter.next_service(split) for _number in range(20)
-    )
-    assert counts == expected
-
-
-def organisation(**fields):
-    return model.Organisation(
-        name='o', api_keys=('k',), rate_per_s=100.0, burst=50.0, **fields
-    )
-
-
-def test_granted_rate_is_enforced():
-    limits = callers.RateLimits(tolerance=callers.RateTolerance())
-    org = organisation()
-    limits.spend(org, entry_hosts=4, now_s=0.0)
-    limits.apply_grant({'o': 20.0}, {'o': 1.0}, now_s=0.0)
-    passed = 0
-    for step in range(1, 1001):
-        now_s = step * 0.002
-        passed += limits.spend(org, entry_hosts=4, now_s=now_s) == 0
-    assert passed <= 20.0 * 2.0 + 50.0 / 4 + 1
-
-
-def test_without_a_grant_hosts_share_equally():
-    limits = callers.RateLimits(tolerance=callers.RateTolerance())
-    org = organisation()
-    passed = sum(
-        limits.spend(org, entry_hosts=4, now_s=step * 0.002) == 0
-        for step in range(1000)
-    )
-    assert passed == pytest.approx(25 * 2 + 50 / 4, abs=3)
-
-
-def test_rate_limit_uses_part_of_the_tolerance():
-    tolerance = callers.RateTolerance(
-        excess_ratio=0.1, slack=20.0, window_s=5.0
-    )
-    limits = callers.RateLimits(tolerance=tolerance)
-    org = organisation()
-    moments = [step * 0.001 for step in range(20_000)]
-    passed = [
-        now_s
-        for now_s in moments
-        if limits.spend(org, entry_hosts=1, now_s=now_s) == 0
-    ]
-    bound = (100.0 * 5 + 50.0) * 1.1 + 20
-    for start_s in (0.0, 4.0, 11.0):
-        within = [t for t in passed if start_s <= t < start_s + 5]
-        assert 500 < len(within) < bound
-
-
-def test_caller_over_its_rate_gets_a_retry_delay():
-    limits = callers.RateLimits(tolerance=callers.RateTolerance())
-    org = organisation()
-    waits = [
-        limits.spend(org, entry_hosts=4, now_s=0.0) for _number in range(40)
-    ]
-    assert waits[0] == 0
-    assert 0 < waits[-1] <= 1 / 25 + 1e-9
-
-
-def test_retries_of_all_hosts_stay_within_the_budget():
-    hosts = 8
-    budget = retry_budget.RetryBudget(ratio=0.2, extra=60, window_s=10)
-    retries = 0
-    for step in range(1000):
-        now_s = step * 0.01
-        budget.add_request(now_s=now_s)
-        retries += budget.consume(entry_hosts=hosts, now_s=now_s)
-    assert 0 < retries <= 0.2 * 1000 + 60 / hosts
-
-
-# The part of a fleet's budget that does not depend on its requests is divided
-# by the hosts, and can be less than one retry.
-@pytest.mark.parametrize(
-    ('hosts', 'extra'), [(8, 62.0), (89, 218.0), (182, 404.0), (1000, 404.0)]
-)
-def test_host_with_few_requests_may_still_retry(hosts, extra):
-    budgets = retry_budget.RetryBudgets(
-        limits=retry_budget.RetryLimits(ratio=0.2, extra=extra, window_s=10.0)
-    )
-    requests = 10 * 135 // hosts
-    for number in range(requests):
-        budgets.add_request('desk', now_s=number * 10.0 / requests)
-    assert budgets.consume('desk', entry_hosts=hosts, now_s=10.0)
-
-
 def upstream(name='u1', domain='east-a', **fields):
     values = {
         'upstream_id': name,
@@ -576,47 +401,6 @@
     assert shares.choose(affinity_fraction=0.1, now_s=0.1) == regions.REMOTE
 
 
-@pytest.mark.parametrize(
-    ('fields', 'expected'),
-    [
-        ({'expected_s': 0.1, 'spent_s': 0.0, 'left_s': 1.0}, 0.2),
-        ({'expected_s': 0.1, 'spent_s': 0.15, 'left_s': 1.0}, 0.05),
-        ({'expected_s': 0.4, 'spent_s': 0.0, 'left_s': 1.0}, 0.036),
-        ({'expected_s': 0.1, 'spent_s': 0.0, 'left_s': 0.15}, 0.05),
-        ({'expected_s': 0.1, 'spent_s': 0.0, 'left_s': 0.05}, 0.0),
-    ],
-)
-def test_maximum_wait_in_the_queue(fields, expected):
-    max_wait_s = request_queue.max_wait_s(objective_s=0.3, **fields)
-    assert max_wait_s == pytest.approx(expected)
-
-
-def test_retry_delays_of_refused_callers_are_spread():
-    rng = random.Random(1)
-    moments = [
-        request_queue.retry_after_s(backlog_s=0.5, left_s=9.0, rng=rng)
-        for _number in range(50)
-    ]
-    assert len({round(moment, 2) for moment in moments}) > 25
-    assert all(0.5 <= moment <= 2.0 for moment in moments)
-    assert request_queue.retry_after_s(backlog_s=5, left_s=0.6, rng=rng) <= 0.2
-
-
-def test_queue_serves_by_rank_then_arrival():
-    queue = request_queue.RequestQueue()
-    second = queue.enqueue(1, expires_s=9.0)
-    third = queue.enqueue(1, expires_s=9.0)
-    first = queue.enqueue(0, expires_s=9.0)
-    order = []
-    for _number in range(3):
-        queue.wake()
-        (woken,) = [w for w in (first, second, third) if w.woken.is_set()]
-        order.append(woken)
-        woken.woken.clear()
-        queue.remove(woken)
-    assert order == [first, second, third]
-
-
 def new_load():
     return upstream_load.UpstreamLoad(
         upstream(), notices=upstream_notices.UpstreamState(), now_s=0.0
