--- a/benchmarks/process_soak_parts.py
+++ b/benchmarks/process_soak_parts.py
@@ -179,7 +179,7 @@
         if fault == 'abort':
             raise ConnectionError
         if fault == 'half':
-            writer.write(data[: 10 - len(content)])
+            writer.write(data[: -(len(content) // 2)])
             raise ConnectionError
         writer.write(data)
         await writer.drain()
--- a/src/skylarkpitch/forwarding/exchanges.py
+++ b/src/skylarkpitch/forwarding/exchanges.py
@@ -280,7 +280,7 @@
         if response.status >= 500:
             candidate.load.record_failure()
         if not call.route.repeatable:
-            return _without_false_promise(response)
+            return _replace_unmarked_rejection(response)
         if response.status < 500 or not self._claim_retry(call):
             return response
         response.close()
@@ -387,7 +387,7 @@
         )
 
 
-def _without_false_promise(
+def _replace_unmarked_rejection(
     response: senders.UpstreamResponse,
 ) -> senders.UpstreamResponse | refusals.Refusal:
     """Return the response to a request that the upstream may have run.
