Log which control host an entry host decides by, and its lag

- a response to a watch names the applied index of the control host and the highest commit index that it knows;
- entry hosts log a change of the control host that they watch or poll, and one that falls behind its own log or the view (control_source, control_source_behind, control_source_caught_up), and have gauges of both;
- a control host logs once a second while it lacks what it knows to be committed (log_behind, log_caught_up);
- configuration_accepted names the index and the members that store it.

--- a/src/skylarkpitch/consensus/ports.py
+++ b/src/skylarkpitch/consensus/ports.py
@@ -31,7 +31,9 @@
     """State of the log as one member knows it.
 
     ``member``, ``voters`` and ``learners`` are identities. ``leader`` is a
-    host name, None while unknown.
+    host name, None while unknown. ``leader_commit_index`` is the highest
+    commit index that this member knows of; its own is lower while it lacks
+    entries.
     """
 
     member: str
@@ -39,6 +41,7 @@
     term: int
     leader: str | None
     commit_index: int
+    leader_commit_index: int
     applied_index: int
     voters: tuple[str, ...]
     learners: tuple[str, ...]
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -167,6 +167,9 @@
     state: states.State, request: messages.AppendRequest
 ) -> None:
     """Store the leader's entries if the entry before them matches."""
+    state.leader_commit_index = max(
+        state.leader_commit_index, request.commit_index
+    )
     if request.previous_index < state.log.base_index:
         request = _without_compacted_entries(state, request)
     stored_term = state.log.term_at(request.previous_index)
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -180,6 +180,9 @@
             term=state.term,
             leader=self._leader_host(),
             commit_index=state.commit_index,
+            leader_commit_index=max(
+                state.leader_commit_index, state.commit_index
+            ),
             applied_index=self._engine.applied_index,
             voters=state.members.voters,
             learners=state.members.learners,
@@ -224,6 +227,18 @@
             for identity, item in self._core.state.progress.items()
         }
 
+    def holders(self, index: int) -> tuple[str, ...]:
+        """Return, for a leader, the members that store an index, sorted."""
+        state = self._core.state
+        stored = {
+            identity
+            for identity, item in state.progress.items()
+            if item.match_index >= index
+        }
+        if state.stable_index >= index:
+            stored.add(state.identity)
+        return tuple(sorted(stored))
+
     def ready_learners(self, *, now_s: float) -> list[str]:
         """Return, for a leader, the learners that have caught up."""
         return self._core.ready_learners(now_s=now_s)
@@ -235,6 +250,7 @@
             **state.counts,
             'term': state.term,
             'commit_index': state.commit_index,
+            'leader_commit_index': self.status().leader_commit_index,
             'applied_index': self._engine.applied_index,
             'journal_bytes': self._engine.journal.size_bytes,
             'journal_syncs': self._engine.journal.syncs,
--- a/src/skylarkpitch/consensus/state.py
+++ b/src/skylarkpitch/consensus/state.py
@@ -161,6 +161,8 @@
     A leader checks its quorum and its members at ``tick_due_s``, and sends
     heartbeats at ``heartbeat_due_s``, which every broadcast puts off.
 
+    ``leader_commit_index`` is the highest commit index that a leader sent,
+    whether this member has the entries up to it or not.
     ``leader`` is an identity, None while unknown. ``member_history`` has the
     member sets with the indexes of the entries that set them.
     ``stable_index`` is the last index of the log that is durable, and
@@ -179,6 +181,7 @@
     vote: str | None = None
     log: entries.EntryLog = dataclasses.field(default_factory=entries.EntryLog)
     commit_index: int = 0
+    leader_commit_index: int = 0
     role: Role = Role.UNJOINED
     leader: str | None = None
     member_history: list[tuple[int, messages.Members]] = dataclasses.field(
--- a/src/skylarkpitch/daemon/fleet_control.py
+++ b/src/skylarkpitch/daemon/fleet_control.py
@@ -19,6 +19,7 @@
 from skylarkpitch.daemon import fleet
 from skylarkpitch.fleet import control_service as control_services
 from skylarkpitch.fleet import group
+from skylarkpitch.fleet import log_lag
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.forwarding import callers_listener
@@ -122,11 +123,17 @@
             region_of=settings.region_of,
             loop_delay=context.loop_delay,
         )
+        self._log_lag = log_lag.LogLag(log=self._replicated_log)
         super().__init__(**options)
 
     def on_init_dependencies(self) -> list[mode.Service]:
         """Return the replicated log, then the services that use it."""
-        return [self._replicated_log, self._membership, self.control_service]
+        return [
+            self._replicated_log,
+            self._membership,
+            self.control_service,
+            self._log_lag,
+        ]
 
     async def on_started(self) -> None:
         """Serve the HTTP API at every address."""
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -238,10 +238,13 @@
             await self._confirm_leadership()
             return control_requests.accepted()
         stored_version = await self._submit(request)
+        index = self._state.index
         _log.info(
             'configuration_accepted',
             version=version,
             held=stored_version,
+            index=index,
+            stored_by=','.join(self._replicated_log.holders(index)),
             routes=len(request.configuration.routes),
         )
         return control_requests.accepted()
--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -18,6 +18,7 @@
 from skylarkpitch import errors
 from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import model
+from skylarkpitch.fleet import source_status
 from skylarkpitch.fleet import sources as source_sets
 from skylarkpitch.fleet import view as views
 from skylarkpitch.messages import fleet as messages
@@ -79,6 +80,7 @@
         self._sources = source_sets.Sources(
             host=peers.directory.local_host.name, distance=self._distance
         )
+        self._source_statuses = source_status.SourceStatuses()
         self._watched_source = ''
         self._started_s = clock()
         self._fresh_at_s = float('-inf')
@@ -104,6 +106,10 @@
         """Return the maximum age of the view; ``inf`` until it was current."""
         return self._clock() - self._fresh_at_s
 
+    def counters(self) -> dict[str, float]:
+        """Return gauges of the control hosts that are asked."""
+        return self._source_statuses.counters()
+
     async def leave(self) -> None:
         """Report that this host leaves, so that look-ups stop returning it."""
         self.is_leaving = True
@@ -156,6 +162,12 @@
             self._sources.record_round_trip(
                 source, round_trip_s=now_s - sent_s
             )
+        self._source_statuses.record(
+            'watch' if wait_s > 0 else 'poll',
+            source,
+            response,
+            view_index=self._view.index,
+        )
         self._apply(source, response)
         self._update_sources(response.control_hosts)
         if response.heard_age_s > MAX_QUORUM_AGE_S:
@@ -183,6 +195,7 @@
                 before=before,
                 index=self._view.index,
                 source=source,
+                leader_commit_index=response.leader_commit_index,
             )
         self._on_changed(changed)
 
--- a/src/skylarkpitch/fleet/watches.py
+++ b/src/skylarkpitch/fleet/watches.py
@@ -97,4 +97,6 @@
             rows=fleet_state.shared_rows(rows),
             control_hosts=self._control_hosts(),
             leader=status.leader or '',
+            applied_index=status.applied_index,
+            leader_commit_index=status.leader_commit_index,
         )
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -149,6 +149,7 @@
         return {
             **self.counts,
             **self._handler.counters(),
+            **self._subscriber.counters(),
             'view_age_s': min(self._subscriber.age_s(), MAX_VIEW_AGE_S),
             'view_index': self._view.index,
             'configuration_version': self._view.version,
--- a/src/skylarkpitch/messages/fleet.py
+++ b/src/skylarkpitch/messages/fleet.py
@@ -63,7 +63,8 @@
     """Changes since the requested index, or the whole state if ``whole``.
 
     ``heard_age_s`` is the age of the answering host's last contact with a
-    quorum.
+    quorum. ``applied_index`` is the last log index that it has applied, and
+    ``leader_commit_index`` the highest one that it knows to be committed.
     """
 
     cluster: str
@@ -73,6 +74,8 @@
     rows: tuple[Row, ...] = ()
     control_hosts: tuple[str, ...] = ()
     leader: str = ''
+    applied_index: int = 0
+    leader_commit_index: int = 0
 
 
 @codec.message('fleet.group_notice')
--- a/tests/stand_ins/control_fleet.py
+++ b/tests/stand_ins/control_fleet.py
@@ -47,6 +47,22 @@
     return tuple(hosts)
 
 
+def log_status(**fields):
+    """Return a status of the replicated log with some of its fields."""
+    defaults = {
+        'member': 'c1/1',
+        'role': 'follower',
+        'term': 1,
+        'leader': None,
+        'commit_index': 0,
+        'leader_commit_index': 0,
+        'applied_index': 0,
+        'voters': (),
+        'learners': (),
+    }
+    return consensus_ports.LogStatus(**defaults | fields)
+
+
 class StandInLog:
     """Committed commands, shared by all members.
 
@@ -85,15 +101,13 @@
         raise errors.NotLeaderError('call Fleet.commit instead', leader=None)
 
     def status(self):
-        return consensus_ports.LogStatus(
+        return log_status(
             member=self._name,
             role='leader' if self._log.leader == self._name else 'follower',
-            term=1,
             leader=self._log.leader,
             commit_index=len(self._log.commands),
-            applied_index=0,
+            leader_commit_index=len(self._log.commands),
             voters=self._log.fleet.control,
-            learners=(),
         )
 
 
--- a/tests/test_fleet_watches.py
+++ b/tests/test_fleet_watches.py
@@ -11,6 +11,7 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import watches
 from skylarkpitch.messages import fleet as messages
+from tests.stand_ins import control_fleet
 from tests.stand_ins import virtual_time
 
 CLUSTER = 'cluster'
@@ -25,7 +26,7 @@
         self.watches = watches.Watches(
             log=types.SimpleNamespace(
                 cluster=CLUSTER,
-                status=lambda: types.SimpleNamespace(leader='a'),
+                status=lambda: control_fleet.log_status(leader='a'),
                 quorum_contact_age_s=lambda now_s: 0.0,
             ),
             state=self.state,
