Reproduce an entry host that keeps an old configuration, as a red test

A whole control group in virtual time with the real log, six hosts in three regions, and one entry host.

control_source_behind use=poll source=f index=0 view_index=56 applied_index=0 leader_commit_index=59 heard_age_ms=72 control_source_behind use=watch source=e index=0 view_index=56 applied_index=0 leader_commit_index=59 heard_age_ms=100

With one of the two behind, the watch or the poll finds the change elsewhere.

--- a/tests/stand_ins/fake_peers.py
+++ b/tests/stand_ins/fake_peers.py
@@ -12,13 +12,15 @@
 
     ``cut_pairs`` are the pairs of sender and receiver without connection, and
     ``sent`` lists sender, receiver and message of all requests. Each message
-    takes ``delay_s``.
+    takes ``delay_s``. ``loses(sender, receiver, message)`` returns whether a
+    message is lost, although others between the two arrive.
     """
 
     def __init__(self, *, hosts, delay_s=0.0):
         self.hosts = tuple(hosts)
         self.delay_s = delay_s
         self.cut_pairs = set()
+        self.loses = lambda sender, receiver, message: False
         self.sent = []
         self._peers = {}
 
@@ -76,7 +78,7 @@
         self._network.sent.append((own_name, host, message))
         await asyncio.sleep(self._network.delay_s)
         peer = self._network.peer(own_name, host)
-        if peer is None:
+        if peer is None or self._network.loses(own_name, host, message):
             return sentinels.Absent('peer_timeout')
         handler = peer._handlers.get(type(message))
         if handler is None:
--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -21,12 +21,23 @@
 CATCH_UP_S = 4.0
 
 
+def _region_of(domain):
+    return domain[:4]
+
+
+def _host(name, domain):
+    return fake_peers.host(
+        name, roles=(), region=_region_of(domain), failure_domain=domain
+    )
+
+
 class FleetCluster:
     """Start, stop and wipe control hosts by name.
 
     The default seeds are a, b and c. With a ``disk_delay_s`` it runs in a
     loop with virtual time: each sync takes that long, and each message
-    ``message_delay_s``.
+    ``message_delay_s``. ``domains`` are the failure domains of hosts, d1 for
+    those that are not named, and ``limits`` those of the logs.
     """
 
     def __init__(
@@ -39,14 +50,19 @@
         message_delay_s=0.0,
         disk_delay_s=None,
         tolerated_disks=2,
+        domains=None,
+        limits=None,
     ):
         self.folder = folder
         self.seeds = tuple(seeds)
         self.network = fake_peers.FakeNetwork(
-            hosts=[fake_peers.host(name, roles=()) for name in names],
+            hosts=[
+                _host(name, (domains or {}).get(name, 'd1')) for name in names
+            ],
             delay_s=message_delay_s,
         )
         self._timing = timing
+        self._limits = limits
         self._disk_delay_s = disk_delay_s
         self.tolerated_disks = tolerated_disks
         self.logs = {}
@@ -70,6 +86,7 @@
                 rng=random.Random(self._rng.random()),
                 on_applied=lambda name=name: self._applied(name),
                 timing=self._timing,
+                limits=self._limits,
                 may_promote=functools.partial(
                     group.may_promote, tolerated=self.tolerated_disks
                 ),
@@ -89,7 +106,7 @@
                 membership=member,
                 state=state,
                 heartbeat_s=1.5,
-                region_of=lambda domain: domain[:4],
+                region_of=_region_of,
                 clock=self._clock(),
             )
             await log.start()
