Leave a control host whose state is old, though it hears the leader

Callers saw requests refused or run as only an older configuration allows, in one region, for as long as both control hosts of the region lacked committed entries.

Cause: a response to a watch counted as current if the control host had heard from the leader within a second.

Now the log itself says how old its state is: the age of the last moment at which a member had applied everything that the leader, with an entry of its own term committed, had committed; for a leader, its quorum's last response. An entry host leaves a control host whose state is older than a second, as it does without a quorum, and takes the list of members only from a current host or one that is not behind its view.

Hosts of the release before send no state_age_s; their contact with the leader counts alone, as before.

--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -339,6 +339,19 @@
             leader=leader,
         )
 
+    def complete_s(self, *, now_s: float) -> float:
+        """Return when this member last had all committed entries.
+
+        The result is a monotonic time in seconds, ``NEVER_S`` if it never
+        knew. For a leader, it is the last contact with a quorum.
+        """
+        state = self._state
+        if not self.is_leader:
+            return state.complete_s
+        if state.log.term_at(state.commit_index) != state.term:
+            return states.NEVER_S
+        return replication.quorum_contact_s(state, now_s=now_s)
+
     def committed_after(self, index: int) -> tuple[messages.Entry, ...]:
         """Return the committed entries after ``index``."""
         state = self._state
--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -77,7 +77,8 @@
     """One member: its core, and the components that its output goes to.
 
     Those are the journal, the network, the state machine and the callers
-    that wait. Calls of :meth:`step` must not overlap.
+    that wait. Calls of :meth:`step` must not overlap. ``complete_s`` is the
+    last time at which the state machine had every committed command.
     """
 
     def __init__(
@@ -106,6 +107,7 @@
         self._snapshot_save_info: messages.SnapshotInfo | None = None
         self.pending = pending_calls.PendingRequests()
         self.applied_index = 0
+        self.complete_s = states.NEVER_S
         self.snapshot_index = 0
 
     def open(
@@ -163,6 +165,9 @@
         while output := self.core.pop_output():
             await self._process_output(output)
         await self._apply_committed()
+        self.complete_s = max(
+            self.complete_s, self.core.complete_s(now_s=now_s)
+        )
         self._complete_pending()
         await self._compact()
 
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -185,9 +185,23 @@
     state.commit_index = max(
         state.commit_index, min(request.commit_index, match)
     )
+    _record_if_complete(state, request)
     send_append_response(state, request, accepted=True, index=match)
 
 
+def _record_if_complete(
+    state: states.State, request: messages.AppendRequest
+) -> None:
+    """Record that this member has what the leader had committed by now.
+
+    Until an entry of the leader's own term is committed, its commit index
+    may be lower than that of the leader before it.
+    """
+    is_own_term = state.log.term_at(state.commit_index) == request.term
+    if is_own_term and state.commit_index >= request.commit_index:
+        state.complete_s = state.leader_contact_s
+
+
 def _without_compacted_entries(
     state: states.State, request: messages.AppendRequest
 ) -> messages.AppendRequest:
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -216,6 +216,15 @@
             return now_s - contact_s
         return now_s - state.leader_contact_s
 
+    def state_age_s(self, *, now_s: float) -> float:
+        """Return the maximum age of the applied state, in seconds.
+
+        At that time, the state machine had every command that was committed.
+        A member in contact with the leader has an old state while entries
+        or a snapshot do not reach it.
+        """
+        return now_s - self._engine.complete_s
+
     def contacts_s(self) -> dict[str, float]:
         """Return, for a leader, the time of each member's last response.
 
--- a/src/skylarkpitch/consensus/state.py
+++ b/src/skylarkpitch/consensus/state.py
@@ -162,7 +162,8 @@
     heartbeats at ``heartbeat_due_s``, which every broadcast puts off.
 
     ``leader_commit_index`` is the highest commit index that a leader sent,
-    whether this member has the entries up to it or not.
+    whether this member has the entries up to it or not. ``complete_s`` is the
+    last time at which a follower knew that it had all committed entries.
     ``leader`` is an identity, None while unknown. ``member_history`` has the
     member sets with the indexes of the entries that set them.
     ``stable_index`` is the last index of the log that is durable, and
@@ -191,6 +192,7 @@
     heartbeat_due_s: float = NEVER_S
     tick_due_s: float = NEVER_S
     leader_contact_s: float = NEVER_S
+    complete_s: float = NEVER_S
     excused_s: float = NEVER_S
     granted_by: set[str] = dataclasses.field(default_factory=set)
     transferring: bool = False
--- a/src/skylarkpitch/fleet/source_status.py
+++ b/src/skylarkpitch/fleet/source_status.py
@@ -16,6 +16,8 @@
 MS_PER_S = 1000
 # Control hosts that are remembered; more than a group has.
 MAX_SOURCES = 64
+# An age is infinite before the first contact.
+MAX_LOGGED_AGE_S = 1e6
 
 _log = structlog.get_logger(__name__)
 
@@ -32,6 +34,7 @@
     applied_index: int
     leader_commit_index: int
     heard_age_s: float
+    state_age_s: float
     view_index: int
 
     @property
@@ -80,6 +83,7 @@
             applied_index=response.applied_index,
             leader_commit_index=response.leader_commit_index,
             heard_age_s=response.heard_age_s,
+            state_age_s=response.state_age_s,
             view_index=view_index,
         )
         if self._source_by_use.get(use) != source:
@@ -114,12 +118,16 @@
 
 
 def _fields(status: SourceStatus) -> dict[str, Any]:
-    heard_age_ms = round(min(status.heard_age_s, 1e6) * MS_PER_S)
     return {
         'source': status.source,
         'index': status.index,
         'view_index': status.view_index,
         'applied_index': status.applied_index,
         'leader_commit_index': status.leader_commit_index,
-        'heard_age_ms': heard_age_ms,
+        'heard_age_ms': _ms(status.heard_age_s),
+        'state_age_ms': _ms(status.state_age_s),
     }
+
+
+def _ms(age_s: float) -> int:
+    return round(min(age_s, MAX_LOGGED_AGE_S) * MS_PER_S)
--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -4,8 +4,8 @@
 is polled, so that a watched one that stops responding delays no update for
 longer than the interval of the polls. While the watch works, polls find
 nothing new and their responses are small. A response from a control host
-without recent contact to a quorum is applied, since it is never older than
-the view, but does not show that the view is current.
+whose state may be old is applied, since it is never older than the view, but
+does not show that the view is current. Other control hosts are asked then.
 """
 
 from collections.abc import Callable
@@ -33,8 +33,8 @@
 WATCH_WAIT_S = 0.8
 WATCH_TIMEOUT_S = 1.3
 RETRY_DELAY_S = 0.1
-# Maximum age of a control host's contact with a quorum to count as current.
-MAX_QUORUM_AGE_S = 1.0
+# Maximum age of a control host's state to count as current.
+MAX_STATE_AGE_S = 1.0
 REPORT_INTERVAL_S = 0.5
 # Delay of a report that the response to the one before it asks for.
 REPORT_AGAIN_S = 0.05
@@ -169,16 +169,19 @@
             view_index=self._view.index,
         )
         self._apply(source, response)
-        self._update_sources(response.control_hosts)
-        if response.heard_age_s > MAX_QUORUM_AGE_S:
-            self._record_failure(source, now_s, 'no_quorum')
+        age_s = max(response.heard_age_s, response.state_age_s)
+        is_current = age_s <= MAX_STATE_AGE_S
+        if is_current or response.index >= self._view.index:
+            self._update_sources(response.control_hosts)
+        if not is_current:
+            is_lost = response.heard_age_s > MAX_STATE_AGE_S
+            why = 'no_quorum' if is_lost else 'state_old'
+            self._record_failure(source, now_s, why)
             return False
         self._sources.record_success(source)
         if response.index == self._view.index:
             # The response was current at some time after the request.
-            fresh_at_s = (
-                max(sent_s, now_s - WATCH_WAIT_S) - response.heard_age_s
-            )
+            fresh_at_s = max(sent_s, now_s - WATCH_WAIT_S) - age_s
             self._fresh_at_s = max(self._fresh_at_s, fresh_at_s)
             self._mark_current(source)
         return True
@@ -221,7 +224,7 @@
         self._sources.record_failure(source, now_s=now_s)
         if (
             self._has_been_fresh
-            and self.age_s() > MAX_QUORUM_AGE_S + WATCH_WAIT_S
+            and self.age_s() > MAX_STATE_AGE_S + WATCH_WAIT_S
         ):
             self._mark_lost(source, why)
 
--- a/src/skylarkpitch/fleet/watches.py
+++ b/src/skylarkpitch/fleet/watches.py
@@ -78,6 +78,7 @@
         self, request: messages.WatchRequest
     ) -> messages.WatchResponse:
         status = self._replicated_log.status()
+        now_s = self._clock()
         parts = self._state.parts
         whole = (
             request.cluster != self._replicated_log.cluster
@@ -91,9 +92,8 @@
             cluster=self._replicated_log.cluster,
             index=self._state.index,
             whole=whole,
-            heard_age_s=self._replicated_log.quorum_contact_age_s(
-                now_s=self._clock()
-            ),
+            heard_age_s=self._replicated_log.quorum_contact_age_s(now_s=now_s),
+            state_age_s=self._replicated_log.state_age_s(now_s=now_s),
             rows=fleet_state.shared_rows(rows),
             control_hosts=self._control_hosts(),
             leader=status.leader or '',
--- a/src/skylarkpitch/messages/fleet.py
+++ b/src/skylarkpitch/messages/fleet.py
@@ -63,8 +63,10 @@
     """Changes since the requested index, or the whole state if ``whole``.
 
     ``heard_age_s`` is the age of the answering host's last contact with a
-    quorum. ``applied_index`` is the last log index that it has applied, and
-    ``leader_commit_index`` the highest one that it knows to be committed.
+    quorum, and ``state_age_s`` that of the last moment at which it had applied
+    all that was committed. ``applied_index`` is the last log index that it has
+    applied, and ``leader_commit_index`` the highest one that it knows to be
+    committed.
     """
 
     cluster: str
@@ -76,6 +78,7 @@
     leader: str = ''
     applied_index: int = 0
     leader_commit_index: int = 0
+    state_age_s: float = 0.0
 
 
 @codec.message('fleet.group_notice')
--- a/tests/test_fleet_watches.py
+++ b/tests/test_fleet_watches.py
@@ -28,6 +28,7 @@
                 cluster=CLUSTER,
                 status=lambda: control_fleet.log_status(leader='a'),
                 quorum_contact_age_s=lambda now_s: 0.0,
+                state_age_s=lambda now_s: 0.0,
             ),
             state=self.state,
             control_hosts=lambda: ('a',),
