Refuse look-ups at a control host that is behind

The same cause elsewhere: a control host that hears the leader and lacks what it has committed answered look-ups from its old state, so that callers were sent to entry hosts that were gone. Now they answer 503, and callers ask another. A control host that is cut off goes on answering, as its failure domain has no other.

Which hosts a look-up returns is decided by the control service; the two interfaces only encode it.

--- a/src/skylarkpitch/daemon/fleet_control.py
+++ b/src/skylarkpitch/daemon/fleet_control.py
@@ -58,9 +58,7 @@
     heartbeat_s: float
     region_of: Callable[[str], str | None]
     addresses: tuple[str, ...]
-    create_handler: Callable[
-        [control_services.ControlService, fleet_state.FleetState], HttpHandler
-    ]
+    create_handler: Callable[[control_services.ControlService], HttpHandler]
 
 
 def _is_bootstrap_host(settings: ControlSettings) -> bool:
@@ -139,7 +137,7 @@
         """Serve the HTTP API at every address."""
         loop = asyncio.get_running_loop()
         self._http_server = web.Server(
-            self._settings.create_handler(self.control_service, self.fleet),
+            self._settings.create_handler(self.control_service),
             access_log=None,
         )
         self._servers = [
--- a/src/skylarkpitch/daemon/fleet_main.py
+++ b/src/skylarkpitch/daemon/fleet_main.py
@@ -55,9 +55,8 @@
         heartbeat_s=section.heartbeat_s,
         region_of=file.regions.get,
         addresses=(section.calls.host_port,),
-        create_handler=lambda control_service, state: fleet_calls.handler(
+        create_handler=lambda control_service: fleet_calls.handler(
             control_service=control_service,
-            state=state,
             region_of=file.regions.get,
             operator_token=token,
         ),
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -18,8 +18,10 @@
 from skylarkpitch.fleet import checks
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import control_requests
+from skylarkpitch.fleet import currency
 from skylarkpitch.fleet import grants
 from skylarkpitch.fleet import liveness
+from skylarkpitch.fleet import look_up
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
@@ -139,9 +141,27 @@
         """Return the host name of the leader, or an empty string."""
         return self._replicated_log.status().leader or ''
 
-    def quorum_contact_age_s(self) -> float:
-        """Return the age of the last contact with a quorum, in seconds."""
-        return self._replicated_log.quorum_contact_age_s(now_s=self._clock())
+    def look_up(
+        self, *, region: str, failure_domain: str
+    ) -> list[model.EntryHost]:
+        """Return the entry hosts for a caller, nearest first.
+
+        There are none while this host is behind: it would name hosts that
+        are gone, and the other control hosts know better.
+        """
+        now_s = self._clock()
+        log = self._replicated_log
+        is_behind = currency.is_behind(
+            contact_age_s=log.quorum_contact_age_s(now_s=now_s),
+            state_age_s=log.state_age_s(now_s=now_s),
+        )
+        if is_behind:
+            return []
+        return look_up.select_entry_hosts(
+            self._state.entry_hosts.values(),
+            region=region,
+            failure_domain=failure_domain,
+        )
 
     async def execute(
         self, request: control_requests.ControlRequest
--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -17,6 +17,7 @@
 
 from skylarkpitch import errors
 from skylarkpitch.fleet import control_requests
+from skylarkpitch.fleet import currency
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import source_status
 from skylarkpitch.fleet import sources as source_sets
@@ -33,8 +34,6 @@
 WATCH_WAIT_S = 0.8
 WATCH_TIMEOUT_S = 1.3
 RETRY_DELAY_S = 0.1
-# Maximum age of a control host's state to count as current.
-MAX_STATE_AGE_S = 1.0
 REPORT_INTERVAL_S = 0.5
 # Delay of a report that the response to the one before it asks for.
 REPORT_AGAIN_S = 0.05
@@ -169,18 +168,24 @@
             view_index=self._view.index,
         )
         self._apply(source, response)
-        age_s = max(response.heard_age_s, response.state_age_s)
-        is_current = age_s <= MAX_STATE_AGE_S
+        is_current = currency.is_current(
+            contact_age_s=response.heard_age_s,
+            state_age_s=response.state_age_s,
+        )
         if is_current or response.index >= self._view.index:
             self._update_sources(response.control_hosts)
         if not is_current:
-            is_lost = response.heard_age_s > MAX_STATE_AGE_S
-            why = 'no_quorum' if is_lost else 'state_old'
+            is_behind = currency.is_behind(
+                contact_age_s=response.heard_age_s,
+                state_age_s=response.state_age_s,
+            )
+            why = 'state_old' if is_behind else 'no_quorum'
             self._record_failure(source, now_s, why)
             return False
         self._sources.record_success(source)
         if response.index == self._view.index:
             # The response was current at some time after the request.
+            age_s = max(response.heard_age_s, response.state_age_s)
             fresh_at_s = max(sent_s, now_s - WATCH_WAIT_S) - age_s
             self._fresh_at_s = max(self._fresh_at_s, fresh_at_s)
             self._mark_current(source)
@@ -224,7 +229,7 @@
         self._sources.record_failure(source, now_s=now_s)
         if (
             self._has_been_fresh
-            and self.age_s() > MAX_STATE_AGE_S + WATCH_WAIT_S
+            and self.age_s() > currency.MAX_STATE_AGE_S + WATCH_WAIT_S
         ):
             self._mark_lost(source, why)
 
--- a/src/skylarkpitch/operators/fleet_calls.py
+++ b/src/skylarkpitch/operators/fleet_calls.py
@@ -18,9 +18,7 @@
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import control_service as control_services
-from skylarkpitch.fleet import look_up
 from skylarkpitch.fleet import model
-from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.operators import call_bodies
 
 __all__ = ['handler']
@@ -99,7 +97,6 @@
 def handler(
     *,
     control_service: control_services.ControlService,
-    state: fleet_state.FleetState,
     region_of: Callable[[str], str | None],
     operator_token: str,
 ) -> Callable[[web.BaseRequest], Awaitable[web.Response]]:
@@ -114,7 +111,7 @@
             '/'
         )
         if (request.method, request.path) == ('GET', '/v1/entry-hosts'):
-            return _entry_hosts(state, region_of, request)
+            return _entry_hosts(control_service, region_of, request)
         route = _REQUEST_BUILDERS.get((request.method, resource))
         if route is None or not request.path.startswith('/v1/'):
             return _error(404, 'no such call; see docs/operators/fleet.md')
@@ -174,16 +171,14 @@
 
 
 def _entry_hosts(
-    state: fleet_state.FleetState,
+    control_service: control_services.ControlService,
     region_of: Callable[[str], str | None],
     request: web.BaseRequest,
 ) -> web.Response:
     failure_domain = request.query.get('failure_domain', '')
     region = request.query.get('region') or region_of(failure_domain) or ''
-    hosts = look_up.select_entry_hosts(
-        state.entry_hosts.values(),
-        region=region,
-        failure_domain=failure_domain,
+    hosts = control_service.look_up(
+        region=region, failure_domain=failure_domain
     )
     if not hosts:
         return _error(503, 'no entry host is ready; try again')
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -81,7 +81,7 @@
                 heartbeat_s=1.0,
                 region_of={}.get,
                 addresses=(),
-                create_handler=lambda control_service, state: None,
+                create_handler=lambda control_service: None,
             ),
             context=fleet.RoleContext(
                 peers=types.SimpleNamespace(
--- a/tests/test_fleet_currency.py
+++ b/tests/test_fleet_currency.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import types
 
 import pytest
+from skylark_platform import calls
 
 from skylarkpitch.consensus import engine as engines
 from skylarkpitch.consensus import state as consensus_state
@@ -144,6 +146,12 @@
         await asyncio.sleep(DOWN_S)
         await self.cluster.start(names, is_first_start=False)
 
+    def cut(self, names):
+        """Cut hosts off from all others."""
+        for name in names:
+            for other in set(DOMAINS) - set(names):
+                self.cluster.network.cut(name, other)
+
     async def in_force(self, version):
         """Wait until the entry host has a version; return how long."""
         loop = asyncio.get_running_loop()
@@ -196,3 +204,52 @@
 ):
     found = delays_s(tmp_path, fault=fault, behind=behind, versions=4)
     assert max(found) <= CONFIG_APPLY_S
+
+
+def look_up(play, name):
+    """Return the status of a look-up at a control host."""
+    handle = calls.handler(
+        calls.Context(
+            control_service=play.cluster.control_services[name],
+            own_ip=name,
+            control_port='1',
+            region_of=lambda domain: domain[:4],
+        )
+    )
+    request = types.SimpleNamespace(
+        path='/resolve', method='GET', query={'Zone': 'east-a'}
+    )
+    return handle(request)
+
+
+# Guards against look-ups that name an entry host which is gone: a control
+# host that hears the leader and lacks what it has committed answered them.
+@pytest.mark.parametrize(
+    ('fault', 'cut', 'expected'),
+    [
+        (loses_snapshots, False, {'e': 503, 'f': 503}),
+        (loses_entries, False, {'e': 503, 'f': 503}),
+        (loses_entries, True, {'e': 200, 'f': 200}),
+    ],
+    ids=['all-current', 'behind', 'cut-off'],
+)
+def test_look_ups_are_answered_by_current_or_cut_off_hosts(
+    tmp_path, fault, cut, expected
+):
+    async def run():
+        play = Play(tmp_path)
+        await play.start()
+        await asyncio.sleep(CONTACT_S)
+        play.cluster.network.loses = fault('ef')
+        if cut:
+            play.cut('ef')
+        await play.subscriber.stop()
+        await asyncio.sleep(6 * CONTACT_S)
+        found = {}
+        for name in expected:
+            response = await look_up(play, name)
+            found[name] = response.status
+        await play.cluster.stop()
+        return found
+
+    assert virtual_time.run(run()) == expected
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -180,7 +180,6 @@
         await cluster.wait_for_voters(6)
         handle = fleet_calls.handler(
             control_service=cluster.control_services['b'],
-            state=cluster.states['b'],
             region_of=lambda domain: domain[:4],
             operator_token=OPERATOR_TOKEN,
         )
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -22,7 +22,6 @@
     handler = calls.handler(
         calls.Context(
             control_service=cluster.control_services['b'],
-            state=cluster.states['b'],
             own_ip='b',
             control_port='1',
             region_of=lambda domain: domain[:4],
