--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import pathlib
 import random
 import time
 
@@ -13,6 +14,7 @@
 from skylarkpitch.fleet import state as fleet_state
 from tests.stand_ins import fake_peers
 from tests.stand_ins import log_cluster
+from tests.stand_ins import memory_folder
 
 TIMING = consensus_state.Timing(
     heartbeat_s=0.02, election_min_s=0.2, election_max_s=0.4
@@ -26,28 +28,36 @@
 
     The default seeds are a, b and c. With a ``disk_delay_s`` it runs in a
     loop with virtual time: each sync takes that long, and each message
-    ``message_delay_s``.
+    ``message_delay_s``; ``disk_delays_s`` has other delays by host.
+    ``current_seeds`` has the seeds of hosts whose settings have changed.
+    Without a ``folder`` the disks of the hosts are in memory.
     """
 
     def __init__(
         self,
         *,
-        folder,
+        folder=None,
         names='abcdef',
         seeds='abc',
         timing=TIMING,
         message_delay_s=0.0,
         disk_delay_s=None,
         tolerated_disks=2,
+        limits=None,
+        network=None,
     ):
         self.folder = folder
         self.seeds = tuple(seeds)
-        self.network = fake_peers.FakeNetwork(
+        self.network = network or fake_peers.FakeNetwork(
             hosts=[fake_peers.host(name, roles=()) for name in names],
             delay_s=message_delay_s,
         )
         self._timing = timing
         self._disk_delay_s = disk_delay_s
+        self._limits = limits
+        self.disk_delays_s = {}
+        self.current_seeds = {}
+        self._disks = {}
         self.tolerated_disks = tolerated_disks
         self.logs = {}
         self.states = {}
@@ -63,7 +73,8 @@
             log = self.logs[name] = consensus.ReplicatedLog(
                 peers=peers,
                 state_machine=state,
-                data_folder=self.folder / name,
+                data_folder=(self.folder or pathlib.Path()) / name,
+                folder=self._disk(name),
                 voters=seed_names,
                 may_bootstrap=is_first_start,
                 is_control=lambda name: True,
@@ -73,12 +84,15 @@
                 may_promote=functools.partial(
                     group.may_promote, tolerated=self.tolerated_disks
                 ),
-                **self._log_options(),
+                limits=self._limits,
+                **self._log_options(name),
             )
             member = self.memberships[name] = memberships.Membership(
                 peers=peers,
                 log=log,
-                seeds=lambda names=seed_names: names,
+                seeds=lambda name=name, names=seed_names: (
+                    self.current_seeds.get(name, names)
+                ),
                 tolerated_disks=self.tolerated_disks,
                 catch_up_s=CATCH_UP_S,
                 clock=self._clock(),
@@ -96,18 +110,28 @@
             await member.start()
             await self.control_services[name].start()
 
+    def _disk(self, name):
+        if self.folder is not None:
+            return None
+        return self._disks.setdefault(
+            name, memory_folder.MemoryFolder(rng=self._rng)
+        )
+
     def _clock(self):
         if self._disk_delay_s is None:
             return time.monotonic
         return asyncio.get_running_loop().time
 
-    def _log_options(self):
+    def _log_options(self, name):
         if self._disk_delay_s is None:
             return {}
-        delay_s = self._disk_delay_s
         return {
             'clock': self._clock(),
-            'threads': log_cluster.InlineThreads(delay_s=lambda: delay_s),
+            'threads': log_cluster.InlineThreads(
+                delay_s=lambda: self.disk_delays_s.get(
+                    name, self._disk_delay_s
+                )
+            ),
         }
 
     def _applied(self, name):
@@ -126,6 +150,9 @@
         await self.stop(name)
 
     def wipe(self, name):
+        self._disks.pop(name, None)
+        if self.folder is None:
+            return
         for item in (self.folder / name).iterdir():
             item.unlink()
 
