--- a/tests/test_fleet_currency.py
+++ b/tests/test_fleet_currency.py
@@ -16,7 +16,9 @@
 from skylarkpitch.fleet import subscriber as subscribers
 from skylarkpitch.fleet import view as views
 from skylarkpitch.messages import consensus as messages
+from tests.stand_ins import fake_peers
 from tests.stand_ins import fleet_cluster
+from tests.stand_ins import lossy_network
 from tests.stand_ins import virtual_time
 from tests import test_fleet_state as fleet_fixtures
 
@@ -95,12 +97,21 @@
     def __init__(self, folder):
         self.cluster = fleet_cluster.FleetCluster(
             folder=folder,
-            names=DOMAINS,
             timing=TIMING,
-            message_delay_s=0.02,
             disk_delay_s=0.002,
-            domains=DOMAINS,
             limits=LIMITS,
+            network=lossy_network.LossyNetwork(
+                hosts=[
+                    fake_peers.host(
+                        name,
+                        roles=(),
+                        region=domain[:4],
+                        failure_domain=domain,
+                    )
+                    for name, domain in DOMAINS.items()
+                ],
+                delay_s=0.02,
+            ),
         )
         self.view = views.FleetView()
         self.subscriber = subscribers.Subscriber(
@@ -167,7 +178,7 @@
         play = Play(folder)
         await play.start()
         assert play.leader() not in behind
-        play.cluster.network.loses = fault(behind)
+        play.cluster.network.losses.add(fault(behind))
         if emptied:
             await play.empty(behind)
         found = []
@@ -240,7 +251,7 @@
         play = Play(tmp_path)
         await play.start()
         await asyncio.sleep(CONTACT_S)
-        play.cluster.network.loses = fault('ef')
+        play.cluster.network.losses.add(fault('ef'))
         if cut:
             play.cut('ef')
         await play.subscriber.stop()
