--- a/src/skylarkpitch/consensus/core.py
+++ b/src/skylarkpitch/consensus/core.py
@@ -365,6 +365,12 @@
         history = self._state.member_history
         return [item for item in history if item[0] <= index][-1]
 
+    def is_sending_snapshot(self, *, now_s: float) -> bool:
+        """Return whether a member that responds needs the last snapshot."""
+        return self.is_leader and replication.is_sending_snapshot(
+            self._state, now_s=now_s
+        )
+
     def compact(
         self, info: messages.SnapshotInfo, *, retained_entries: int
     ) -> None:
--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -35,12 +35,16 @@
 
     A snapshot is taken after ``snapshot_entries`` applied entries or
     ``snapshot_bytes`` of journal since the last one. The log retains the
-    last ``retained_entries`` entries that the snapshot covers.
+    last ``retained_entries`` entries that the snapshot covers. While the
+    last snapshot is being sent to a member, the next one waits until the log
+    has grown by ``sending_entries`` or ``sending_bytes``.
     """
 
     snapshot_entries: int = 1000
     snapshot_bytes: int = 32 * 1024 * 1024
     retained_entries: int = 500
+    sending_entries: int = 16_000
+    sending_bytes: int = 64 * 1024 * 1024
 
 
 class Threads:
@@ -249,14 +253,22 @@
             if self._snapshot_save.done():
                 await self._finish_snapshot()
             return
-        journal = self.journal
+        if self._is_snapshot_due():
+            self._start_snapshot()
+
+    def _is_snapshot_due(self) -> bool:
+        limits = self._limits
+        max_entries = limits.snapshot_entries
+        max_bytes = limits.snapshot_bytes
+        if self.core.is_sending_snapshot(now_s=self._clock()):
+            # The next snapshot would be sent from its beginning.
+            max_entries = max(max_entries, limits.sending_entries)
+            max_bytes = max(max_bytes, limits.sending_bytes)
         entries = self.applied_index - self.snapshot_index
-        grown_bytes = journal.size_bytes - journal.base_bytes
-        if entries < self._limits.snapshot_entries and not (
-            entries and grown_bytes >= self._limits.snapshot_bytes
-        ):
-            return
-        self._start_snapshot()
+        grown_bytes = self.journal.size_bytes - self.journal.base_bytes
+        return entries >= max_entries or (
+            entries > 0 and grown_bytes >= max_bytes
+        )
 
     def _start_snapshot(self) -> None:
         members_index, members = self.core.members_at(self.applied_index)
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -11,6 +11,7 @@
 __all__ = [
     'advance_commit_index',
     'broadcast',
+    'is_sending_snapshot',
     'next_commit_index',
     'on_append_request',
     'on_append_response',
@@ -377,6 +378,16 @@
     state.installed_snapshot = incoming
 
 
+def is_sending_snapshot(state: states.State, *, now_s: float) -> bool:
+    """Return whether a member that responds needs the last snapshot."""
+    return any(
+        item.snapshot is not None
+        and item.next_index <= state.log.base_index
+        and now_s - item.contact_s < state.timing.election_max_s
+        for item in state.progress.values()
+    )
+
+
 def on_snapshot_response(
     state: states.State, response: messages.SnapshotResponse, *, now_s: float
 ) -> None:
