--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,16 +1,22 @@
 """Fleet state machine: versions, incarnations, addresses, drains."""
 
+import asyncio
 import dataclasses
+import types
 
+import msgspec
 import pytest
 
+from skylarkpitch.config import parts
 from skylarkpitch import errors
 from skylarkpitch.fleet import checks
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
+from skylarkpitch.fleet import watches
 from skylarkpitch.messages import fleet as messages
+from tests.stand_ins import control_fleet
 
 
 def upstream(name='u1', *, born_ms=100, sequence=1, **fields):
@@ -288,3 +294,172 @@
 def test_invalid_configuration_is_refused(fields, expected):
     with pytest.raises(errors.ValidationError, match=expected):
         checks.check(configuration(1, **fields))
+
+
+class EarlierRelease(fleet_state.FleetState):
+    """State of the releases whose snapshots had no floor."""
+
+    def snapshot(self):
+        return msgspec.msgpack.encode((self.index, self.parts.rows()))
+
+    def restore(self, data):
+        decoder = msgspec.msgpack.Decoder(
+            tuple[int, list[tuple[parts.PartKey, int, bytes | None]]]
+        )
+        index, rows = decoder.decode(data)
+        self.parts = parts.PartStore()
+        for key, version, value in rows:
+            self.parts.put(key, version, value)
+            self._load_part(key, value)
+        self.parts.advance(index)
+
+
+def apply_all(state, items):
+    for item in items:
+        state.apply(state.index + 1, commands.encode(item))
+
+
+def restored_by(state, releases):
+    """Return the state after each release has restored it in turn."""
+    for release in releases:
+        restored = release()
+        restored.restore(state.snapshot())
+        state = restored
+    return state
+
+
+async def watched(state, view):
+    """Apply to a view what a control host with this state responds."""
+    control = watches.Watches(
+        log=types.SimpleNamespace(
+            cluster='c',
+            status=lambda: control_fleet.log_status(leader='a'),
+            quorum_contact_age_s=lambda now_s: 0.0,
+        ),
+        state=state,
+        control_hosts=lambda: ('a',),
+        clock=lambda: 0.0,
+    )
+    request = messages.WatchRequest(cluster='c', index=view.index, wait_s=0.0)
+    response = await control.handle('e1', request)
+    view.apply(response)
+    return response
+
+
+def entry_host(name):
+    return model.EntryHost(
+        name=name,
+        callers_address='10.0.1.1:80',
+        region='east',
+        failure_domain='east-a',
+    )
+
+
+def numbered(count, make):
+    return [make(f'n{number}', number) for number in range(count)]
+
+
+def put_routes(version, count):
+    return put(
+        version,
+        routes=tuple(
+            numbered(
+                count,
+                lambda name, number: route(
+                    name=name, path_prefix=f'/{number}/'
+                ),
+            )
+        ),
+    )
+
+
+def put_keys(version, count):
+    return put(
+        version,
+        organisations=tuple(
+            numbered(
+                count,
+                lambda name, _number: model.Organisation(
+                    name=name, api_keys=(f'key-{name}',)
+                ),
+            )
+        ),
+    )
+
+
+DROPPED = 10
+# Commands that change nothing; with each of them, old removals are deleted.
+LATER = [leave('none', left=False)] * DROPPED
+ADDED_AND_DROPPED = {
+    'routes': ([put_routes(1, DROPPED)], [put_routes(2, 0)]),
+    'organisations': ([put_keys(1, DROPPED)], [put_keys(2, 0)]),
+    'upstreams': (
+        numbered(
+            DROPPED,
+            lambda name, number: record(name, address=f'10.0.0.{number}:80'),
+        ),
+        numbered(DROPPED, lambda name, _number: leave(name, left=False)),
+    ),
+    'entry_hosts': (
+        numbered(
+            DROPPED,
+            lambda name, _number: commands.RecordEntryHost(
+                entry_host=entry_host(name)
+            ),
+        ),
+        numbered(
+            DROPPED, lambda name, _number: commands.RemoveEntryHost(name=name)
+        ),
+    ),
+    'draining_domains': tuple(
+        numbered(
+            DROPPED,
+            lambda name, _number, draining=draining: commands.SetDomainDrain(
+                failure_domain=name, draining=draining
+            ),
+        )
+        for draining in (True, False)
+    ),
+}
+RELEASE = fleet_state.FleetState
+# The release that stores what is dropped later, then those that restore its
+# state before and after that.
+RESTORES = {
+    'never-restored': (RELEASE, [], []),
+    'restored': (RELEASE, [], [RELEASE]),
+    'restored-twice': (RELEASE, [], [RELEASE, RELEASE]),
+    'of-an-earlier-release': (EarlierRelease, [], [RELEASE]),
+    'by-an-earlier-release-and-back': (
+        RELEASE,
+        [],
+        [EarlierRelease, RELEASE],
+    ),
+    'dropped-by-an-earlier-release': (RELEASE, [EarlierRelease], [RELEASE]),
+}
+
+
+# Guards against a dropped route, key or upstream that stays in force for good
+# at an entry host: a control host that had started from a snapshot forgot
+# which removals it no longer stores.
+@pytest.mark.parametrize(
+    ('first', 'before', 'after'), RESTORES.values(), ids=RESTORES
+)
+def test_restored_control_host_leaves_no_dropped_part_in_force(
+    monkeypatch, first, before, after
+):
+    monkeypatch.setattr(parts, 'MAX_TOMBSTONES', DROPPED // 2)
+
+    async def in_force(kind):
+        added, dropped = ADDED_AND_DROPPED[kind]
+        state, view = first(), views.FleetView()
+        apply_all(state, added)
+        await watched(state, view)
+        assert len(list(getattr(view, kind))) == DROPPED
+        state = restored_by(state, before)
+        apply_all(state, dropped + LATER)
+        assert state.parts.floor_version > view.index
+        await watched(restored_by(state, after), view)
+        return len(list(getattr(view, kind)))
+
+    left = {kind: asyncio.run(in_force(kind)) for kind in ADDED_AND_DROPPED}
+    assert left == dict.fromkeys(ADDED_AND_DROPPED, 0)
