--- a/src/skylarkpitch/fleet/state.py
+++ b/src/skylarkpitch/fleet/state.py
@@ -71,6 +71,9 @@
     REQUIRES_API_KEY,
 )
 _CONTROL_ONLY_KINDS = frozenset((DEPARTED, DEPARTED_UNRECORDED, DOCUMENT))
+# Kind, name, floor version and index of the snapshot: the key of a row that
+# earlier releases load as a removed part. They refuse further fields.
+_FLOOR_KEY = (DOCUMENT, 'floor_version')
 _snapshot_decoder = msgspec.msgpack.Decoder(
     tuple[int, list[tuple[parts.PartKey, int, bytes | None]]]
 )
@@ -147,12 +150,15 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state, encoded."""
-        return msgspec.msgpack.encode((self.index, self.parts.rows()))
+        floor_row = _floor_row(self.parts.floor_version, index=self.index)
+        rows = (floor_row, *self.parts.rows())
+        return msgspec.msgpack.encode((self.index, rows))
 
     def restore(self, data: bytes) -> None:
         """Replace the state with that of a snapshot."""
         index, rows = _snapshot_decoder.decode(data)
         self.parts = parts.PartStore()
+        self.parts.floor_version = _floor_version_of(rows, index=index)
         self.configuration_version = 0
         self.document = b''
         self.upstreams.clear()
@@ -163,8 +169,9 @@
         self._by_address.clear()
         self._organisations.clear()
         for key, version, value in rows:
-            self.parts.put(tuple(key), version, value)
-            self._load_part(tuple(key), value)
+            if not _is_floor_key(key):
+                self.parts.put(key, version, value)
+                self._load_part(key, value)
         self.parts.advance(index)
 
     def _load_part(self, key: parts.PartKey, value: bytes | None) -> None:
@@ -346,6 +353,27 @@
         self.parts.put((UPSTREAM, upstream_id), index, None)
 
 
+def _floor_row(floor_version: int, *, index: int) -> parts.Row:
+    return (*_FLOOR_KEY, str(floor_version), str(index)), 0, None
+
+
+def _is_floor_key(key: parts.PartKey) -> bool:
+    return key[: len(_FLOOR_KEY)] == _FLOOR_KEY
+
+
+def _floor_version_of(rows: list[parts.Row], *, index: int) -> int:
+    """Return the floor version of a snapshot, its index if unknown.
+
+    Earlier releases store no row of it, or keep that of a snapshot from
+    which they started, while they delete further tombstones. From the index
+    on, no tombstone of the snapshot is needed.
+    """
+    for key, _version, _value in rows:
+        if _is_floor_key(key) and key[-1] == str(index):
+            return int(key[-2])
+    return index
+
+
 def _configuration_parts(
     configuration: model.Configuration,
 ) -> Iterator[tuple[parts.PartKey, bytes]]:
