--- a/src/skylarkpitch/config/parts.py
+++ b/src/skylarkpitch/config/parts.py
@@ -199,6 +199,7 @@
 
     def _prune(self) -> None:
         tombstones = [k for k, p in self._parts.items() if p.value is None]
-        for key in itertools.islice(tombstones, MAX_TOMBSTONES // 2):
+        surplus = self._tombstones - MAX_TOMBSTONES // 2
+        for key in itertools.islice(tombstones, surplus):
             self.floor_version = self._parts.pop(key).version
             self._tombstones -= 1
