Show that a host stands still while it decodes a configuration

A call that needs nothing but the event loop gets no answer while a document of 2,500 routes is decoded.

--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -3,15 +3,22 @@
 import asyncio
 import contextlib
 import json
+import threading
 
 import aiohttp
 from aiohttp import web
 import pytest
 from skylark_platform import calls
+from skylark_platform import documents as platform_documents
 
 from tests.stand_ins import fleet_cluster
 from tests import test_platform_configurations as documents
 
+# Routes of a configuration that takes long to decode.
+LARGE_ROUTES = 2500
+# Longest time for which a test decodes.
+DECODE_S = 3.0
+
 
 @contextlib.asynccontextmanager
 async def called_group(folder):
@@ -68,6 +75,39 @@
     asyncio.run(scenario())
 
 
+# Guards against a control host that sends no heartbeat and answers no call
+# while it decodes a large configuration.
+def test_host_answers_calls_while_it_decodes_a_large_configuration(
+    tmp_path, monkeypatch
+):
+    decode = platform_documents.decode_configuration
+    is_decoding, is_answered = threading.Event(), threading.Event()
+    seen = []
+
+    def decode_until_answered(body):
+        is_decoding.set()
+        seen.append(is_answered.wait(DECODE_S))
+        return decode(body)
+
+    monkeypatch.setattr(
+        platform_documents, 'decode_configuration', decode_until_answered
+    )
+
+    async def scenario():
+        async with called_group(tmp_path) as call:
+            put = asyncio.create_task(
+                call('config.put', large_document(LARGE_ROUTES))
+            )
+            while not is_decoding.is_set():
+                await asyncio.sleep(0.01)
+            await call('config.unknown')
+            is_answered.set()
+            await put
+
+    asyncio.run(scenario())
+    assert seen == [True]
+
+
 @pytest.mark.parametrize(
     ('name', 'size_bytes'),
     [
