Read the seeds again while no known control host responds

An entry host that was restarted with seeds that had all been replaced never got a configuration, although its settings named running control hosts soon after. In the same way, an entry host all of whose control hosts were replaced while it was cut off never found the control group again.

The subscriber read its seeds once, at its start, and went on to ask only the hosts of that time, or of the last response. It read them again only with no source at all, which never happens once it has one.

Now the hosts that the settings name are added while nobody has responded for 2 s. The next response lists the members and replaces them, as before.

Both tests in tests/test_fleet_subscriber.py failed before this change.

--- a/src/skylarkpitch/fleet/sources.py
+++ b/src/skylarkpitch/fleet/sources.py
@@ -51,6 +51,10 @@
             for name in sorted(names)
         }
 
+    def add(self, names: Iterable[str]) -> None:
+        """Add control hosts; retain the others."""
+        self.replace({*self._sources, *names})
+
     def record_round_trip(self, name: str, *, round_trip_s: float) -> None:
         """Record the round-trip time to a control host."""
         if name in self._sources:
--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -41,6 +41,8 @@
 READY_CHECK_INTERVAL_S = 0.05
 REPORT_TIMEOUT_S = 1.0
 MAX_STARTUP_WAIT_S = 4.0
+# Without any response for longer, the control hosts in use may be gone.
+UNANSWERED_S = 2.0
 
 _log = structlog.get_logger(__name__)
 
@@ -51,8 +53,9 @@
     ``on_changed`` is called with the changes of the view,
     ``report`` returns the next report, and ``on_grant`` is called with the
     leader's response to it; it returns whether to report again at once.
-    ``seeds`` returns the control hosts to use until
-    the first response lists the members of the control group. ``region_of``
+    ``seeds`` returns the control hosts to use until the first response
+    lists the members of the control group, and beside these while none of
+    them responds; it is called again, as settings change. ``region_of``
     returns the region of a failure domain, or None.
     """
 
@@ -83,6 +86,7 @@
         self._source_statuses = source_status.SourceStatuses()
         self._watched_source = ''
         self._started_s = clock()
+        self._answered_s = self._started_s
         self._fresh_at_s = float('-inf')
         self._has_been_fresh = False
         self._is_control_lost = False
@@ -126,6 +130,7 @@
                 continue
             self._watched_source = source
             if not await self._watch_once(source, wait_s=WATCH_WAIT_S):
+                self._use_seeds_if_unanswered(self._clock())
                 await self.sleep(RETRY_DELAY_S)
 
     @mode.Service.task
@@ -162,6 +167,7 @@
             self._sources.record_round_trip(
                 source, round_trip_s=now_s - sent_s
             )
+        self._answered_s = now_s
         self._source_statuses.record(
             'watch' if wait_s > 0 else 'poll',
             source,
@@ -217,6 +223,10 @@
         if control_hosts or not self._view.cluster:
             self._sources.replace(names)
 
+    def _use_seeds_if_unanswered(self, now_s: float) -> None:
+        if now_s - self._answered_s > UNANSWERED_S:
+            self._sources.add(self._seeds())
+
     def _record_failure(self, source: str, now_s: float, why: str) -> None:
         self._sources.record_failure(source, now_s=now_s)
         if (
--- a/tests/test_fleet_subscriber.py
+++ b/tests/test_fleet_subscriber.py
@@ -84,23 +84,23 @@
         )
 
 
-def asked_of(control_hosts, *, duration_s):
+def asked_of(control_hosts, *, duration_s, seeds=lambda now_s: tuple(DOMAINS)):
     """Return the view of an entry host, and the time of its start."""
 
     async def run():
         loop = asyncio.get_running_loop()
         view = views.FleetView()
+        started_s = loop.time()
         subscriber = subscribers.Subscriber(
             peers=control_hosts,
             view=view,
-            seeds=lambda: tuple(DOMAINS),
+            seeds=lambda: seeds(loop.time() - started_s),
             on_changed=lambda changes: None,
             report=lambda: control_requests.EntryReport(entry_host=HOST),
             on_grant=lambda grant: None,
             region_of=lambda domain: domain[:4],
             clock=loop.time,
         )
-        started_s = loop.time()
         await subscriber.start()
         await asyncio.sleep(duration_s)
         await subscriber.stop()
@@ -201,3 +201,47 @@
         if isinstance(message, messages.WatchRequest)
     ]
     assert set(watches) - set(strangers)
+
+
+GONE = ('x1', 'x2', 'x3')
+NEW = ('n1', 'n2')
+
+
+# Guards against an entry host that never finds the control group, since it
+# read its settings once, when all hosts in them had been replaced.
+def test_seeds_that_were_replaced_are_read_again():
+    control_hosts = ControlHosts(silent=GONE)
+    view, _started_s = asked_of(
+        control_hosts,
+        duration_s=8.0,
+        seeds=lambda now_s: GONE if now_s < 3.0 else tuple(DOMAINS),
+    )
+    assert view.index == control_hosts.state.index
+
+
+# Guards against an entry host that never finds the control group again: all
+# control hosts that it knew were replaced while it was cut off.
+def test_seeds_are_asked_while_no_known_control_host_responds():
+    class Replaced(ControlHosts):
+        """Control hosts that are all replaced by others after a time."""
+
+        async def request(self, host, message, *, timeout_s):
+            if asyncio.get_running_loop().time() - self.started_s > 3.0:
+                self.silent = frozenset(DOMAINS)
+            is_new = host in NEW and self.state.configuration_version == 1
+            if is_new:
+                index = self.state.index + 1
+                self.state.apply(index, commands.encode(fleet_fixtures.put(2)))
+            return await super().request(host, message, timeout_s=timeout_s)
+
+    async def create():
+        return asyncio.get_running_loop().time()
+
+    control_hosts = Replaced()
+    control_hosts.started_s = virtual_time.run(create())
+    view, _started_s = asked_of(
+        control_hosts,
+        duration_s=12.0,
+        seeds=lambda now_s: tuple(DOMAINS) if now_s < 3.0 else NEW,
+    )
+    assert view.version == 2
