Keep the turn of a host that has no request for some turns

Cause: the rate was divided into turns of two seconds, and the part of a host lapsed at the end of its turn. The places of a host of the favoured region lay side by side, so that all of its four requests fell into one turn, in which it had two to send, and then none for half a minute.

Now turns are an eighth as long, a token may be used in its turn and in the seven after it, and the places of a host are spread over the order of turns. The bound on the fleet is what it was: in a time t, hosts use tokens of turns that began in t and the life of a token, 2 s as before, also when all were idle: 6 s of the rate in 4 s, within one and a half times of it and 5. A clock that is set back a little doesn't bring turns twice.

The new tests of test_fleet_host_parts hold the sum over 89, 182 and 1,000 hosts that were idle, and a clock that is set back.

--- a/src/skylarkpitch/forwarding/fleet_rate.py
+++ b/src/skylarkpitch/forwarding/fleet_rate.py
@@ -2,11 +2,13 @@
 
 The part of one host can be far below one request a second. Hosts then take
 turns: in each turn, as many hosts as the rate allows have one whole request
-each. Turns are counted by the time of day, which all hosts
-agree on nearly enough: one that is a turn off only changes places.
+each, which they may send then or in some turns after it. Turns are counted by
+the time of day, which all hosts agree on nearly enough: one that is a turn
+off only changes places.
 """
 
 import dataclasses
+import functools
 import math
 import zlib
 
@@ -14,6 +16,10 @@
 
 __all__ = ['FleetRate', 'RateBucket']
 
+GOLDEN_RATIO = (math.sqrt(5) - 1) / 2
+# Turns within the life of a token.
+TURNS_PER_LIFE = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FleetRate:
@@ -48,58 +54,90 @@
         per_turn = self.rate_per_s * turn_s
         first = math.floor(number * per_turn)
         end = math.floor((number + 1) * per_turn)
-        own_first = (self.part.position + offset - first) % total
+        stride = _stride(total)
+        places = range(
+            self.part.position, self.part.position + self.part.weight
+        )
         return sum(
-            (own_first + place) % total < end - first
-            for place in range(self.part.weight)
+            (place * stride + offset - first) % total < end - first
+            for place in places
         )
 
 
+@functools.lru_cache(maxsize=64)
+def _stride(total: int) -> int:
+    """Return the distance in the order of turns of places side by side.
+
+    Multiples of the golden ratio lie evenly in a circle, so that a host of
+    some weight has its requests in turns far apart. Without a common divisor
+    each place has its own turn.
+    """
+    stride = max(1, round(total * GOLDEN_RATIO))
+    while math.gcd(stride, total) > 1:
+        stride += 1
+    return stride
+
+
 class RateBucket:
     """This host's tokens for one rate of the upstream ``upstream_id``.
 
-    Turns last ``turn_s``. In a longer turn a host is likelier to have a
-    request, but all hosts may use two turns at the moment between them.
-
-    Unused tokens lapse, so that hosts which were idle do not all send several
-    requests at once.
+    A token of a turn may be used for ``token_life_s``, that is in its turn
+    and in the next ones, so that a host which has no request in its turn need
+    not lose it. After that it lapses, so that hosts which were idle do not
+    all send several requests at once: in a time ``t``, all hosts together
+    send at most what the rate allows in ``t`` and ``token_life_s``.
     """
 
     def __init__(
-        self, upstream_id: str, *, turn_s: float, now_s: float
+        self, upstream_id: str, *, token_life_s: float, now_s: float
     ) -> None:
-        self._turn_s = turn_s
+        self._token_life_s = token_life_s
+        self._turn_s = token_life_s / TURNS_PER_LIFE
         self._offset = zlib.crc32(upstream_id.encode())
         self.reset(now_s=now_s)
 
     def reset(self, *, now_s: float) -> None:
-        """Remove the token."""
+        """Remove all tokens."""
         self._tokens: float = 0.0
         self._refilled_s = now_s
         self._turn = -1
+        self._tokens_of_turns = [0] * TURNS_PER_LIFE
 
     def has_token(
         self, rate: FleetRate, *, now_s: float, time_of_day_s: float
     ) -> bool:
         """Refill tokens; return whether the rate allows a request."""
-        if rate.own_rate_per_s * self._turn_s < 1.0:
-            self._take_turn(rate, int(time_of_day_s / self._turn_s))
-            return self._tokens >= 1.0
+        if rate.own_rate_per_s * self._token_life_s < 1.0:
+            self._take_turns(rate, int(time_of_day_s / self._turn_s))
+            return any(self._tokens_of_turns)
+        self._tokens_of_turns = [0] * TURNS_PER_LIFE
         elapsed_s = max(0.0, now_s - self._refilled_s)
         self._refilled_s = now_s
         earned = rate.own_rate_per_s * elapsed_s
         self._tokens = min(1.0, self._tokens + earned)
         return self._tokens >= 1.0
 
-    def _take_turn(self, rate: FleetRate, turn: int) -> None:
-        """Set the token of the current turn; those of earlier ones lapse."""
-        if turn == self._turn:
+    def _take_turns(self, rate: FleetRate, turn: int) -> None:
+        """Add the tokens of turns that have begun; remove lapsed ones."""
+        steps = turn - self._turn
+        if -TURNS_PER_LIFE < steps <= 0:
+            # A clock that was set back a little; these turns were taken.
             return
+        self._tokens = 0.0
+        begun = range(turn - min(abs(steps), TURNS_PER_LIFE) + 1, turn + 1)
         self._turn = turn
-        self._tokens = rate.requests_in_turn(
-            turn, turn_s=self._turn_s, offset=self._offset
-        )
+        self._tokens_of_turns += [
+            rate.requests_in_turn(
+                number, turn_s=self._turn_s, offset=self._offset
+            )
+            for number in begun
+        ]
+        del self._tokens_of_turns[:-TURNS_PER_LIFE]
 
     def consume(self) -> None:
-        """Count a request against the rate."""
+        """Use the token that lapses first."""
+        for place, tokens in enumerate(self._tokens_of_turns):
+            if tokens > 0:
+                self._tokens_of_turns[place] -= 1
+                return
         self._tokens -= 1.0
--- a/src/skylarkpitch/forwarding/upstream_load.py
+++ b/src/skylarkpitch/forwarding/upstream_load.py
@@ -31,10 +31,10 @@
 WARM_KEY_TTL_S = 4.0
 # Weight of one response in the moving average of failures.
 FAILURE_SMOOTHING = 0.15
-# Turns in which hosts use the rate of a cold upstream, which holds in every
-# second, and the rate that an upstream names, which holds over some seconds.
-COLD_TURN_S = 1.0
-MAX_RATE_TURN_S = 2.0
+# How long hosts may use a token of the rate of a cold upstream, which holds in
+# every second, and of the rate that one names, which holds over some seconds.
+COLD_TOKEN_LIFE_S = 1.0
+MAX_RATE_TOKEN_LIFE_S = 2.0
 
 
 class UpstreamLoad:
@@ -69,10 +69,10 @@
         self.cold_until_s = float('-inf')
         name = upstream.upstream_id
         self.cold_bucket = fleet_rate.RateBucket(
-            name, turn_s=COLD_TURN_S, now_s=now_s
+            name, token_life_s=COLD_TOKEN_LIFE_S, now_s=now_s
         )
         self.max_rate_bucket = fleet_rate.RateBucket(
-            name, turn_s=MAX_RATE_TURN_S, now_s=now_s
+            name, token_life_s=MAX_RATE_TOKEN_LIFE_S, now_s=now_s
         )
         self._warm_keys: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
--- a/tests/test_fleet_host_parts.py
+++ b/tests/test_fleet_host_parts.py
@@ -52,3 +52,65 @@
     assert [part.weight for part in parts.values()] == [4, 1, 1, 4, 1, 1]
     assert [part.position for part in parts.values()] == [0, 4, 5, 6, 10, 11]
     assert {part.total_weight for part in parts.values()} == {12}
+
+
+LIFE_S = 2.0
+STEP_S = 0.05
+
+
+def most_at_once(parts, *, rate_per_s, window_s):
+    """Return how many requests hosts send in a window after they were idle.
+
+    Each sends what it may at the beginning, and then whenever it may.
+    """
+    buckets = [
+        (
+            fleet_rate.FleetRate(rate_per_s=rate_per_s, part=part),
+            fleet_rate.RateBucket('u1', token_life_s=LIFE_S, now_s=0.0),
+        )
+        for part in parts
+    ]
+    sent = 0
+    for step in range(round(window_s / STEP_S)):
+        moment_s = 1_796_000_000 + 7.3 + step * STEP_S
+        for rate, bucket in buckets:
+            while bucket.has_token(
+                rate, now_s=step * STEP_S, time_of_day_s=moment_s
+            ):
+                bucket.consume()
+                sent += 1
+    return sent
+
+
+# Guards against hosts that lose the requests of their turns when they have
+# none at that moment, and against hosts that keep them and then together send
+# more than the rate allows in the window and the life of a token.
+@pytest.mark.parametrize('favoured_region', [None, 'east'])
+@pytest.mark.parametrize('rate_per_s', [0.5, 3.2, 6.0])
+@pytest.mark.parametrize('hosts', [89, 182, 1000])
+def test_idle_hosts_keep_their_turns_for_a_limited_time(
+    hosts, rate_per_s, favoured_region
+):
+    parts = parts_of(hosts, favoured_region).values()
+    window_s = 4.0
+    sent = most_at_once(parts, rate_per_s=rate_per_s, window_s=window_s)
+    most = rate_per_s * (window_s + LIFE_S) + 1
+    assert rate_per_s * window_s <= sent <= most
+
+
+# Guards against a clock that is set back, after which turns are used twice,
+# or no turn comes until the clock is where it was.
+@pytest.mark.parametrize('set_back_s', [0.3, 1.5, 3600.0])
+def test_clock_that_is_set_back(set_back_s):
+    part = host_parts.HostPart(position=0, weight=1, total_weight=10)
+    rate = fleet_rate.FleetRate(rate_per_s=1.0, part=part)
+    bucket = fleet_rate.RateBucket('u1', token_life_s=LIFE_S, now_s=0.0)
+    sent = 0
+    for step in range(4000):
+        now_s = step * STEP_S
+        time_of_day_s = 1_796_000_000 + now_s
+        time_of_day_s -= set_back_s if now_s >= 100 else 0.0
+        if bucket.has_token(rate, now_s=now_s, time_of_day_s=time_of_day_s):
+            bucket.consume()
+            sent += 1
+    assert 18 <= sent <= 22
