Let hosts retry in turns where their part is under one retry

Callers of a fleet of many hosts got no retry: the extra retries of the fleet are divided by its hosts, and where that is under one, a host with one request in 10 s never retries (20 hosts with 10 extra retries, 89 and 182 with 60, 1,000 with 404: 0 of all hosts that wanted a retry at once).

Now such hosts have whole retries in turns, by the mechanism of the rates of upstreams (fleet_rate), each usable for three windows. Where a part is one or more, nothing changes.

--- a/src/skylarkpitch/forwarding/exchanges.py
+++ b/src/skylarkpitch/forwarding/exchanges.py
@@ -36,12 +36,16 @@
 
 
 class Exchanges:
-    """Exchanges of one entry host with upstreams."""
+    """Exchanges of one entry host with upstreams.
+
+    ``host`` is the name of this entry host in the view.
+    """
 
     def __init__(
         self,
         *,
         view: views.FleetView,
+        host: str,
         names: header_names.HeaderNames,
         selector: selectors.UpstreamSelector,
         scheduler: schedulers.RequestScheduler,
@@ -49,8 +53,10 @@
         retry_limits: retry_budget.RetryLimits,
         crash_tracker: crash_trackers.CrashTracker,
         clock: Callable[[], float],
+        unix_clock: Callable[[], float],
     ) -> None:
         self._view = view
+        self._host = host
         self._names = names
         self._selector = selector
         self._scheduler = scheduler
@@ -60,6 +66,7 @@
         self._notice_reader = upstream_notices.NoticeReader(names=names)
         self._recording: set[asyncio.Future[None]] = set()
         self._clock = clock
+        self._unix_clock = unix_clock
 
     @property
     def notices_malformed(self) -> int:
@@ -321,6 +328,8 @@
             call.service,
             entry_hosts=self._view.entry_host_count,
             now_s=now_s,
+            part=self._view.host_part(self._host),
+            time_of_day_s=self._unix_clock(),
         )
 
     def _log_rejection(
--- a/src/skylarkpitch/forwarding/fleet_rate.py
+++ b/src/skylarkpitch/forwarding/fleet_rate.py
@@ -1,4 +1,4 @@
-"""Divide the request rate of an upstream among all entry hosts.
+"""Divide a rate of the fleet, like that of an upstream, among its entry hosts.
 
 The part of one host can be far below one request a second. Hosts then take
 turns: in each turn, as many hosts as the rate allows have one whole request
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FleetRate:
-    """Request rate of an upstream over all entry hosts.
+    """Rate over all entry hosts, of requests or of retries.
 
     ``part`` is what this host has of it; None, for a host that is not
     recorded yet, is nothing. A host that is cut off keeps to the part that
@@ -79,7 +79,7 @@
 
 
 class RateBucket:
-    """This host's tokens for one rate of the upstream ``upstream_id``.
+    """This host's tokens for one rate of what is called ``name``.
 
     A token of a turn may be used for ``token_life_s``, that is in its turn
     and in the next ones, so that a host which has no request in its turn need
@@ -89,11 +89,11 @@
     """
 
     def __init__(
-        self, upstream_id: str, *, token_life_s: float, now_s: float
+        self, name: str, *, token_life_s: float, now_s: float
     ) -> None:
         self._token_life_s = token_life_s
         self._turn_s = token_life_s / TURNS_PER_LIFE
-        self._offset = zlib.crc32(upstream_id.encode())
+        self._offset = zlib.crc32(name.encode())
         self.reset(now_s=now_s)
 
     def reset(self, *, now_s: float) -> None:
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -112,6 +112,7 @@
         self._sender = sender or senders.Sender(names=names)
         self._exchanges = exchanges.Exchanges(
             view=view,
+            host=host,
             names=names,
             selector=selector,
             scheduler=self._scheduler,
@@ -119,6 +120,7 @@
             retry_limits=retry_limits,
             crash_tracker=self._crash_tracker,
             clock=clock,
+            unix_clock=unix_clock,
         )
         self.running = 0
 
