Let another scenario reuse the process soak, and check more of it

What the scenario of three failure domains decides stays as it was: the domains, the entry hosts and the configuration are now methods or fields that another scenario replaces.

- a read must return what was sent under its version, not only its number;
- a part of the soak itself that fails is a violation (a task that ended with an error went unnoticed, and what it should have done was not done);

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -16,8 +16,6 @@
 import random
 import shutil
 import signal
-import sys
-import tempfile
 import time
 
 import aiohttp
@@ -25,9 +23,10 @@
 
 from benchmarks import process_soak_checks as checks
 from benchmarks import process_soak_parts as parts
+from benchmarks import process_soak_plays as plays
 from benchmarks import upgrade_fleet
 
-__all__ = ['Soak', 'main']
+__all__ = ['ROOT', 'Soak', 'main']
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 AUTHORISED = upgrade_fleet.AUTHORISED
@@ -45,11 +44,12 @@
 class Soak:
     """One fleet of processes and the random faults of one seed."""
 
+    domains = upgrade_fleet.DOMAINS
+    calm_s = CALM_S
+
     def __init__(self, *, seed: int, folder: pathlib.Path) -> None:
         self._rng = random.Random(seed)
-        self._fleet = upgrade_fleet.FleetExchange(
-            old=ROOT, new=ROOT, folder=folder
-        )
+        self._fleet = self._create_fleet(folder)
         self._folder = folder
         self._busy: set[str] = set()
         self._emptied_s = float('-inf')
@@ -59,6 +59,11 @@
         self.seen = checks.Observations()
         self.counts: collections.Counter = collections.Counter()
 
+    def _create_fleet(
+        self, folder: pathlib.Path
+    ) -> upgrade_fleet.FleetExchange:
+        return upgrade_fleet.FleetExchange(old=ROOT, new=ROOT, folder=folder)
+
     async def run(self, *, seconds: float) -> list[str]:
         """Play the faults for some seconds; return what was violated."""
         async with contextlib.AsyncExitStack() as stack:
@@ -77,14 +82,33 @@
             for name in self._fleet.addresses:
                 await self._fleet._until_ready(name)
             self.seen.calm_since_s = time.monotonic()
-            self._ends_s = time.monotonic() + CALM_S
+            self._ends_s = time.monotonic() + self.calm_s
             await asyncio.gather(*callers)
             await self._read_back()
             ended = self._ended_by_themselves()
             for task in self._tasks:
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
-        return [*ended, *checks.violations(self.seen)]
+            failed = await self._failed_tasks()
+        found = [*checks.violations(self.seen), *self.found()]
+        return [*ended, *failed, *found]
+
+    async def _failed_tasks(self) -> list[str]:
+        """Return which parts of the soak itself failed."""
+        results = await asyncio.gather(*self._tasks, return_exceptions=True)
+        return [
+            f'the soak failed: {result!r}'
+            for result in results
+            if isinstance(result, Exception)
+        ]
+
+    def found(self) -> list[str]:
+        """Return what the checks of a scenario of its own found."""
+        return []
+
+    def _entries(self) -> list[str]:
+        return [
+            name for name in self._fleet.addresses if name.startswith('entry')
+        ]
 
     def _start(self, coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
@@ -108,15 +132,15 @@
             upstreams.append(upstream)
             self._start(self._announce(number, upstream, changed))
         await self._change()
-        for domain in upgrade_fleet.DOMAINS:
-            await self._fleet._until_ready(f'entry-{domain}')
+        for name in self._entries():
+            await self._fleet._until_ready(name)
         return upstreams
 
     async def _announce(
         self, number: int, upstream: parts.Upstream, changed: asyncio.Event
     ) -> None:
         """Send heartbeats, and one at once when the instance has changed."""
-        domains = upgrade_fleet.DOMAINS
+        domains = self.domains
         for sequence in itertools.count(1):
             body = {
                 'born_ms': upstream.born_ms,
@@ -136,11 +160,7 @@
             changed.clear()
 
     async def _call(self) -> None:
-        entries = [
-            address
-            for name, address in self._fleet.addresses.items()
-            if name.startswith('entry')
-        ]
+        entries = [self._fleet.addresses[name] for name in self._entries()]
         caller = parts.Caller(
             rng=random.Random(self._rng.random()),
             seen=self.seen,
@@ -158,6 +178,9 @@
             await asyncio.sleep(0.1)
         self.seen.acknowledged(version)
 
+    def _configuration(self, version: int) -> dict:
+        return parts.configuration(version)
+
     async def _put(self, version: int) -> bool:
         """Send a configuration; return whether it was acknowledged."""
         body = await self._fleet.answer(
@@ -165,7 +188,7 @@
             self._rng.choice(self._fleet.controls()),
             '/v1/configuration',
             headers=AUTHORISED,
-            json=parts.configuration(version),
+            json=self._configuration(version),
         )
         return body is not None
 
@@ -184,8 +207,11 @@
         )
         if body is None:
             return None
-        version = json.loads(body)['version']
+        document = json.loads(body)
+        version = document['version']
         self.seen.read(name, version, expected=expected)
+        if document != self._configuration(version):
+            self.seen.other_reads.append(f'{name} has another {version}')
         return version
 
     async def _read_back(self) -> None:
@@ -277,19 +303,12 @@
     seed: int, seeds: int, seconds: float, keep_logs: pathlib.Path | None
 ) -> None:
     """Play random faults, one fleet for each seed from SEED on."""
-    found = {}
-    for number in range(seed, seed + seeds):
-        with tempfile.TemporaryDirectory() as temporary:
-            soak = Soak(seed=number, folder=pathlib.Path(temporary))
-            violations = asyncio.run(soak.run(seconds=seconds))
-            if violations and keep_logs is not None:
-                shutil.copytree(temporary, keep_logs / str(number))
-        summary = {**soak.counts, **soak.seen.summary()}
-        print(number, summary, violations[:5], flush=True)
-        if violations:
-            found[number] = violations
-    print(json.dumps({'seeds': seeds, 'violations': found}))
-    sys.exit(int(bool(found)))
+    plays.play_seeds(
+        lambda number, folder: Soak(seed=number, folder=folder),
+        numbers=range(seed, seed + seeds),
+        seconds=seconds,
+        keep_logs=keep_logs,
+    )
 
 
 if __name__ == '__main__':
--- a/benchmarks/process_soak_checks.py
+++ b/benchmarks/process_soak_checks.py
@@ -39,6 +39,7 @@
         self.arrivals: dict[str, list[float]] = collections.defaultdict(list)
         self.newest_version = 0
         self.old_reads: list[str] = []
+        self.other_reads: list[str] = []
         self.calm_since_s = float('inf')
         self.max_lag_s = 0.0
 
@@ -115,4 +116,5 @@
     ]
     if calm and sum(calm) < MIN_CALM_SHARE * len(calm):
         found.append(f'{sum(calm)} of {len(calm)} answered once all was calm')
-    return [*seen.old_reads, *(item for item in found if item)]
+    reads = [*seen.old_reads, *seen.other_reads]
+    return [*reads, *(item for item in found if item)]
