Add a process soak in which control hosts are replaced

A control host, often the leader, is killed for good and an empty one with another name and address follows after a second, again and again, so that both of one region are often new. Beside that: kills, freezes, planned stops, lost disks, drains, and links to control hosts that are delayed, squeezed, cut one way or silenced by a proxy before the peers port.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR):$(CURDIR)/platform
 
-.PHONY: setup check format lint imports test demo model soak process-soak faults rolling costs bench capacity events
+.PHONY: setup check format lint imports test demo model soak process-soak region-soak faults rolling costs bench capacity events
 
 setup: $(STAMP)
 
@@ -54,6 +54,10 @@
 	$(BIN)/python -m benchmarks.process_soak --seed $(SEED) \
 		--seconds $(SECONDS)
 
+region-soak: $(STAMP)
+	$(BIN)/python -m benchmarks.process_soak_regions --seed $(SEED) \
+		--seconds $(SECONDS)
+
 faults: $(STAMP)
 	$(BIN)/python -m benchmarks.faults --deployment $(DEPLOYMENT) \
 		--seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/benchmarks/process_soak_regions.py
@@ -0,0 +1,277 @@
+"""Random faults on a fleet whose control hosts are replaced for good.
+
+Six control hosts in three regions tolerate two losses. Beside the faults of
+``benchmarks.process_soak``, control hosts, often the leader, are replaced by
+empty ones with other addresses, links to control hosts are harmed, failure
+domains drained and keys withdrawn. All entry hosts are asked all the time
+which configuration is in force. The last line is a JSON object.
+"""
+
+import asyncio
+import pathlib
+import random
+import shutil
+import time
+
+import click
+
+from benchmarks import link_proxy
+from benchmarks import process_soak
+from benchmarks import process_soak_fleet as fleets
+from benchmarks import process_soak_plays as plays
+from benchmarks import process_soak_probes as probes
+from benchmarks import process_soak_versions as process_versions
+from benchmarks import upgrade_fleet
+
+__all__ = ['RegionSoak', 'main']
+
+SUCCESSOR_AFTER_S = (0.7, 1.3)
+ROUND_S = (4.0, 10.0)
+FIRST_ROUND_S = (0.5, 1.5)
+ENTRY_PAUSE_S = (0.5, 3.0)
+UPSTREAM_PAUSE_S = (0.1, 1.2)
+BETWEEN_LOSSES_S = (0.0, 2.0)
+HARM_S = (0.5, 3.0)
+READ_PAUSE_S = (0.1, 0.5)
+DELAY_S = (0.005, 0.08)
+LONG_PAUSE_S = (2.7, 5.0)
+LONG_PAUSE_SHARE = 0.4
+LEADER_SHARE = 0.4
+# For the first hosts of one region, so that both are replaced.
+REGION_SHARE = 0.4
+FIRST_REPLACE_SHARE = 0.7
+REPLACE_SHARE = 0.3
+# Links are harmed as often as this number of other faults.
+HARM_WEIGHT = 4
+DRAIN_SHARE = 0.2
+
+
+class RegionSoak(process_soak.Soak):
+    """One fleet in three regions and the random faults of one seed."""
+
+    domains = fleets.DOMAINS
+    calm_s = 7.0
+
+    def __init__(
+        self, *, seed: int, folder: pathlib.Path, entries_per_domain: int = 1
+    ) -> None:
+        self._entries_per_domain = entries_per_domain
+        self._fleet_rng = random.Random(seed)
+        self._lost_until_s: dict[str, float] = {}
+        self._drained: str | None = None
+        self.versions = process_versions.Versions()
+        super().__init__(seed=seed, folder=folder)
+        self._region = self._rng.choice(fleets.REGION_NAMES)
+
+    def _create_fleet(self, folder: pathlib.Path) -> fleets.RegionFleet:
+        return fleets.RegionFleet(
+            root=process_soak.ROOT,
+            folder=folder,
+            entries_per_domain=self._entries_per_domain,
+            rng=self._fleet_rng,
+        )
+
+    def found(self) -> list[str]:
+        return self.versions.found
+
+    async def _bring_up(self, stack) -> list:
+        for name in self._fleet.addresses:
+            self.versions.started(name)
+        upstreams = await super()._bring_up(stack)
+        self._fleet.is_first_start = False
+        for name in self._entries():
+            self._start(
+                probes.probe_forever(
+                    name=name,
+                    address=self._fleet.addresses[name],
+                    versions=self.versions,
+                    rng=random.Random(self._rng.random()),
+                )
+            )
+        self._start(self._read_forever())
+        return upstreams
+
+    async def _read_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(*READ_PAUSE_S))
+            await self._read(self._rng.choice(self._fleet.controls()))
+
+    def _configuration(self, version: int) -> dict:
+        return probes.configuration(version)
+
+    async def _change(self) -> None:
+        self.versions.sent(self._version + 1, now_s=time.monotonic())
+        await super()._change()
+        self.versions.acknowledged(self._version, now_s=time.monotonic())
+
+    async def _change_until(self, ends_s: float) -> None:
+        while time.monotonic() < ends_s:
+            await self._change()
+            for _number in range(3):
+                await self._read(self._rng.choice(self._fleet.controls()))
+            if self._rng.random() < DRAIN_SHARE:
+                await self._change_drain()
+            pause_s = process_soak.OPERATOR_PAUSE_S
+            if self._rng.random() < LONG_PAUSE_SHARE:
+                pause_s = LONG_PAUSE_S
+            await asyncio.sleep(self._rng.uniform(*pause_s))
+        if self._drained is not None:
+            await self._change_drain()
+
+    async def _change_drain(self) -> None:
+        """Drain a failure domain, or end the drain there is."""
+        method = 'PUT' if self._drained is None else 'DELETE'
+        domain = self._drained or self._rng.choice(self.domains)
+        self._drained = domain if method == 'PUT' else None
+        path = f'/v1/drains/{domain}'
+        self.counts['drain_changes'] += 1
+        while not await self._fleet.answer(
+            method,
+            self._rng.choice(self._fleet.controls()),
+            path,
+            headers=upgrade_fleet.AUTHORISED,
+        ):
+            await asyncio.sleep(0.1)
+
+    async def _disturb_until(self, ends_s: float, upstreams) -> None:
+        await asyncio.gather(
+            self._disturb_controls(ends_s),
+            self._disturb_entries(ends_s),
+            self._disturb_upstreams(ends_s, upstreams),
+        )
+        self.counts.update(self.versions.counts)
+
+    async def _disturb_upstreams(self, ends_s: float, upstreams) -> None:
+        while time.monotonic() < ends_s:
+            self._rng.choice(upstreams).change()
+            await asyncio.sleep(self._rng.uniform(*UPSTREAM_PAUSE_S))
+
+    async def _disturb_entries(self, ends_s: float) -> None:
+        running = []
+        faults = (self._kill, self._freeze, self._stop)
+        while time.monotonic() < ends_s:
+            await asyncio.sleep(self._rng.uniform(*ENTRY_PAUSE_S))
+            name = self._rng.choice(self._entries())
+            if name not in self._busy:
+                running.append(self._begin(self._rng.choice(faults), name))
+        await asyncio.gather(*running)
+
+    async def _disturb_controls(self, ends_s: float) -> None:
+        """Play rounds of one or several losses, with calm between them."""
+        running = []
+        await asyncio.sleep(self._rng.uniform(*FIRST_ROUND_S))
+        while time.monotonic() < ends_s:
+            next_s = time.monotonic() + self._rng.uniform(*ROUND_S)
+            for number in range(self._rng.choice((1, 1, 2, 3))):
+                if (name := self._next_control()) is not None:
+                    fault = self._next_fault(is_first=number == 0)
+                    running.append(self._begin(fault, name))
+                await asyncio.sleep(self._rng.uniform(*BETWEEN_LOSSES_S))
+            await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+        await asyncio.gather(*running)
+
+    def _next_control(self) -> str | None:
+        """Return a control host that may be lost now, or None."""
+        now_s = time.monotonic()
+        lost = {name for name in self._busy if name.startswith('control')}
+        lost |= {
+            name for name, at_s in self._lost_until_s.items() if at_s > now_s
+        }
+        if len(lost) >= fleets.TOLERATED:
+            return None
+        free = [name for name in self._fleet.controls() if name not in lost]
+        leader = self._fleet.leader()
+        draw = self._rng.random()
+        if leader in free and draw < LEADER_SHARE:
+            return leader
+        first = [
+            name
+            for name in self._fleet.first_controls(self._region)
+            if name in free
+        ]
+        is_of_region = draw < LEADER_SHARE + REGION_SHARE
+        return self._rng.choice(first if first and is_of_region else free)
+
+    def _next_fault(self, *, is_first: bool):
+        share = FIRST_REPLACE_SHARE if is_first else REPLACE_SHARE
+        if self._rng.random() < share:
+            return self._replace
+        faults = (self._kill, self._freeze, self._stop, self._empty)
+        return self._rng.choice((*faults, *HARM_WEIGHT * (self._harm,)))
+
+    def _begin(self, fault, name: str) -> asyncio.Task:
+        self.counts[fault.__name__.strip('_')] += 1
+        self._busy.add(name)
+        self.versions.disturb(name)
+        return self._start(self._play(fault, name))
+
+    async def _play(self, fault, name: str) -> None:
+        try:
+            await super()._play(fault, name)
+        finally:
+            self.versions.calm(name, now_s=time.monotonic())
+
+    async def _restart(self, name: str) -> None:
+        await super()._restart(name)
+        self.versions.started(name)
+
+    async def _empty(self, name: str) -> None:
+        self._fleet.processes[name].kill()
+        await asyncio.to_thread(self._fleet.processes[name].wait)
+        shutil.rmtree(self._folder / name, ignore_errors=True)
+        await self._restart(name)
+        self._lose(name)
+
+    async def _replace(self, name: str) -> None:
+        process = self._fleet.processes[name]
+        process.kill()
+        await asyncio.to_thread(process.wait)
+        self._fleet.remove(name)
+        await asyncio.sleep(self._rng.uniform(*SUCCESSOR_AFTER_S))
+        successor = self._fleet.add_successor(name)
+        self._fleet.start(successor, 'new')
+        self._lose(successor)
+
+    def _lose(self, name: str) -> None:
+        """Count an empty host as lost until it has caught up."""
+        self._lost_until_s[name] = time.monotonic() + fleets.CATCH_UP_S
+
+    async def _harm(self, name: str) -> None:
+        kind = self._rng.choice(link_proxy.HARMS)
+        self.counts[kind] += 1
+        delay_s = self._rng.uniform(*DELAY_S)
+        self._fleet.harm_links(name, kind, delay_s=delay_s)
+        try:
+            await asyncio.sleep(self._rng.uniform(*HARM_S))
+        finally:
+            self._fleet.harm_links(name, None)
+
+
+@click.command()
+@click.option('--seed', default=1, show_default=True)
+@click.option('--seeds', default=1, show_default=True, help='How many.')
+@click.option('--seconds', default=20.0, show_default=True)
+@click.option(
+    '--entries', default=1, show_default=True, help='In a failure domain.'
+)
+@click.option('--keep-logs', type=click.Path(path_type=pathlib.Path))
+def main(
+    seed: int,
+    seeds: int,
+    seconds: float,
+    entries: int,
+    keep_logs: pathlib.Path | None,
+) -> None:
+    """Play random faults, one fleet for each seed from SEED on."""
+    plays.play_seeds(
+        lambda number, folder: RegionSoak(
+            seed=number, folder=folder, entries_per_domain=entries
+        ),
+        numbers=range(seed, seed + seeds),
+        seconds=seconds,
+        keep_logs=keep_logs,
+    )
+
+
+if __name__ == '__main__':
+    main()
