--- a/benchmarks/process_soak_regions.py
+++ b/benchmarks/process_soak_regions.py
@@ -36,10 +36,10 @@
 DELAY_S = (0.005, 0.08)
 LONG_PAUSE_S = (2.7, 5.0)
 LONG_PAUSE_SHARE = 0.4
-LEADER_SHARE = 0.4
+LEADER_SHARE = 0.5
 # For the first hosts of one region, so that both are replaced.
-REGION_SHARE = 0.4
-FIRST_REPLACE_SHARE = 0.7
+REGION_SHARE = 0.5
+FIRST_REPLACE_SHARE = 0.85
 REPLACE_SHARE = 0.3
 # Links are harmed as often as this number of other faults.
 HARM_WEIGHT = 4
@@ -180,17 +180,17 @@
         if len(lost) >= fleets.TOLERATED:
             return None
         free = [name for name in self._fleet.controls() if name not in lost]
-        leader = self._fleet.leader()
-        draw = self._rng.random()
-        if leader in free and draw < LEADER_SHARE:
-            return leader
         first = [
             name
             for name in self._fleet.first_controls(self._region)
             if name in free
         ]
-        is_of_region = draw < LEADER_SHARE + REGION_SHARE
-        return self._rng.choice(first if first and is_of_region else free)
+        if first and self._rng.random() < REGION_SHARE:
+            return self._rng.choice(first)
+        leader = self._fleet.leader()
+        if leader in free and self._rng.random() < LEADER_SHARE:
+            return leader
+        return self._rng.choice(free)
 
     def _next_fault(self, *, is_first: bool):
         share = FIRST_REPLACE_SHARE if is_first else REPLACE_SHARE
@@ -231,6 +231,9 @@
         successor = self._fleet.add_successor(name)
         self._fleet.start(successor, 'new')
         self._lose(successor)
+        region = self._fleet.first_controls(self._region)
+        if not set(region) & set(self._fleet.controls()):
+            self.counts['after_region_replaced'] += 1
 
     def _lose(self, name: str) -> None:
         """Count an empty host as lost until it has caught up."""
