Give a bucket that was reset no tokens of earlier turns

An upstream that turns cold is limited from that moment on; the bucket of its rate was emptied, and then got the tokens of the last eight turns at once. A new bucket still gets them, as a host that was idle has them. test_reset_bucket_has_no_token_of_an_earlier_turn failed before.

--- a/src/skylarkpitch/forwarding/fleet_rate.py
+++ b/src/skylarkpitch/forwarding/fleet_rate.py
@@ -95,9 +95,11 @@
         self._turn_s = token_life_s / TURNS_PER_LIFE
         self._offset = zlib.crc32(name.encode())
         self.reset(now_s=now_s)
+        self._first_turns = TURNS_PER_LIFE
 
     def reset(self, *, now_s: float) -> None:
-        """Remove all tokens."""
+        """Remove all tokens; those of earlier turns do not come back."""
+        self._first_turns = 1
         self._tokens: float = 0.0
         self._refilled_s = now_s
         self._turn = -1
@@ -124,7 +126,12 @@
             # A clock that was set back a little; these turns were taken.
             return
         self._tokens = 0.0
-        begun = range(turn - min(abs(steps), TURNS_PER_LIFE) + 1, turn + 1)
+        count = (
+            min(abs(steps), TURNS_PER_LIFE)
+            if self._turn >= 0
+            else self._first_turns
+        )
+        begun = range(turn - count + 1, turn + 1)
         self._turn = turn
         self._tokens_of_turns += [
             rate.requests_in_turn(
--- a/tests/test_fleet_host_parts.py
+++ b/tests/test_fleet_host_parts.py
@@ -114,3 +114,18 @@
             bucket.consume()
             sent += 1
     assert 18 <= sent <= 22
+
+
+# Guards against an upstream that turns cold and gets, at once, the requests
+# of turns from before.
+def test_reset_bucket_has_no_token_of_an_earlier_turn():
+    part = host_parts.HostPart(position=0, weight=1, total_weight=1)
+    rate = fleet_rate.FleetRate(rate_per_s=0.4, part=part)
+    bucket = fleet_rate.RateBucket('u1', token_life_s=LIFE_S, now_s=0.0)
+    sent = []
+    for step in range(200):
+        bucket.reset(now_s=step * STEP_S)
+        moment_s = 1_796_000_000 + step * STEP_S
+        sent.append(bucket.has_token(rate, now_s=0.0, time_of_day_s=moment_s))
+    turn_share = LIFE_S / fleet_rate.TURNS_PER_LIFE * 0.4
+    assert sum(sent) <= 2 * turn_share * len(sent)
