--- a/src/skylarkpitch/fleet/subscriber.py
+++ b/src/skylarkpitch/fleet/subscriber.py
@@ -174,26 +174,40 @@
             view_index=self._view.index,
         )
         self._apply(source, response)
-        is_current = currency.is_current(
-            contact_age_s=response.heard_age_s,
-            state_age_s=response.state_age_s,
-        )
+        return self._judge(source, response, sent_s=sent_s, now_s=now_s)
+
+    def _judge(
+        self,
+        source: str,
+        response: messages.WatchResponse,
+        *,
+        sent_s: float,
+        now_s: float,
+    ) -> bool:
+        """Return whether the state of a control host is current.
+
+        Of one that is not, only a list of members is taken which is not
+        older than the view.
+        """
+        ages_s = {
+            'contact_age_s': response.heard_age_s,
+            'state_age_s': response.state_age_s,
+        }
+        is_current = currency.is_current(**ages_s)
         if is_current or response.index >= self._view.index:
             self._update_sources(response.control_hosts)
         if not is_current:
-            is_behind = currency.is_behind(
-                contact_age_s=response.heard_age_s,
-                state_age_s=response.state_age_s,
-            )
+            is_behind = currency.is_behind(**ages_s)
             why = 'state_old' if is_behind else 'no_quorum'
             self._record_failure(source, now_s, why)
             return False
         self._sources.record_success(source)
         if response.index == self._view.index:
             # The response was current at some time after the request.
-            age_s = max(response.heard_age_s, response.state_age_s)
-            fresh_at_s = max(sent_s, now_s - WATCH_WAIT_S) - age_s
-            self._fresh_at_s = max(self._fresh_at_s, fresh_at_s)
+            received_s = max(sent_s, now_s - WATCH_WAIT_S)
+            self._fresh_at_s = max(
+                self._fresh_at_s, received_s - max(ages_s.values())
+            )
             self._mark_current(source)
         return True
 
