Echo no stamp without recent contact to a quorum

A stamp that is echoed shows that the leader has it, not that it still leads; and a leader whose every step was late by over a heartbeat, as with syncs of 0.3 s, excused the silence of the others each time and never stepped down.

Now a leader echoes only while its own contact with a quorum is under the shortest election time-out, and excuses a silence once until a quorum has responded again. Stamps are set when the response leaves, after the write: with slow disks the state counted as three to six syncs old. Leaders of an earlier release, which echo nothing, say so by a missing field, and their contact counts as before.

test_followers_of_a_leader_that_was_replaced_are_not_complete fails before: the leader still leads after 10 s.

--- a/src/skylarkpitch/consensus/election.py
+++ b/src/skylarkpitch/consensus/election.py
@@ -59,7 +59,8 @@
     """Extend the timers after this process was stalled.
 
     Messages that arrived during the stall may not have been read yet. A
-    leader allows the other members one more heartbeat interval to respond;
+    leader allows the other members one more heartbeat interval to respond,
+    once until a quorum has responded again;
     any other member restarts its election timer. Commits and reads still
     require the responses of a quorum.
     """
@@ -67,6 +68,9 @@
     if state.role is not states.Role.LEADER:
         state.restart_election_timer(now_s)
         return
+    if replication.quorum_contact_s(state, now_s=now_s) < state.excused_s:
+        # No quorum has responded since the last excuse.
+        return
     state.excused_s = (
         now_s - state.timing.election_min_s + state.timing.heartbeat_s
     )
--- a/src/skylarkpitch/consensus/engine.py
+++ b/src/skylarkpitch/consensus/engine.py
@@ -190,8 +190,18 @@
         for item in items:
             if isinstance(item, messages.SnapshotChunk):
                 item = self._with_snapshot_data(item)
+            elif isinstance(item, messages.AppendResponse):
+                item = self._with_stamp(item)
             self._send(member_sets.host_of(item.to), item)
 
+    def _with_stamp(
+        self, response: messages.AppendResponse
+    ) -> messages.AppendResponse:
+        stamp = messages.Stamp(
+            process=self.core.state.process, sent_s=self._clock()
+        )
+        return dataclasses.replace(response, stamp=stamp)
+
     def _with_snapshot_data(
         self, chunk: messages.SnapshotChunk
     ) -> messages.SnapshotChunk:
--- a/src/skylarkpitch/consensus/replication.py
+++ b/src/skylarkpitch/consensus/replication.py
@@ -91,10 +91,10 @@
     item = state.progress[other]
     if item.next_index <= state.log.base_index:
         _send_chunk(state, other, now_s)
-        _send_append(state, other, state.log.base_index, ())
+        _send_append(state, other, state.log.base_index, (), now_s)
         return
     entries = _next_entries(state, item)
-    _send_append(state, other, item.next_index - 1, entries)
+    _send_append(state, other, item.next_index - 1, entries, now_s)
     if not item.probing:
         item.next_index += len(entries)
 
@@ -127,6 +127,7 @@
     other: str,
     previous: int,
     entries: tuple[messages.Entry, ...],
+    now_s: float,
 ) -> None:
     state.before_write.append(
         messages.AppendRequest(
@@ -136,7 +137,8 @@
             commit_index=state.commit_index,
             round=state.round,
             entries=entries,
-            echo=state.progress[other].echo,
+            echo=_echo(state, other, now_s),
+            echoes=True,
         )
     )
 
@@ -201,14 +203,30 @@
     leader's own term is committed, its commit index may be lower than that
     of the leader before it.
     """
-    echo = request.echo
-    if echo is None or echo.process != state.process:
-        return
     is_own_term = state.log.term_at(state.commit_index) == request.term
-    if is_own_term and state.commit_index >= request.commit_index:
+    if not is_own_term or state.commit_index < request.commit_index:
+        return
+    echo = request.echo
+    if not request.echoes:
+        # A leader of an earlier release.
+        state.complete_s = state.leader_contact_s
+    elif echo is not None and echo.process == state.process:
         state.complete_s = max(state.complete_s, echo.sent_s)
 
 
+def _echo(
+    state: states.State, other: str, now_s: float
+) -> messages.Stamp | None:
+    """Return the stamp to echo, None without recent contact to a quorum.
+
+    A leader that has been replaced does not know it before it steps down.
+    """
+    contact_s = quorum_contact_s(state, now_s=now_s)
+    if now_s - contact_s >= state.timing.election_min_s:
+        return None
+    return state.progress[other].echo
+
+
 def _without_compacted_entries(
     state: states.State, request: messages.AppendRequest
 ) -> messages.AppendRequest:
@@ -257,9 +275,6 @@
             accepted=accepted,
             index=index,
             round=request.round,
-            stamp=messages.Stamp(
-                process=state.process, sent_s=state.leader_contact_s
-            ),
         )
     )
 
--- a/src/skylarkpitch/consensus/state.py
+++ b/src/skylarkpitch/consensus/state.py
@@ -101,7 +101,8 @@
     The order is: send ``before_write``, make ``write`` durable, call
     ``Core.on_persisted`` if there was a write, send ``after_write``. The
     messages are those of ``messages.consensus``; the caller fills in the
-    data of a ``SnapshotChunk`` before it sends it.
+    data of a ``SnapshotChunk`` and the stamp of an ``AppendResponse``
+    before it sends it.
     """
 
     before_write: tuple[object, ...] = ()
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -151,11 +151,11 @@
         """
         now_s = self._clock()
         log = self._replicated_log
-        is_behind = currency.is_behind(
+        may_look_up = currency.may_look_up(
             contact_age_s=log.quorum_contact_age_s(now_s=now_s),
             state_age_s=log.state_age_s(now_s=now_s),
         )
-        if is_behind:
+        if not may_look_up:
             return []
         return look_up.select_entry_hosts(
             self._state.entry_hosts.values(),
--- a/src/skylarkpitch/messages/consensus.py
+++ b/src/skylarkpitch/messages/consensus.py
@@ -143,7 +143,8 @@
 
     ``round`` is the number of the leader's broadcast within its term, and
     ``echo`` the stamp of the member's last response, by which the member
-    knows how old this message is at most.
+    knows how old this message is at most. A leader that ``echoes`` sends
+    none without recent contact to a quorum.
     """
 
     cluster: str
@@ -156,6 +157,7 @@
     round: int
     entries: tuple[Entry, ...] = ()
     echo: Stamp | None = None
+    echoes: bool = False
 
 
 @codec.message('consensus.append_answer')
--- a/tests/test_consensus_complete.py
+++ b/tests/test_consensus_complete.py
@@ -19,13 +19,15 @@
     return core_fixtures._append_request(term, **fields)
 
 
-def _echoed(core, request, *, sent_s, process=None):
+def _echoed(core, request, *, sent_s=None, process=None, echoes=True):
     """Return a request that echoes a stamp, by default of this process."""
-    stamp = messages.Stamp(
-        process=core.state.process if process is None else process,
-        sent_s=sent_s,
-    )
-    return dataclasses.replace(request, echo=stamp)
+    stamp = None
+    if sent_s is not None:
+        stamp = messages.Stamp(
+            process=core.state.process if process is None else process,
+            sent_s=sent_s,
+        )
+    return dataclasses.replace(request, echo=stamp, echoes=echoes)
 
 
 def _entries(*terms, first=2):
@@ -91,12 +93,19 @@
 @pytest.mark.parametrize(
     ('echoes', 'expected_s'),
     [
-        ([None], states.NEVER_S),
+        ([{}], states.NEVER_S),
+        ([{'echoes': False}], NOW_S),
         ([{'sent_s': 1.0}], 1.0),
         ([{'sent_s': 2.0}, {'sent_s': 1.0}], 2.0),
         ([{'sent_s': 1.0, 'process': 7}], states.NEVER_S),
     ],
-    ids=['no-echo', 'message-waited', 'earlier-echo', 'earlier-process'],
+    ids=[
+        'no-echo',
+        'earlier-release',
+        'message-waited',
+        'earlier-echo',
+        'earlier-process',
+    ],
 )
 def test_follower_is_complete_as_of_the_stamp_that_the_leader_echoes(
     echoes, expected_s
@@ -104,8 +113,7 @@
     core = core_fixtures._core(term=2)
     request = _append(2, entries=_entries(2), commit_index=2)
     for echo in echoes:
-        message = _echoed(core, request, **echo) if echo else request
-        core.receive(message, now_s=NOW_S)
+        core.receive(_echoed(core, request, **echo), now_s=NOW_S)
     assert core.complete_s(now_s=NOW_S) == expected_s
 
 
@@ -165,3 +173,42 @@
         send(sender, host, message)
 
     simulation.send = send_without_entries
+
+
+LATE_STEP_S = 0.3
+
+
+# Guards against hosts whose state is served as current: they follow a leader
+# that has been replaced, and whose steps are late, so that it excuses the
+# silence of the others again and again.
+def test_followers_of_a_leader_that_was_replaced_are_not_complete():
+    simulation = simulated_log.Simulation(seed=3, voters='abcde')
+    simulation.start()
+    _lead(simulation, 'a')
+    simulation.commit('one')
+    simulation.run(SETTLE_S)
+    for name in 'ab':
+        for other in 'cde':
+            simulation.cut(name, other)
+    leader = simulation.members['a']
+    step = leader.step
+    last_s = [simulation.now_s]
+
+    def step_late(*inbox):
+        if simulation.now_s - last_s[0] >= LATE_STEP_S:
+            last_s[0] = simulation.now_s
+            step(*inbox)
+
+    leader.step = step_late
+    leader._wake = lambda: simulation.after(LATE_STEP_S, wake)
+
+    def wake():
+        leader.step()
+        simulation.after(LATE_STEP_S, wake)
+
+    wake()
+    simulation.run(10 * SETTLE_S)
+    ages_s = _ages_s(simulation)
+    old = {name for name, age_s in ages_s.items() if age_s > SETTLE_S}
+    assert old == {'a', 'b'}
+    assert not leader.is_leader
