--- a/tests/stand_ins/control_fleet.py
+++ b/tests/stand_ins/control_fleet.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import random
+import types
 
 from skylarkpitch.config import commands
 from skylarkpitch.config import keys as caller_keys
@@ -63,6 +64,16 @@
     return consensus_ports.LogStatus(**defaults | fields)
 
 
+def watched_log(cluster):
+    """Return the log of a control host whose state is current."""
+    return types.SimpleNamespace(
+        cluster=cluster,
+        status=lambda: log_status(leader='a'),
+        quorum_contact_age_s=lambda now_s: 0.0,
+        state_age_s=lambda now_s: 0.0,
+    )
+
+
 class StandInLog:
     """Committed commands, shared by all members.
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import types
 
 import msgspec
 import pytest
@@ -331,11 +330,7 @@
 async def watched(state, view):
     """Apply to a view what a control host with this state responds."""
     control = watches.Watches(
-        log=types.SimpleNamespace(
-            cluster='c',
-            status=lambda: control_fleet.log_status(leader='a'),
-            quorum_contact_age_s=lambda now_s: 0.0,
-        ),
+        log=control_fleet.watched_log('c'),
         state=state,
         control_hosts=lambda: ('a',),
         clock=lambda: 0.0,
--- a/tests/test_fleet_watches.py
+++ b/tests/test_fleet_watches.py
@@ -1,7 +1,6 @@
 """Test which changes a watch returns, when, and which host is watched."""
 
 import asyncio
-import types
 
 import pytest
 
@@ -24,12 +23,7 @@
     def __init__(self):
         self.state = fleet_state.FleetState()
         self.watches = watches.Watches(
-            log=types.SimpleNamespace(
-                cluster=CLUSTER,
-                status=lambda: control_fleet.log_status(leader='a'),
-                quorum_contact_age_s=lambda now_s: 0.0,
-                state_age_s=lambda now_s: 0.0,
-            ),
+            log=control_fleet.watched_log(CLUSTER),
             state=self.state,
             control_hosts=lambda: ('a',),
             clock=lambda: asyncio.get_running_loop().time(),
