--- a/src/skylarkpitch/fleet/log_lag.py
+++ b/src/skylarkpitch/fleet/log_lag.py
@@ -9,6 +9,7 @@
 
 from skylarkpitch.consensus import ports
 from skylarkpitch.consensus import service as consensus
+from skylarkpitch.fleet import currency
 
 __all__ = ['LogLag']
 
@@ -22,7 +23,7 @@
     """Log the lag of one control host: regularly, and when it has ended.
 
     A host is behind if it still lacks what it knew to be committed at the
-    check before.
+    check before, or if it hears the leader and its state is old.
     """
 
     def __init__(
@@ -46,7 +47,14 @@
             self._check(self._replicated_log.status(), now_s=self._clock())
 
     def _check(self, status: ports.LogStatus, *, now_s: float) -> None:
-        is_behind = status.applied_index < self._expected_index
+        log = self._replicated_log
+        is_behind = (
+            status.applied_index < self._expected_index
+            or currency.is_behind(
+                contact_age_s=log.quorum_contact_age_s(now_s=now_s),
+                state_age_s=log.state_age_s(now_s=now_s),
+            )
+        )
         self._expected_index = status.leader_commit_index
         if is_behind and now_s - self._logged_s >= LOG_INTERVAL_S:
             self._logged_s = now_s
--- a/tests/test_fleet_source_status.py
+++ b/tests/test_fleet_source_status.py
@@ -79,23 +79,26 @@
     assert gauges == {'watch_index': 5, 'watch_missing_entries': 4}
 
 
-# Each row: time in seconds, applied index, commit index.
+# Each row: time in seconds, applied index, commit index, age of the state.
 @pytest.mark.parametrize(
     ('rows', 'expected'),
     [
-        ([(0.0, 5, 7), (0.25, 7, 9), (0.5, 9, 9)], []),
-        ([(0.0, 5, 7), (0.25, 5, 7)], ['log_behind']),
+        ([(0.0, 5, 7, 0.1), (0.25, 7, 9, 0.1), (0.5, 9, 9, 0.1)], []),
+        ([(0.0, 5, 7, 0.1), (0.25, 5, 7, 0.3)], ['log_behind']),
+        ([(0.0, 7, 7, 4.5), (0.25, 8, 8, 4.5)], ['log_behind']),
         (
-            [(0.25 * i, 5, 7) for i in range(10)] + [(2.5, 7, 7)],
+            [(0.25 * i, 5, 7, 0.1) for i in range(10)] + [(2.5, 7, 7, 0.1)],
             ['log_behind'] * 3 + ['log_caught_up'],
         ),
     ],
-    ids=['entries-on-their-way', 'behind', 'once-a-second'],
+    ids=['entries-on-their-way', 'behind', 'old-messages', 'once-a-second'],
 )
 def test_lag_of_a_control_host_is_logged_once_a_second(rows, expected):
-    lag = log_lag.LogLag(log=None)
+    log = control_fleet.watched_log('c')
+    lag = log_lag.LogLag(log=log)
     with structlog.testing.capture_logs() as logs:
-        for now_s, applied, committed in rows:
+        for now_s, applied, committed, state_age_s in rows:
+            log.state_age_s = lambda now_s, age_s=state_age_s: age_s
             status = control_fleet.log_status(
                 applied_index=applied, leader_commit_index=committed
             )
