Let each play of the region soak begin with a replacement

The test asks for one, rightly. The first loss of a play is now a replacement, so that it does not depend on how many faults fit into the time.

--- a/benchmarks/process_soak_regions.py
+++ b/benchmarks/process_soak_regions.py
@@ -193,6 +193,8 @@
         return self._rng.choice(free)
 
     def _next_fault(self, *, is_first: bool):
+        if not self.counts['replace']:
+            return self._replace
         share = FIRST_REPLACE_SHARE if is_first else REPLACE_SHARE
         if self._rng.random() < share:
             return self._replace
