Show that a seed lost at the first start stops the system

Cause: the control group is founded only once every seed of the first settings has answered, and a process reads the seeds once.

Case 7: six core machines start, that of the third seed is gone for good 0.2 s later, and an empty one starts at another address 1 s after that.

--- a/review/support_2/fleet.py
+++ b/review/support_2/fleet.py
@@ -176,6 +176,18 @@
                 stderr=log,
             )
 
+    def add_core(self, lost: Machine) -> Machine:
+        """Start the successor of a lost core machine, at a new address."""
+        successor = Machine(
+            name=f'core-{len(self.cores)}',
+            role=lost.role,
+            ip=f'{self._prefix}.{10 + len(self.cores)}',
+            zone=lost.zone,
+        )
+        self.cores.append(successor)
+        self.start(successor, is_first_start=False)
+        return successor
+
     def signal(self, machine: Machine, number: int) -> None:
         """Send a signal to the process of a machine, if it runs."""
         if machine.process is not None and machine.process.poll() is None:
--- a/review/support_2/server.py
+++ b/review/support_2/server.py
@@ -19,6 +19,8 @@
 class Server:
     """A sound server of one service, with one incarnation.
 
+    ``told_address`` is where control last asked it to report to.
+
     It echoes ``Attempt-Id``, bears a ``Reply-Seal``, and answers 421 where
     ``Expect-Instance`` names another server.
     """
@@ -49,6 +51,7 @@
         self._beating: asyncio.Task[None] | None = None
         self._connections: set[asyncio.StreamWriter] = set()
         self._address = ''
+        self.told_address = ''
 
     async def start(self) -> None:
         """Listen and begin to send heartbeats."""
@@ -84,6 +87,8 @@
                 node, 'instances.heartbeat', self.name, body
             )
             if response is not None and response.status == 200:
+                told = json.loads(response.body).get('HeartbeatAddr', '')
+                self.told_address = told or self.told_address
                 return True
             # The next node is called from now on.
             self._controls = [*self._controls[1:], self._controls[0]]
