Show that a late heartbeat undoes the departure of a server

Cause: a leave without a start time is taken for one of the recorded incarnation, also where a later one has begun that is not recorded yet.

Case 10: a server crashes, starts again under its id, and leaves before its first heartbeat has arrived.

--- a/review/support_2/server.py
+++ b/review/support_2/server.py
@@ -35,6 +35,7 @@
         controls: list[str],
         record: records.Record,
         work_s: float = 0.02,
+        port: int = 0,
     ) -> None:
         self.name = name
         self.service = service
@@ -44,6 +45,7 @@
         self._controls = controls
         self._record = record
         self._work_s = work_s
+        self.port = port
         self._born_ms = time.time_ns() // 1_000_000
         self._sequence = itertools.count(1)
         self._running = 0
@@ -55,21 +57,44 @@
 
     async def start(self) -> None:
         """Listen and begin to send heartbeats."""
-        self._server = await asyncio.start_server(self._serve, self._ip, 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self._address = f'{self._ip}:{port}'
+        await self.listen()
         self._beating = asyncio.create_task(self._beat_regularly())
 
+    async def listen(self) -> None:
+        """Listen, at the port given or at a free one."""
+        self._server = await asyncio.start_server(
+            self._serve, self._ip, self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        self._address = f'{self._ip}:{self.port}'
+
+    def silence(self) -> None:
+        """Send no further heartbeats."""
+        if self._beating is not None:
+            self._beating.cancel()
+
     async def stop(self) -> None:
         """End at once, without a word."""
-        self._beating.cancel()
+        self.silence()
         self._server.close()
         for writer in self._connections:
             writer.close()
 
-    async def beat(self) -> bool:
-        """Send one heartbeat; return whether it was acknowledged."""
-        body = json.dumps(
+    async def beat(self, *, late_s: float = 0.0) -> bool:
+        """Send one heartbeat; return whether it was acknowledged.
+
+        It arrives ``late_s`` after it was made.
+        """
+        body = self._heartbeat()
+        await asyncio.sleep(late_s)
+        return await self._call('instances.heartbeat', body)
+
+    async def leave(self) -> bool:
+        """Say that it leaves; return whether that was acknowledged."""
+        return await self._call('instances.leave', b'')
+
+    def _heartbeat(self) -> bytes:
+        return json.dumps(
             {
                 'Service': self.service,
                 'Addr': self._address,
@@ -82,10 +107,10 @@
                 'born': self._born_ms,
             }
         ).encode()
+
+    async def _call(self, call: str, body: bytes) -> bool:
         for node in list(self._controls):
-            response = await operator.post(
-                node, 'instances.heartbeat', self.name, body
-            )
+            response = await operator.post(node, call, self.name, body)
             if response is not None and response.status == 200:
                 told = json.loads(response.body).get('HeartbeatAddr', '')
                 self.told_address = told or self.told_address
