--- a/review/8/play.py
+++ b/review/8/play.py
@@ -66,7 +66,7 @@
         task = asyncio.create_task(client.send('POST', '/orders/1', b'o'))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.02)
 
 
 async def play(record: records.Record, with_trouble: bool) -> list[str]:
