Log what control hosts decide on departures, late heartbeats and drains

The logs could not tell apart: - DRAIN: a departure stored for an incarnation that had crashed; one that was never committed; one forgotten on expiry; a leader with an old state. Now: departure_received (start time given, recorded one), upstream_removed (start time), heartbeat_ignored (why, with what is stored). - EVAC: an order whose caller had left; one that waited between two control hosts; one executed twice by its leader; one replayed by a new leader.

No decision changes.

--- a/src/skylarkpitch/fleet/control_requests.py
+++ b/src/skylarkpitch/fleet/control_requests.py
@@ -25,6 +25,7 @@
     'ReadConfiguration',
     'accepted',
     'decode',
+    'describe',
     'encode',
     'refused',
     'unavailable',
@@ -131,6 +132,17 @@
         ) from error
 
 
+def describe(request: ControlRequest) -> str:
+    """Return the kind of a request and what it is about, for logs."""
+    kind = type(request).__name__
+    if isinstance(request, commands.SetDomainDrain):
+        action = 'start' if request.draining else 'end'
+        return f'{kind} {action} {request.failure_domain}'
+    if isinstance(request, Leave):
+        return f'{kind} {request.upstream_id}'
+    return kind
+
+
 def accepted(content: bytes = b'') -> Outcome:
     """Return the outcome of a request that was executed."""
     return Outcome(outcome='accepted', content=content)
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -54,6 +54,8 @@
 SLOW_REQUEST_S = 1.0
 MS_PER_S = 1000
 
+_LOGGED_ORDERS = (commands.SetDomainDrain, control_requests.Leave)
+
 _log = structlog.get_logger(__name__)
 
 
@@ -206,6 +208,14 @@
         self, sender: str, message: messages.SubmitRequest
     ) -> control_requests.Outcome:
         request = control_requests.decode(message.order)
+        if isinstance(request, _LOGGED_ORDERS):
+            _log.info(
+                'order_passed_on',
+                order=control_requests.describe(request),
+                sender=sender,
+                hops=message.hops,
+                is_leader=self._replicated_log.is_leader,
+            )
         return await self._execute_or_forward(
             message.order, request, hops=message.hops
         )
@@ -273,11 +283,14 @@
         self, request: commands.SetDomainDrain
     ) -> control_requests.Outcome:
         self._membership.check_large_enough()
+        was_draining = self._state.is_draining(request.failure_domain)
         await self._submit(request)
         _log.info(
             'domain_drain_set',
             failure_domain=request.failure_domain,
             draining=request.draining,
+            was_draining=was_draining,
+            index=self._state.index,
         )
         return control_requests.accepted()
 
@@ -305,10 +318,12 @@
     ) -> control_requests.Outcome:
         reported = request.upstream
         name = reported.upstream_id
+        recorded = self._state.upstreams.get(name)
         if self._upstreams.is_stale(name, revision=reported.revision):
+            self._log_ignored(reported, recorded, why='earlier_report')
             return control_requests.accepted()
-        recorded = self._state.upstreams.get(name)
         if not self._state.is_newer(reported):
+            self._log_ignored(reported, recorded, why='not_newer')
             if recorded is not None and recorded.revision == reported.revision:
                 self._upstreams.record_contact(
                     name, revision=reported.revision, now_s=self._clock()
@@ -331,12 +346,37 @@
             )
         return control_requests.accepted()
 
+    def _log_ignored(
+        self,
+        reported: model.Upstream,
+        recorded: model.Upstream | None,
+        *,
+        why: str,
+    ) -> None:
+        name = reported.upstream_id
+        _log.info(
+            'heartbeat_ignored',
+            upstream=name,
+            why=why,
+            born_ms=reported.born_ms,
+            sequence=reported.sequence,
+            recorded_born_ms=None if recorded is None else recorded.born_ms,
+            departed_ms=self._state.departed.get(name),
+            marked_ms=self._state.departed_unrecorded.get(name),
+        )
+
     async def _leave(
         self, request: control_requests.Leave
     ) -> control_requests.Outcome:
         born_ms = request.born_ms
+        recorded = self._state.upstreams.get(request.upstream_id)
+        _log.info(
+            'departure_received',
+            upstream=request.upstream_id,
+            born_ms=born_ms,
+            recorded_born_ms=None if recorded is None else recorded.born_ms,
+        )
         if born_ms is None:
-            recorded = self._state.upstreams.get(request.upstream_id)
             if recorded is None:
                 await self._mark_departure(request.upstream_id)
                 return control_requests.accepted()
@@ -359,7 +399,9 @@
                 upstream_id=name, born_ms=born_ms, left=left
             )
         )
-        _log.info('upstream_removed', upstream=name, left=left)
+        _log.info(
+            'upstream_removed', upstream=name, left=left, born_ms=born_ms
+        )
 
     async def _entry_report(
         self, request: control_requests.EntryReport
--- a/src/skylarkpitch/operators/fleet_calls.py
+++ b/src/skylarkpitch/operators/fleet_calls.py
@@ -20,6 +20,7 @@
 from skylarkpitch.fleet import control_service as control_services
 from skylarkpitch.fleet import model
 from skylarkpitch.operators import call_bodies
+from skylarkpitch.operators import executed_calls
 
 __all__ = ['handler']
 
@@ -153,7 +154,9 @@
             'call_refused', call=request.path[:80], of=name, error=str(error)
         )
         return _error(400, f'{error}; see docs/operators/fleet.md')
-    outcome = await control_service.execute(control_request)
+    outcome = await executed_calls.execute(
+        control_service, request, control_request
+    )
     if outcome.outcome == 'accepted':
         content = outcome.content if request.method == 'GET' else b'{}'
         return web.Response(body=content, content_type=JSON)
