Take a departure for the incarnation whose caller waits

From the other side, a live upstream was out of use for good: a departure of the incarnation before it had waited at a host that stood still.

Cause: a departure without a start time was taken for whichever incarnation was recorded when it was executed.

Now the leader notes what is recorded and the time, asks the host that the caller is connected to whether it still waits, and commits only then: the recorded incarnation has left for good, all that started until the noted time for 30 s. While a caller waits, no later incarnation has started, so this holds for late heartbeats and late departures alike. Steps of the clock of a control host are not followed for a minute.

--- a/src/skylarkpitch/errors.py
+++ b/src/skylarkpitch/errors.py
@@ -6,6 +6,7 @@
 """
 
 __all__ = [
+    'CallerLeftError',
     'ConflictError',
     'InvariantError',
     'JournalError',
@@ -36,6 +37,12 @@
     reason = 'invalid'
 
 
+class CallerLeftError(SkylarkError):
+    """An order was not executed since its caller may not wait any more."""
+
+    reason = 'caller_left'
+
+
 class ConflictError(SkylarkError):
     """A change is based on a version other than ``current_version``."""
 
--- a/src/skylarkpitch/fleet/commands.py
+++ b/src/skylarkpitch/fleet/commands.py
@@ -71,9 +71,9 @@
 
 
 class MarkDeparture(_Tagged, frozen=True, kw_only=True):
-    """Mark the departure of an upstream that is not recorded.
+    """Mark the departure of an upstream whose incarnation is unknown.
 
-    Its incarnation is unknown. Reports of incarnations that started at
+    Reports of incarnations that started at
     ``before_ms`` or earlier are ignored until :class:`ForgetDeparture`.
     """
 
--- a/src/skylarkpitch/fleet/control_requests.py
+++ b/src/skylarkpitch/fleet/control_requests.py
@@ -47,7 +47,7 @@
 class Leave(_Tagged, frozen=True, kw_only=True):
     """Departure of an upstream.
 
-    Without ``born_ms`` the recorded incarnation departs.
+    Without ``born_ms`` the incarnation whose caller waits departs.
     """
 
     upstream_id: str
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -19,13 +19,17 @@
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import currency
+from skylarkpitch.fleet import departures
 from skylarkpitch.fleet import grants
 from skylarkpitch.fleet import liveness
 from skylarkpitch.fleet import look_up
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import model
+from skylarkpitch.fleet import order_guard
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import time_of_day
 from skylarkpitch.fleet import upstream_checks
+from skylarkpitch.fleet import waiting_callers
 from skylarkpitch.fleet import watches
 from skylarkpitch.messages import fleet as messages
 from skylarkpitch.observability import histograms
@@ -44,9 +48,6 @@
 ENTRY_HOST_TIMEOUT_S = 2.5
 # An upstream is removed after this many heartbeat intervals without one.
 UPSTREAM_TIMEOUT_INTERVALS = 3.4
-# Late heartbeats arrive seconds after their upstream has left. A mark that
-# lasted longer could only affect a restart with a clock that is behind.
-UNRECORDED_DEPARTURE_S = 30.0
 LOAD_LOG_INTERVAL_S = 5.0
 RECORD_INTERVAL_S = 1.0
 # Control requests that take longer are logged; the acknowledgement of an
@@ -56,11 +57,13 @@
 
 _LOGGED_ORDERS = (commands.SetDomainDrain, control_requests.Leave)
 
-_log = structlog.get_logger(__name__)
-
+_UNAVAILABLE = (
+    errors.CallerLeftError,
+    errors.NotLeaderError,
+    errors.UncertainError,
+)
 
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
+_log = structlog.get_logger(__name__)
 
 
 def _check_report(request: control_requests.ControlRequest) -> None:
@@ -92,12 +95,28 @@
         region_of: Callable[[str], str | None],
         loop_delay: loop_delays.LoopDelay | None = None,
         clock: Callable[[], float] = time.monotonic,
-        unix_clock_ms: Callable[[], int] = _unix_ms,
+        running_clock: Callable[[], float] = time_of_day.running_s,
+        unix_clock_ms: Callable[[], int] = time_of_day.unix_ms,
         **options: Any,
     ) -> None:
         self._peers = peers
         self._replicated_log = log
+        self._running_clock = running_clock
         self._unix_clock_ms = unix_clock_ms
+        self._time_of_day = time_of_day.TimeOfDay(
+            unix_ms=unix_clock_ms(), running_s=running_clock()
+        )
+        self._guard = order_guard.OrderGuard(
+            peers=peers,
+            current_term=lambda: log.status().term,
+            clock=running_clock,
+        )
+        self._departures = departures.Departures(
+            state=state,
+            submit=self._submit,
+            guard=self._guard,
+            time_of_day_ms=self._time_of_day_ms,
+        )
         self._membership = membership
         self._state = state
         self._loop_delay = loop_delay or loop_delays.LoopDelay(clock=clock)
@@ -106,9 +125,6 @@
             timeout_s=UPSTREAM_TIMEOUT_INTERVALS * heartbeat_s
         )
         self._entry_hosts = liveness.Liveness(timeout_s=ENTRY_HOST_TIMEOUT_S)
-        self._departure_marks = liveness.Liveness(
-            timeout_s=UNRECORDED_DEPARTURE_S
-        )
         self._grants = grants.Grants(state=state, region_of=region_of)
         self._watches = watches.Watches(
             log=log,
@@ -123,15 +139,16 @@
             commands.PutConfiguration: self._put_configuration,
             commands.SetDomainDrain: self._set_drain,
             control_requests.Heartbeat: self._heartbeat,
-            control_requests.Leave: self._leave,
             control_requests.ReadConfiguration: self._read_configuration,
             control_requests.EntryReport: self._entry_report,
             commands.RecordControlHost: self._record_control_host,
         }
+        self._order_handlers = {control_requests.Leave: self._leave}
         super().__init__(**options)
 
     async def on_start(self) -> None:
         """Register the handlers of messages from other hosts."""
+        self._guard.start()
         self._peers.handle(messages.SubmitRequest, self._on_submit)
         self._peers.handle(messages.WatchRequest, self._watches.handle)
 
@@ -166,35 +183,53 @@
         )
 
     async def execute(
-        self, request: control_requests.ControlRequest
+        self,
+        request: control_requests.ControlRequest,
+        *,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> control_requests.Outcome:
         """Execute a control request here or at the leader.
 
         The outcome is ``unavailable`` if no leader is known or reachable, or
         if the effect was not committed in time. The request may have been
-        executed nevertheless, or may be executed later.
+        executed nevertheless, or may be executed later; an order that has to
+        come from a caller who waits is not executed after
+        ``has_caller_left`` returned true.
         """
         try:
             _check_report(request)
         except errors.ValidationError as error:
             return control_requests.refused(error.reason, str(error))
-        return await self._execute_or_forward(
-            control_requests.encode(request), request, hops=0
-        )
+        now_s = self._running_clock()
+        with self._guard.callers.waiting(
+            has_caller_left, now_s=now_s
+        ) as call_id:
+            call = waiting_callers.CallReference(
+                host=self._peers.directory.local_host.name, call_id=call_id
+            )
+            return await self._execute_or_forward(
+                control_requests.encode(request), request, call=call, hops=0
+            )
 
     async def _execute_or_forward(
         self,
         data: bytes,
         request: control_requests.ControlRequest,
         *,
+        call: waiting_callers.CallReference | None,
         hops: int,
     ) -> control_requests.Outcome:
         if self._replicated_log.is_leader:
-            return await self._execute_as_leader(request)
+            return await self._execute_as_leader(request, call)
         leader = self.leader()
         if not leader or hops >= MAX_HOPS:
             return control_requests.unavailable('no_leader')
-        message = messages.SubmitRequest(order=data, hops=hops + 1)
+        message = messages.SubmitRequest(
+            order=data,
+            hops=hops + 1,
+            called_host=call.host if call is not None else '',
+            call_id=call.call_id if call is not None else '',
+        )
         response = await self._peers.request(
             leader, message, timeout_s=FORWARD_TIMEOUT_S
         )
@@ -216,17 +251,24 @@
                 hops=message.hops,
                 is_leader=self._replicated_log.is_leader,
             )
+        call = None
+        if message.call_id:
+            call = waiting_callers.CallReference(
+                host=message.called_host, call_id=message.call_id
+            )
         return await self._execute_or_forward(
-            message.order, request, hops=message.hops
+            message.order, request, call=call, hops=message.hops
         )
 
     async def _execute_as_leader(
-        self, request: control_requests.ControlRequest
+        self,
+        request: control_requests.ControlRequest,
+        call: waiting_callers.CallReference | None,
     ) -> control_requests.Outcome:
         kind = type(request).__name__
         self.counts[kind] = self.counts.get(kind, 0) + 1
         started_s = self._clock()
-        outcome = await self._handle(kind, request)
+        outcome = await self._handle(kind, request, call)
         took_s = self._clock() - started_s
         self.histograms.record(outcome.outcome, kind, took_s)
         if took_s > SLOW_REQUEST_S:
@@ -240,13 +282,18 @@
         return outcome
 
     async def _handle(
-        self, kind: str, request: control_requests.ControlRequest
+        self,
+        kind: str,
+        request: control_requests.ControlRequest,
+        call: waiting_callers.CallReference | None,
     ) -> control_requests.Outcome:
         try:
+            if type(request) in self._order_handlers:
+                return await self._order_handlers[type(request)](request, call)
             return await self._handlers[type(request)](request)
         except errors.ValidationError as error:
             return control_requests.refused(error.reason, str(error))
-        except (errors.NotLeaderError, errors.UncertainError) as error:
+        except _UNAVAILABLE as error:
             _log.info(
                 'control_request_undecided', request=kind, reason=error.reason
             )
@@ -366,41 +413,16 @@
         )
 
     async def _leave(
-        self, request: control_requests.Leave
+        self,
+        request: control_requests.Leave,
+        call: waiting_callers.CallReference | None,
     ) -> control_requests.Outcome:
-        born_ms = request.born_ms
-        recorded = self._state.upstreams.get(request.upstream_id)
-        _log.info(
-            'departure_received',
-            upstream=request.upstream_id,
-            born_ms=born_ms,
-            recorded_born_ms=None if recorded is None else recorded.born_ms,
-        )
-        if born_ms is None:
-            if recorded is None:
-                await self._mark_departure(request.upstream_id)
-                return control_requests.accepted()
-            born_ms = recorded.born_ms
-        await self._remove_upstream(request.upstream_id, born_ms, left=True)
+        await self._departures.leave(request, call)
         return control_requests.accepted()
 
-    async def _mark_departure(self, name: str) -> None:
-        before_ms = self._unix_clock_ms()
-        await self._submit(
-            commands.MarkDeparture(upstream_id=name, before_ms=before_ms)
-        )
-        _log.info('departure_marked', upstream=name, before_ms=before_ms)
-
-    async def _remove_upstream(
-        self, name: str, born_ms: int, *, left: bool
-    ) -> None:
-        await self._submit(
-            commands.RemoveUpstream(
-                upstream_id=name, born_ms=born_ms, left=left
-            )
-        )
-        _log.info(
-            'upstream_removed', upstream=name, left=left, born_ms=born_ms
+    def _time_of_day_ms(self) -> int:
+        return self._time_of_day.read(
+            unix_ms=self._unix_clock_ms(), running_s=self._running_clock()
         )
 
     async def _entry_report(
@@ -465,23 +487,18 @@
         await self._submit(commands.RemoveEntryHost(name=name))
         _log.info('entry_host_removed', entry_host=name, why=why)
 
-    async def _forget_departure(self, name: str) -> None:
-        before_ms = self._state.departed_unrecorded.get(name)
-        if before_ms is not None:
-            await self._submit(
-                commands.ForgetDeparture(upstream_id=name, before_ms=before_ms)
-            )
-
     @mode.Service.task
     async def _expire_regularly(self) -> None:
         """As leader, remove upstreams and entry hosts that expired."""
         while not self.should_stop:
             await self.sleep(EXPIRY_INTERVAL_S)
+            # Regular readings detect steps of the clock.
+            self._time_of_day_ms()
             is_leader = self._replicated_log.is_leader
             if is_leader and not self._was_leader:
                 self._upstreams.reset()
                 self._entry_hosts.reset()
-                self._departure_marks.reset()
+                self._departures.reset()
                 self._grants.reset()
                 _log.info('leading', index=self._state.index)
             elif self._was_leader and not is_leader:
@@ -521,10 +538,9 @@
         now_s = self._clock()
         upstreams = self._state.upstreams
         hosts = self._state.entry_hosts
-        marks = self._state.departed_unrecorded
         removals = [
             *(
-                self._remove_upstream(
+                self._departures.remove(
                     name, upstreams[name].born_ms, left=False
                 )
                 for name in self._upstreams.expired(upstreams, now_s=now_s)
@@ -533,10 +549,7 @@
                 self._remove_entry_host(name, why='silent')
                 for name in self._entry_hosts.expired(hosts, now_s=now_s)
             ),
-            *(
-                self._forget_departure(name)
-                for name in self._departure_marks.expired(marks, now_s=now_s)
-            ),
+            *self._departures.forget_expired(now_s=now_s),
             self._remove_control_hosts(),
         ]
         results = await asyncio.gather(*removals, return_exceptions=True)
--- a/src/skylarkpitch/messages/fleet.py
+++ b/src/skylarkpitch/messages/fleet.py
@@ -9,6 +9,8 @@
 from skylarkpitch.messages import codec
 
 __all__ = [
+    'CallerQuery',
+    'CallerState',
     'GroupNotice',
     'JoinRequest',
     'JoinResponse',
@@ -26,10 +28,14 @@
     """Submit a control request, encoded in ``order``, to the leader.
 
     ``hops`` counts how often control hosts have passed the request on.
+    ``called_host`` is the host that its caller is connected to, and
+    ``call_id`` identifies the call there; both are empty without a caller.
     """
 
     order: bytes
     hops: int = 0
+    called_host: str = ''
+    call_id: str = ''
 
 
 @codec.message('fleet.order_answer')
@@ -45,6 +51,20 @@
     content: bytes = b''
 
 
+@codec.message('fleet.caller_ask')
+class CallerQuery:
+    """Ask whether the caller of a call still waits for its outcome."""
+
+    call_id: str
+
+
+@codec.message('fleet.caller_answer')
+class CallerState:
+    """Whether the caller of a call still waits for its outcome."""
+
+    is_waiting: bool
+
+
 @codec.message('fleet.watch_ask')
 class WatchRequest:
     """Request the changes since an index; wait up to ``wait_s`` for one.
--- a/src/skylarkpitch/operators/executed_calls.py
+++ b/src/skylarkpitch/operators/executed_calls.py
@@ -20,7 +20,10 @@
     request: web.BaseRequest,
     control_request: control_requests.ControlRequest,
 ) -> control_requests.Outcome:
-    """Execute a control request that an HTTP call asks for."""
+    """Execute a control request that an HTTP call asks for.
+
+    The caller waits until it closes its connection.
+    """
     if isinstance(control_request, _ORDERS):
         _log.info(
             'order_read',
@@ -28,4 +31,7 @@
             caller=request.remote,
             has_caller_left=caller_connection.has_left(request),
         )
-    return await control_service.execute(control_request)
+    return await control_service.execute(
+        control_request,
+        has_caller_left=lambda: caller_connection.has_left(request),
+    )
--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -29,6 +29,7 @@
     The default seeds are a, b and c. With a ``disk_delay_s`` it runs in a
     loop with virtual time: each sync takes that long, and each message
     ``message_delay_s``; ``disk_delays_s`` has other delays by host.
+    ``clock_steps_s`` has what the time of day of a host is ahead, and
     ``current_seeds`` has the seeds of hosts whose settings have changed, and
     ``limits`` are those of the logs. Without a ``folder`` the disks of the
     hosts are in memory.
@@ -57,6 +58,7 @@
         self._disk_delay_s = disk_delay_s
         self._limits = limits
         self.disk_delays_s = {}
+        self.clock_steps_s = {}
         self.current_seeds = {}
         self._disks = {}
         self.tolerated_disks = tolerated_disks
@@ -106,6 +108,8 @@
                 heartbeat_s=1.5,
                 region_of=lambda domain: domain[:4],
                 clock=self._clock(),
+                running_clock=self._clock(),
+                unix_clock_ms=lambda name=name: self._unix_ms(name),
             )
             await log.start()
             await member.start()
@@ -123,6 +127,12 @@
             return time.monotonic
         return asyncio.get_running_loop().time
 
+    def _unix_ms(self, name):
+        seconds = time.time()
+        if self._disk_delay_s is not None:
+            seconds = asyncio.get_running_loop().time()
+        return round((seconds + self.clock_steps_s.get(name, 0.0)) * 1000)
+
     def _log_options(self, name):
         if self._disk_delay_s is None:
             return {}
