Execute an order about a failure domain only while its caller waits

Cause: an order was executed whatever had become of its caller, and orders about failure domains bear no version.

Now the leader asks the host that the caller is connected to, as for departures, and lets the order through only if no other one on the same failure domain was let through meanwhile, in the same term.

--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -137,13 +137,15 @@
         self.histograms = histograms.LatencyHistograms()
         self._handlers = {
             commands.PutConfiguration: self._put_configuration,
-            commands.SetDomainDrain: self._set_drain,
             control_requests.Heartbeat: self._heartbeat,
             control_requests.ReadConfiguration: self._read_configuration,
             control_requests.EntryReport: self._entry_report,
             commands.RecordControlHost: self._record_control_host,
         }
-        self._order_handlers = {control_requests.Leave: self._leave}
+        self._order_handlers = {
+            commands.SetDomainDrain: self._set_drain,
+            control_requests.Leave: self._leave,
+        }
         super().__init__(**options)
 
     async def on_start(self) -> None:
@@ -327,9 +329,13 @@
         return control_requests.accepted()
 
     async def _set_drain(
-        self, request: commands.SetDomainDrain
+        self,
+        request: commands.SetDomainDrain,
+        call: waiting_callers.CallReference | None,
     ) -> control_requests.Outcome:
         self._membership.check_large_enough()
+        matter = f'failure domain {request.failure_domain}'
+        await self._guard.admit(call, matter=matter)
         was_draining = self._state.is_draining(request.failure_domain)
         await self._submit(request)
         _log.info(
--- a/tests/stand_ins/fake_peers.py
+++ b/tests/stand_ins/fake_peers.py
@@ -19,6 +19,7 @@
         self.hosts = tuple(hosts)
         self.delay_s = delay_s
         self.cut_pairs = set()
+        self._held = {}
         self.sent = []
         self._peers = {}
 
@@ -42,6 +43,20 @@
         """Deliver all messages again."""
         self.cut_pairs.clear()
 
+    def hold(self, sender, receiver):
+        """Deliver messages in one direction only once they are released."""
+        self._held[sender, receiver] = asyncio.Event()
+
+    def release(self, sender, receiver):
+        """Deliver the messages that are held, and later ones at once."""
+        self._held.pop((sender, receiver)).set()
+
+    async def pass_on(self, sender, receiver):
+        """Return once a message that was sent now arrives."""
+        await asyncio.sleep(self.delay_s)
+        if (sender, receiver) in self._held:
+            await self._held[sender, receiver].wait()
+
     def peer(self, sender, receiver):
         """Return the receiver's transport, or None without a connection."""
         if (sender, receiver) in self.cut_pairs:
@@ -74,7 +89,7 @@
     async def request(self, host, message, *, timeout_s):
         own_name = self.directory.local_host.name
         self._network.sent.append((own_name, host, message))
-        await asyncio.sleep(self._network.delay_s)
+        await self._network.pass_on(own_name, host)
         peer = self._network.peer(own_name, host)
         if peer is None:
             return sentinels.Absent('peer_timeout')
@@ -86,8 +101,7 @@
         )
         if response is None:
             return sentinels.Absent('peer_refused')
-        if self._network.delay_s:
-            await asyncio.sleep(self._network.delay_s)
+        await self._network.pass_on(host, own_name)
         if self._network.peer(host, own_name) is None:
             return sentinels.Absent('peer_timeout')
         return codec.decode(*codec.encode(response))
