Reject responses without a valid status where heads arrive

What callers saw (MIXED, status 000): entry hosts passed on statuses of 600 and above as answers, and obeyed what any such head, 000 included, said beside its status: an upstream in trouble counted as leaving.

Cause: the status was compared with a lower bound only, and after the head had been read. Now the protocol of all connections to upstreams and between entry hosts rejects the head: nothing of it is read, the caller gets 502, and the request is sent again only if it is repeatable.

--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -181,7 +181,7 @@
             )
         except sessions.UnsentError as error:
             return _unsent(str(error))
-        except exchange_protocol.MalformedBodyError as error:
+        except exchange_protocol.MalformedResponseError as error:
             return _malformed(str(error), sent=progress.connected)
         except (sessions.BrokenError, aiohttp.ClientPayloadError) as error:
             return _broken_off(str(error), sent=progress.connected)
@@ -265,8 +265,6 @@
         self, response: aiohttp.ClientResponse, request: UpstreamRequest
     ) -> str:
         """Return why a response cannot be used, or an empty string."""
-        if response.status < 200:
-            return f'the upstream answered {response.status}'
         problem = header_rules.check_framing(response.headers)
         if problem is not None:
             return problem.detail
--- a/src/skylarkpitch/requests/exchange.py
+++ b/src/skylarkpitch/requests/exchange.py
@@ -99,7 +99,7 @@
             return results.timed_out(connected=progress.connected)
         except sessions.UnsentError as error:
             return results.unsent(str(error))
-        except exchange_protocol.MalformedBodyError as error:
+        except exchange_protocol.MalformedResponseError as error:
             return results.malformed(str(error), connected=progress.connected)
         except (sessions.BrokenError, aiohttp.ClientPayloadError) as error:
             return results.broken(str(error), connected=progress.connected)
@@ -144,8 +144,6 @@
     def _framing_problem(
         self, response: aiohttp.ClientResponse, *, bodiless: bool
     ) -> str:
-        if response.status < 200:
-            return f'the upstream answered {response.status}'
         problem = header_rules.check_framing(response.headers)
         if problem is not None:
             return problem.detail
--- a/src/skylarkpitch/requests/exchange_protocol.py
+++ b/src/skylarkpitch/requests/exchange_protocol.py
@@ -13,7 +13,12 @@
 from aiohttp import http
 import structlog
 
-__all__ = ['ExchangeProtocol', 'MalformedBodyError']
+__all__ = [
+    'ExchangeProtocol',
+    'MalformedBodyError',
+    'MalformedHeadError',
+    'MalformedResponseError',
+]
 
 # Bytes that are parsed at once. Even of the shortest responses, that makes
 # only some hundreds.
@@ -25,13 +30,27 @@
 # remembers.
 MAX_REQUESTS = 256
 
+# Statuses that a response may have (RFC 9110, section 15); those below 200 are
+# interim.
+VALID_STATUSES = range(100, 600)
+# Ends HTTP on a connection that a request asks that for, which none does.
+STATUS_SWITCHING_PROTOCOLS = 101
+
 _log = structlog.get_logger(__name__)
 
 
-class MalformedBodyError(aiohttp.ClientPayloadError):
+class MalformedResponseError(aiohttp.ClientPayloadError):
+    """The bytes that a peer has sent are no response."""
+
+
+class MalformedBodyError(MalformedResponseError):
     """The body of a response cannot be parsed."""
 
 
+class MalformedHeadError(MalformedResponseError):
+    """The head of a response has no status that a response may have."""
+
+
 class ExchangeProtocol(client_proto.ResponseHandler):
     """Protocol that reads one response for each request.
 
@@ -84,8 +103,18 @@
     def feed_data(
         self, item: tuple[http.RawResponseMessage, Any], size: int = 0
     ) -> None:
-        """Queue the head of a response, and count it unless it is interim."""
+        """Queue the head of a response, and count it unless it is interim.
+
+        A head without a valid status is not queued: what else it says would
+        be read before the status, by each reader.
+        """
         message = item[0]
+        if not _is_valid(message.code):
+            self._reset('status_invalid')
+            self.set_exception(
+                MalformedHeadError(f'the status is {message.code:03}')
+            )
+            return
         if message.code >= 200:
             self._responses += 1
             self._body_left = _body_length(message)
@@ -168,6 +197,10 @@
         self.transport.abort()
 
 
+def _is_valid(status: int) -> bool:
+    return status in VALID_STATUSES and status != STATUS_SWITCHING_PROTOCOLS
+
+
 def _body_length(message: http.RawResponseMessage) -> int | None:
     """Return the length of a body, None if only its parser can tell."""
     length = message.headers.get('Content-Length', '')
