Take only 2xx for the success of a call of the tool

skylark took every status below 400 for a success, 000 included, and one above 599 for a final refusal, though the change may have been applied. Such a response now counts as lost: the next host is asked under the same id.

Tests: 3 rows of test_operators_client.py failed before.

--- a/src/skylarkpitch/operators/client.py
+++ b/src/skylarkpitch/operators/client.py
@@ -15,12 +15,15 @@
 
 from skylarkpitch import errors
 
-__all__ = ['ApiError', 'Client']
+__all__ = ['VALID_STATUSES', 'ApiError', 'Client']
 
 ATTEMPT_TIMEOUT_S = 8.0
 RETRY_DELAY_S = 0.2
 TRY_NEXT_HOST_STATUSES = (421, 503)
 UNCERTAIN_STATUS = 504
+SUCCESS_STATUSES = range(200, 300)
+ERROR_STATUSES = range(400, 600)
+VALID_STATUSES = range(200, 600)
 
 
 class ApiError(errors.SkylarkError):
@@ -141,8 +144,10 @@
     def _parse_response(
         self, status: int, document: Any, attempts: _Attempts
     ) -> Any:
-        if status < 400:
+        if status in SUCCESS_STATUSES:
             return document
+        if status not in ERROR_STATUSES:
+            raise ValueError(f'a control host answered {status}')
         if status == UNCERTAIN_STATUS:
             attempts.may_be_applied = True
         if status in TRY_NEXT_HOST_STATUSES or status == UNCERTAIN_STATUS:
--- a/src/skylarkpitch/operators/fleet_commands.py
+++ b/src/skylarkpitch/operators/fleet_commands.py
@@ -206,6 +206,8 @@
         async with session.get(
             f'{url}/skylark/v1/lookup', params={'service': service}
         ) as response:
+            if response.status not in clients.VALID_STATUSES:
+                raise ValueError(f'the status is {response.status}')
             return await response.json()
 
 
--- a/tests/test_operators_client.py
+++ b/tests/test_operators_client.py
@@ -13,6 +13,8 @@
 CONFLICT = (409, {'reason': 'version_conflict', 'message': 'now at 9'})
 UNCERTAIN = (504, {'reason': 'uncertain', 'message': 'lost'})
 ABORTED = None
+# No status of a response; what it says is not to be trusted.
+INVALID_STATUS = (700, {'version': 8})
 
 
 def post(scripts, *, timeout_s=0.6):
@@ -70,6 +72,8 @@
         [[NOT_LEADER], [NOT_LEADER, ACCEPTED]],
         [[ABORTED, ACCEPTED]],
         [[UNCERTAIN, ACCEPTED]],
+        [[INVALID_STATUS, ACCEPTED]],
+        [[INVALID_STATUS], [ACCEPTED]],
     ],
 )
 def test_change_is_sent_until_accepted_under_one_id(scripts):
@@ -85,6 +89,7 @@
         ([[NOT_LEADER]], client.ApiError, 'nothing was changed'),
         ([[ABORTED]], errors.UncertainError, '--operation-id op-1'),
         ([[UNCERTAIN]], errors.UncertainError, '--operation-id op-1'),
+        ([[INVALID_STATUS]], errors.UncertainError, '--operation-id op-1'),
     ],
 )
 def test_error_states_whether_the_change_was_applied(scripts, error, expected):
