Judge a request by the configuration in force once it has been read

Cause: the route was looked up before the body, and the splitter recorded the weights of that older route after it. Now admission looks up, reads, looks up again, decides and records.

--- a/src/skylarkpitch/forwarding/admission.py
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -82,35 +82,42 @@
     async def admit(self, call: calls.Call) -> refusals.Refusal | None:
         """Set the route, service, body and other fields of a call.
 
-        Returns a refusal if the request is not admitted, otherwise None.
+        Returns a refusal if the request is not admitted, otherwise None. It
+        is judged by the configuration in force once it has been read.
         """
-        refusal = self._admit_route(call) or await self._read_body(call)
-        if refusal is None:
-            call.service = self._splitter.next_service(call.route)
-            call.fingerprint = _fingerprint(call)
-        return refusal
-
-    def _admit_route(self, call: calls.Call) -> refusals.Refusal | None:
         if not self._view.version or not self._is_serving():
             return refusals.refuse(
                 refusals.Reason.NO_CONFIGURATION, retry_after_s=RETRY_AFTER_S
             )
+        refusal = (
+            self._look_up(call)
+            or self._spend_rate(call)
+            or await self._read_body(call)
+        )
+        if refusal is None and call.request.body_exists:
+            refusal = self._look_up(call)
+        if refusal is not None:
+            return refusal
+        call.service = self._splitter.next_service(call.route)
+        call.fingerprint = _fingerprint(call)
+        return None
+
+    def _look_up(self, call: calls.Call) -> refusals.Refusal | None:
+        """Set the route, deadline, organisation and rank of a call.
+
+        Changes nothing but the call, so that it may be repeated.
+        """
         host = call.request.headers.get('Host', '')
         path = call.target.partition('?')[0]
         call.route = self._routes.find(host.partition(':')[0], path)
         if call.route is None:
             return refusals.refuse(refusals.Reason.ROUTE_UNKNOWN)
-        now_s = self._clock()
         call.deadline_s = min(
             call.deadline_s,
             call.started_s + call.route.timeout_ms / MS_PER_S,
         )
         call.rank = call.route.rank
-        return self._admit_caller(call, now_s)
-
-    def _admit_caller(
-        self, call: calls.Call, now_s: float
-    ) -> refusals.Refusal | None:
+        call.organisation = None
         api_key = call.request.headers.get(self._names.api_key)
         if api_key is not None:
             call.organisation = self._key_table.organisation_of(api_key)
@@ -122,19 +129,25 @@
             return refusals.refuse(refusals.Reason.KEY_UNKNOWN)
         if call.organisation.rank is not None:
             call.rank = call.organisation.rank
+        return None
+
+    def _spend_rate(self, call: calls.Call) -> refusals.Refusal | None:
+        if call.route.is_public or call.organisation is None:
+            return None
+        now_s = self._clock()
         wait_s = self.rates.spend(
             call.organisation,
             entry_hosts=self._view.entry_host_count,
             now_s=now_s,
         )
-        if wait_s > 0:
-            return refusals.refuse(
-                refusals.Reason.OVER_RATE,
-                f'{call.organisation.name} is over its rate here: '
-                + self.rates.describe(call.organisation.name, now_s=now_s),
-                retry_after_s=wait_s,
-            )
-        return None
+        if wait_s <= 0:
+            return None
+        return refusals.refuse(
+            refusals.Reason.OVER_RATE,
+            f'{call.organisation.name} is over its rate here: '
+            + self.rates.describe(call.organisation.name, now_s=now_s),
+            retry_after_s=wait_s,
+        )
 
     async def _read_body(self, call: calls.Call) -> refusals.Refusal | None:
         request = call.request
