Check a key again after a long body in the path of skylarkd

What operators saw: nothing yet; found in the list of values that are read before an await. A key that was withdrawn while its request was read, for up to the time-out of a body, still ran: it was checked again only after a wait of a second for a slot. Now it is checked again before a send if the last check is a second old, whatever took the time.

Tests: 2 of 4 rows of test_key_is_checked_again_after_a_long_body failed before.

--- a/src/skylarkpitch/requests/admission.py
+++ b/src/skylarkpitch/requests/admission.py
@@ -23,7 +23,8 @@
 
     ``key`` is the API key that was sent, None without one, and
     ``operation_id`` the ``Idempotency-Key``, None without one.
-    ``deadline_s`` is a time of the monotonic clock.
+    ``admitted_s``, when the key was checked, and ``deadline_s`` are times of
+    the monotonic clock.
     """
 
     method: str
@@ -33,6 +34,7 @@
     key: str | None
     operation_id: str | None
     headers: header_rules.HeaderPairs
+    admitted_s: float
     deadline_s: float
 
     @property
@@ -99,6 +101,7 @@
             key=key,
             operation_id=request.headers.get(header_rules.ID_HEADER),
             headers=header_rules.end_to_end(request.headers),
+            admitted_s=now_s,
             deadline_s=now_s + timeout_s,
         )
 
--- a/src/skylarkpitch/requests/attempts.py
+++ b/src/skylarkpitch/requests/attempts.py
@@ -21,8 +21,8 @@
 
 MIN_ERROR_STATUS = 400
 MAX_ATTEMPTS = 3
-# A key may be withdrawn while its request waits for a slot. It is checked
-# again after a wait of at least this time.
+# A key may be withdrawn while its request is read or waits. It is checked
+# again before a send if the last check is at least this long ago.
 KEY_RECHECK_S = 1.0
 
 
@@ -135,7 +135,6 @@
         body: bodies.CallerBody,
         excluded: frozenset[str],
     ) -> ports.Slot | sentinels.Absent:
-        requested_s = self._clock()
         slot = await self._slot_allocator.reserve(
             service=admitted.route_match.service_name,
             caller=admitted.caller,
@@ -145,7 +144,8 @@
             exclude=excluded,
         )
         now_s = self._clock()
-        if sentinels.is_absent(slot) or now_s - requested_s < KEY_RECHECK_S:
+        key_age_s = now_s - admitted.admitted_s
+        if sentinels.is_absent(slot) or key_age_s < KEY_RECHECK_S:
             return slot
         caller = self._admission.authenticate(
             admitted.route_match.route, admitted.key, now_s=now_s
--- a/tests/test_requests_path.py
+++ b/tests/test_requests_path.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 import pytest
 
+from skylarkpitch.requests import attempts
 from skylarkpitch.requests import exchange_sessions
 from skylarkpitch.requests import request_handler
 from skylarkpitch import sentinels
@@ -241,3 +242,33 @@
         assert bench.handler.running == 0
 
     run(go())
+
+
+# Guards against a key that works after its withdrawal: it was checked before
+# the body was read, which takes as long as the caller likes.
+@pytest.mark.parametrize('is_withdrawn', [True, False])
+@pytest.mark.parametrize(
+    'headers', [{'Idempotency-Key': 'op-1'}, {}], ids=['once', 'streamed']
+)
+def test_key_is_checked_again_after_a_long_body(headers, is_withdrawn):
+    async def go():
+        async with (
+            request_ports.serving(echo) as upstream,
+            serve_bench(upstream) as bench,
+        ):
+
+            async def body():
+                # Of a streamed body, the first part is read before a slot is
+                # reserved.
+                yield b'x' * 1000
+                await asyncio.sleep(attempts.KEY_RECHECK_S + 0.1)
+                if is_withdrawn:
+                    bench.authenticator.withdrawn.add('key-a')
+                yield b'x'
+
+            async with bench.caller.post(
+                '/svc/book/1', data=body(), headers={**KEY, **headers}
+            ) as response:
+                return response.status
+
+    assert run(go()) == (401 if is_withdrawn else 200)
