Found the group of a fleet without a seed that is gone

Cause: all seeds had to respond. Founders are only seeds that still have the disk of their first start, and a quorum of any founders is a majority of all seeds, so that at most one group ever has a quorum, however wrongly a seed was given up (docs/decisions/founding.md). This replaces the rule of identities heard, with which the model found two groups once seeds could be given up. Seeds are those of the first start, kept on the disk.

--- a/src/skylarkpitch/consensus/introductions.py
+++ b/src/skylarkpitch/consensus/introductions.py
@@ -38,11 +38,13 @@
 class Discovery:
     """Founders of a member's cluster, or why there are none yet.
 
-    ``heard`` are the identities of the hosts that responded.
+    ``responded`` are the hosts that did, and ``emptied`` those of them that
+    have lost their disks.
     """
 
     founders: tuple[str, ...] | sentinels.Absent
-    heard: dict[str, str]
+    responded: frozenset[str]
+    emptied: frozenset[str]
 
 
 async def discover_founders(
@@ -51,6 +53,7 @@
     identity: str,
     voters: Iterable[str],
     may_bootstrap: bool = True,
+    given_up: str = '',
 ) -> Discovery:
     """Discover the founders of this member's cluster.
 
@@ -79,6 +82,14 @@
         may_bootstrap=may_bootstrap,
         control_hosts=hosts,
         introductions=introductions,
+        given_up=given_up,
+    )
+    return Discovery(
+        founders=founders,
+        responded=frozenset(introductions),
+        emptied=frozenset(
+            host
+            for host, item in introductions.items()
+            if not item.may_bootstrap
+        ),
     )
-    heard = {host: item.identity for host, item in introductions.items()}
-    return Discovery(founders=founders, heard=heard)
--- a/src/skylarkpitch/consensus/service.py
+++ b/src/skylarkpitch/consensus/service.py
@@ -24,6 +24,7 @@
 from skylarkpitch.consensus import membership
 from skylarkpitch.consensus import ports
 from skylarkpitch.consensus import replication
+from skylarkpitch.consensus import silent_voter as silent_voters
 from skylarkpitch.consensus import state as states
 from skylarkpitch import errors
 from skylarkpitch.messages import consensus as messages
@@ -54,7 +55,10 @@
 
     ``voters`` are the hosts that bootstrap the cluster at its first start;
     later the log defines the member set. A host without ``may_bootstrap``
-    still joins a cluster whose founders include it. ``is_control`` returns
+    still joins a cluster whose founders include it. With
+    ``may_give_up_voter``, a voter that does not respond, or has lost its
+    disk, is left out of the founders; hosts that have lost their disks must
+    then start without ``may_bootstrap``. ``is_control`` returns
     whether a host may be a member; by default that is a host with the
     control role in the directory, or one of ``voters``. ``may_promote``
     decides when a new host becomes a voter. After an error of the data
@@ -69,6 +73,7 @@
         data_folder: pathlib.Path,
         voters: tuple[str, ...],
         may_bootstrap: bool = True,
+        may_give_up_voter: bool = False,
         is_control: Callable[[str], bool] | None = None,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
@@ -83,7 +88,8 @@
         self._peers = peers
         self._voters = voters
         self._may_bootstrap = may_bootstrap
-        self._heard: dict[str, str] = {}
+        self._may_give_up_voter = may_give_up_voter
+        self._given_up = ''
         self._is_control = is_control or self._is_listed_control_host
         self._clock = clock
         self._rng = rng or random.Random()
@@ -399,35 +405,49 @@
             founders=state.founders,
             voters=self._voters,
             may_bootstrap=self._may_bootstrap,
-            heard=self._heard,
+            given_up=self._given_up,
         )
 
     @mode.Service.task
     async def _bootstrap(self) -> None:
         """Join or bootstrap a cluster while this member belongs to none."""
         last_reported = None
+        silent = silent_voters.SilentVoter(
+            voters=set(self._voters) - {self._peers.directory.local_host.name},
+            now_s=self._clock(),
+        )
         while not self.should_stop and not self._core.state.cluster:
             discovery = await introductions.discover_founders(
                 self._peers,
                 identity=self._engine.journal.identity,
                 voters=self._voters,
                 may_bootstrap=self._may_bootstrap,
+                given_up=self._given_up,
             )
             founders = discovery.founders
             if not sentinels.is_absent(founders):
-                # What it has heard stays as it was before this decision, so
-                # that nobody decides otherwise in the meantime.
                 self._enqueue(
                     functools.partial(self._bootstrap_with, founders)
                 )
                 return
-            self._heard = {**self._heard, **discovery.heard}
+            silent.record_round(
+                discovery.responded,
+                emptied=discovery.emptied,
+                now_s=self._clock(),
+            )
+            self._record_given_up(silent.given_up)
             self._update_introduction()
             if founders != last_reported:
                 last_reported = founders
                 _log.info('waiting_to_join', reason=str(founders))
             await self.sleep(BOOTSTRAP_INTERVAL_S)
 
+    def _record_given_up(self, voter: str) -> None:
+        if not self._may_give_up_voter or voter == self._given_up:
+            return
+        _log.warning('voter_given_up', voter=voter, before=self._given_up)
+        self._given_up = voter
+
     def _bootstrap_with(self, founders: tuple[str, ...], now_s: float) -> None:
         if not self._core.state.cluster:
             self._core.bootstrap(founders, now_s=now_s)
--- a/src/skylarkpitch/daemon/fleet_control.py
+++ b/src/skylarkpitch/daemon/fleet_control.py
@@ -14,6 +14,7 @@
 import mode
 import structlog
 
+from skylarkpitch.consensus import folder as folders
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch.consensus import state as consensus_state
 from skylarkpitch.daemon import fleet
@@ -27,7 +28,7 @@
 
 __all__ = ['ControlRole', 'ControlSettings', 'factory']
 
-BOOTSTRAP_MARKER_NAME = 'first-start'
+FIRST_START_NAME = 'first-start'
 LEADERSHIP_TRANSFER_TIMEOUT_S = 1.0
 HTTP_SHUTDOWN_TIMEOUT_S = 1.5
 ELECTION_TIMING = consensus_state.Timing(
@@ -61,18 +62,26 @@
     create_handler: Callable[[control_services.ControlService], HttpHandler]
 
 
-def _is_bootstrap_host(settings: ControlSettings) -> bool:
-    """Return whether this host ever started with ``is_first_start`` set.
+def _first_seeds(
+    settings: ControlSettings, seeds: tuple[str, ...]
+) -> tuple[str, ...] | None:
+    """Return the seeds of the first start of this host, None without one.
 
-    A marker file in the data folder records it, so that a host that restarts
-    before bootstrap has finished still takes part in it.
+    A file in the data folder keeps them, so that a host that restarts before
+    the cluster exists still takes part in its bootstrap. By then ``seeds``
+    may be others, but all hosts have to decide by the same ones.
     """
-    marker = settings.data_folder / BOOTSTRAP_MARKER_NAME
+    path = settings.data_folder / FIRST_START_NAME
+    if path.exists():
+        # Earlier releases left the file empty.
+        return tuple(path.read_text().split()) or seeds
     if not settings.is_first_start:
-        return marker.exists()
+        return None
     settings.data_folder.mkdir(parents=True, exist_ok=True)
-    marker.touch()
-    return True
+    folders.DataFolder(path=settings.data_folder).replace(
+        FIRST_START_NAME, '\n'.join(seeds).encode()
+    )
+    return seeds
 
 
 class ControlRole(mode.Service):
@@ -89,13 +98,14 @@
         self._servers: list[asyncio.Server] = []
         self._http_server: web.Server | None = None
         self.fleet = fleet_state.FleetState()
-        may_bootstrap = settings.is_voter and _is_bootstrap_host(settings)
+        first_seeds = _first_seeds(settings, context.seeds())
         self._replicated_log = consensus.ReplicatedLog(
             peers=context.peers,
             state_machine=self.fleet,
             data_folder=settings.data_folder,
-            voters=context.seeds(),
-            may_bootstrap=may_bootstrap,
+            voters=first_seeds or context.seeds(),
+            may_bootstrap=first_seeds is not None,
+            may_give_up_voter=True,
             is_control=lambda name: True,
             rng=context.rng,
             on_applied=lambda: self.control_service.notify_applied(),
--- a/src/skylarkpitch/messages/consensus.py
+++ b/src/skylarkpitch/messages/consensus.py
@@ -84,8 +84,8 @@
     ``cluster`` is empty while the member belongs to none. ``founders`` are
     the identities that bootstrapped the cluster, empty for a member that
     joined later. ``voters`` are host names. ``may_bootstrap`` is False for a
-    host that has lost its disk. ``heard`` are the identities of other hosts
-    that it heard last, by host name.
+    host that has lost its disk. ``given_up`` is the voter without which it
+    would bootstrap a cluster, empty if there is none.
     """
 
     identity: str
@@ -93,7 +93,7 @@
     founders: tuple[str, ...]
     voters: tuple[str, ...]
     may_bootstrap: bool = True
-    heard: dict[str, str] = dataclasses.field(default_factory=dict)
+    given_up: str = ''
 
 
 @codec.message('consensus.vote_ask')
--- a/tests/stand_ins/fleet_cluster.py
+++ b/tests/stand_ins/fleet_cluster.py
@@ -80,6 +80,7 @@
                 folder=self._disk(name),
                 voters=seed_names,
                 may_bootstrap=is_first_start,
+                may_give_up_voter=True,
                 is_control=lambda name: True,
                 rng=random.Random(self._rng.random()),
                 on_applied=lambda name=name: self._applied(name),
--- a/tests/test_consensus_founding_model.py
+++ b/tests/test_consensus_founding_model.py
@@ -1,16 +1,22 @@
 """All orders of events while three hosts found a cluster.
 
 The model calls the program's own decision. Any response may come late or
-never, and one host loses its disk at any moment.
+never, and one host loses its disk at any moment. Where voters may be given up,
+any host may give up any other at any moment, rightly or not, and take it back;
+one host may end for good.
 """
 
 import collections
+import dataclasses
 import functools
+import itertools
+import sys
 import typing
 
 import pytest
 
 from skylarkpitch.consensus import bootstrap
+from skylarkpitch.consensus import rules
 from skylarkpitch.messages import consensus as messages
 from skylarkpitch import sentinels
 
@@ -20,17 +26,18 @@
 class Host(typing.NamedTuple):
     """State of one host.
 
-    ``decided`` are founders that are not on its disk yet. ``heard`` has only
-    the hosts that may lose their disks; no other identity changes. ``round``
-    holds the responses so far to the introductions that it asked for.
+    ``decided`` are founders that are not on its disk yet. ``round`` holds the
+    responses so far to the introductions that it asked for.
+    ``has_ended`` is true of a host that ended for good.
     """
 
     identity: str
     may_bootstrap: bool = True
     founders: tuple = ()
     decided: tuple = ()
-    heard: tuple = ()
     round: tuple = ()
+    given_up: str = ''
+    has_ended: bool = False
 
 
 def introduction(host):
@@ -40,7 +47,7 @@
         founders=host.founders,
         voters=HOSTS,
         may_bootstrap=host.may_bootstrap,
-        heard=dict(host.heard),
+        given_up=host.given_up,
     )
 
 
@@ -55,7 +62,7 @@
 
 
 @functools.cache
-def decide(host, losable):
+def decide(host):
     """Return a host after the end of its round."""
     introductions = {
         name_of(item.identity): introduction(item) for item in host.round
@@ -66,69 +73,103 @@
         control_hosts=HOSTS,
         introductions=introductions,
         may_bootstrap=host.may_bootstrap,
+        given_up=host.given_up,
     )
     if not sentinels.is_absent(founders):
         return host._replace(round=(), decided=founders)
-    heard = dict(host.heard)
-    heard.update(
-        (name, item.identity)
-        for name, item in introductions.items()
-        if name in losable
-    )
-    return host._replace(round=(), heard=tuple(sorted(heard.items())))
+    return host._replace(round=())
 
 
 def replaced(state, index, host):
     return (*state[:index], host, *state[index + 1 :])
 
 
-def next_of_host(hosts, index, losable):
+def next_of_host(hosts, index):
     """Yield the states of a host after its next step."""
     host = hosts[index]
-    if host.decided:
+    if host.decided and not host.has_ended:
         yield host._replace(founders=host.decided, decided=())
-    if host.decided or host.founders:
+    if host.decided or host.founders or host.has_ended:
         return
     responded = {name_of(item.identity) for item in host.round}
     for other in hosts:
-        if name_of(other.identity) not in {HOSTS[index], *responded}:
+        is_asked = name_of(other.identity) not in {HOSTS[index], *responded}
+        if is_asked and not other.has_ended:
             yield respond(host, other)
     if host.round:
-        yield decide(host, losable)
+        yield decide(host)
+
+
+def faults(state, fault):
+    """Yield the states after a host has ended for good, or lost its disk."""
+    hosts, lost = state
+    name, ends = fault
+    if lost is not None or not name:
+        return
+    index = HOSTS.index(name)
+    host = hosts[index]
+    after = host._replace(has_ended=True)
+    if not ends:
+        after = Host(identity=f'{name}/2', may_bootstrap=False)
+    yield replaced(hosts, index, after), host
+
+
+def opinions(state, suspect):
+    """Yield the states after a host gives up the suspect, or no longer."""
+    hosts, lost = state
+    for index, host in enumerate(hosts):
+        if HOSTS[index] == suspect or host.has_ended:
+            continue
+        if host.decided or host.founders:
+            continue
+        given_up = '' if host.given_up else suspect
+        yield replaced(hosts, index, host._replace(given_up=given_up)), lost
+
 
+def successors(state, fault, suspects):
+    """Yield all states that may follow.
 
-def successors(state, losable):
-    """Yield all states that may follow."""
+    A state is the hosts, and the one that was lost as it was before.
+    """
     hosts, lost = state
-    for index, name in enumerate(HOSTS):
-        for host in next_of_host(hosts, index, losable):
+    for index in range(len(HOSTS)):
+        for host in next_of_host(hosts, index):
             yield replaced(hosts, index, host), lost
-        if name in losable and not lost:
-            emptied = Host(identity=f'{name}/2', may_bootstrap=False)
-            yield replaced(hosts, index, emptied), True
+    yield from faults(state, fault)
+    for suspect in suspects:
+        yield from opinions(state, suspect)
 
 
-def explore(losable):
+def explore(fault, suspects):
     """Return all states that can be reached, and their successors."""
-    first = (tuple(Host(identity=f'{name}/1') for name in HOSTS), False)
+    first = (tuple(Host(identity=f'{name}/1') for name in HOSTS), None)
     following = {}
     waiting = collections.deque([first])
     while waiting:
         state = waiting.popleft()
         if state in following:
             continue
-        following[state] = set(successors(state, losable))
+        following[state] = set(successors(state, fault, suspects))
         waiting.extend(following[state])
     return following
 
 
-def clusters(state):
-    """Count the members of each cluster."""
-    return collections.Counter(
-        host.founders
-        for host in state[0]
-        if host.founders and host.identity in host.founders
+def clusters_with_a_quorum(state):
+    """Return the clusters that a quorum of their founders has ever joined."""
+    hosts, lost = state
+    joined = {item.identity: item.founders for item in hosts}
+    if lost is not None:
+        joined[lost.identity] = lost.founders
+    counts = collections.Counter(
+        founders
+        for identity, founders in joined.items()
+        if identity in founders
     )
+    return [
+        founders
+        for founders, count in counts.items()
+        if count >= rules.majority(founders)
+    ]
 
 
 def states_that_reach(following, is_goal):
@@ -146,26 +187,71 @@
     return reached
 
 
+ENDS, EMPTIED = True, False
+
+
 # Guards against a group that is never founded, and against two groups, when
-# a seed loses its disk at any moment of the first start.
-@pytest.mark.parametrize('lost', ['', 'a', 'b', 'c'])
-def test_one_group_is_founded_whatever_the_order(lost):
-    following = explore(lost)
-    assert all(len(clusters(state)) <= 1 for state in following)
+# a voter ends for good or loses its disk at any moment of the first start.
+@pytest.mark.parametrize('ends', [ENDS, EMPTIED], ids=['ends', 'emptied'])
+@pytest.mark.parametrize('lost', ['a', 'b', 'c'])
+def test_one_group_is_founded_whatever_the_order(lost, ends):
+    following = explore((lost, ends), suspects=lost)
+    assert all(len(clusters_with_a_quorum(s)) <= 1 for s in following)
     # Every order of events can still end with a quorum of one cluster.
-    able = states_that_reach(
-        following, lambda state: max(clusters(state).values(), default=0) >= 2
-    )
+    able = states_that_reach(following, clusters_with_a_quorum)
     assert len(able) == len(following)
 
 
-# Shows that the model finds a second group if a host founds one before the
-# others have heard that the first seed has lost its disk.
+# The same where a voter is given up that is only silent: a group is not
+# always founded then, but never two.
+@pytest.mark.parametrize('ends', [ENDS, EMPTIED], ids=['ends', 'emptied'])
+@pytest.mark.parametrize(
+    ('lost', 'suspect'), [('c', 'a'), ('b', 'a'), ('a', 'c')]
+)
+def test_two_groups_are_never_founded(lost, suspect, ends):
+    following = explore((lost, ends), suspects=suspect)
+    assert all(len(clusters_with_a_quorum(s)) <= 1 for s in following)
+
+
+# Shows that the model finds a second group where an identity of after a lost
+# disk may be a founder.
 def test_model_finds_a_second_group_without_the_rule(monkeypatch):
     decide.cache_clear()
+    introduce = introduction
+
+    def introduce_as_of_the_first_start(host):
+        return dataclasses.replace(introduce(host), may_bootstrap=True)
+
     monkeypatch.setattr(
-        bootstrap, '_voter_that_has_not_heard', lambda lost, items: None
+        sys.modules[__name__], 'introduction', introduce_as_of_the_first_start
     )
-    following = explore('a')
+    following = explore(('c', EMPTIED), suspects='a')
     decide.cache_clear()
-    assert any(len(clusters(state)) > 1 for state in following)
+    assert any(len(clusters_with_a_quorum(s)) > 1 for s in following)
+
+
+# Two sets of founders have quorums with a voter in common, which joins one
+# cluster at most: all voters, or all but one where that is allowed.
+@pytest.mark.parametrize('count', range(1, 10))
+def test_any_two_quorums_have_a_voter_in_common(count):
+    voters = frozenset(range(count))
+    founders = [voters]
+    if bootstrap.may_leave_out_one(count):
+        founders += [voters - {left_out} for left_out in voters]
+    quorums = [
+        frozenset(quorum)
+        for members in founders
+        for quorum in itertools.combinations(members, rules.majority(members))
+    ]
+    assert all(
+        first & second
+        for first, second in itertools.combinations(set(quorums), 2)
+    )
+
+
+@pytest.mark.parametrize(
+    ('voter_count', 'expected'),
+    [(1, False), (2, False), (3, True), (4, False), (5, True), (9, True)],
+)
+def test_one_of_an_odd_number_of_voters_may_be_left_out(voter_count, expected):
+    assert bootstrap.may_leave_out_one(voter_count) is expected
--- a/tests/test_fleet_founding.py
+++ b/tests/test_fleet_founding.py
@@ -6,10 +6,13 @@
 
 import asyncio
 import string
+import types
 
 import pytest
 
+from skylarkpitch.consensus import silent_voter
 from skylarkpitch.consensus import state as consensus_state
+from skylarkpitch.daemon import fleet_control
 from tests.stand_ins import fleet_cluster
 from tests.stand_ins import virtual_time
 from tests import test_fleet_state as fleet_fixtures
@@ -23,6 +26,9 @@
 START_S = 0.3
 # What operators are promised for a change of the configuration.
 ACKNOWLEDGED_S = 4.0
+# The same if a seed is gone: with the time to recover, 15 s, from the start of
+# its successor and its time to catch up, 4 s.
+GONE_SEED_S = 4.0 + 15.0 + ACKNOWLEDGED_S
 
 
 def seconds_until_acknowledged(folder, count):
@@ -83,3 +89,126 @@
         return clusters
 
     assert len(virtual_time.run(run()) - {''}) == 1
+
+
+# Guards against a group that is never founded since one seed is gone for good
+# soon after the first start of all; its successor is empty and no seed.
+@pytest.mark.parametrize('lost', ['a', 'b', 'c'])
+@pytest.mark.parametrize('after_s', [0.0, 0.2, 0.35, 0.5, 0.8, 1.3])
+def test_group_is_founded_though_a_seed_is_gone(lost, after_s):
+    names = 'abcdef'
+
+    async def run():
+        cluster = fleet_cluster.FleetCluster(
+            names=f'{names}g',
+            timing=TIMING,
+            message_delay_s=ONE_WAY_S,
+            disk_delay_s=SYNC_S,
+        )
+        for name in reversed(names):
+            await cluster.start(name)
+        await asyncio.sleep(after_s)
+        await cluster.kill(lost)
+        await asyncio.sleep(1.0)
+        await cluster.start('g', is_first_start=False)
+        async with asyncio.timeout(GONE_SEED_S):
+            await cluster.submit_until_accepted('g', fleet_fixtures.put(1))
+        clusters = {log.cluster for log in cluster.logs.values()}
+        await cluster.stop()
+        return clusters
+
+    assert len(virtual_time.run(run()) - {''}) == 1
+
+
+# Guards against a second group, and a host that is lost to the first one,
+# where a seed is only cut off while the group is founded.
+@pytest.mark.parametrize('cut', ['a', 'b', 'c'])
+@pytest.mark.parametrize('cut_s', [0.5, 5.0, 9.0, 15.0])
+def test_seed_that_was_cut_off_joins_the_group(cut, cut_s):
+    names = 'abcdef'
+
+    async def run():
+        cluster = fleet_cluster.FleetCluster(
+            names=names,
+            timing=TIMING,
+            message_delay_s=ONE_WAY_S,
+            disk_delay_s=SYNC_S,
+        )
+        for other in set(names) - {cut}:
+            cluster.network.cut(cut, other)
+        for name in reversed(names):
+            await cluster.start(name)
+        await asyncio.sleep(cut_s)
+        cluster.network.heal()
+        await cluster.submit_until_accepted(cut, fleet_fixtures.put(1))
+        await cluster.wait_for_voters(len(names))
+        clusters = {log.cluster for log in cluster.logs.values()}
+        await cluster.stop()
+        return clusters
+
+    assert len(virtual_time.run(run())) == 1
+
+
+# The seeds of the first start, kept in a file, go before those of the settings
+# at a restart. Each start: whether it is the first one, and its seeds.
+@pytest.mark.parametrize(
+    ('starts', 'expected'),
+    [
+        ([(True, 'abc')], 'abc'),
+        ([(False, 'abc')], None),
+        ([(True, 'abc'), (False, 'abd')], 'abc'),
+        ([(True, 'abc'), (True, 'def')], 'abc'),
+    ],
+    ids=['first', 'not-first', 'seeds-changed', 'still-marked'],
+)
+def test_seeds_of_the_first_start_are_kept(tmp_path, starts, expected):
+    for is_first_start, seeds in starts:
+        settings = types.SimpleNamespace(
+            data_folder=tmp_path / 'data', is_first_start=is_first_start
+        )
+        found = fleet_control._first_seeds(settings, tuple(seeds))
+    assert found == (expected and tuple(expected))
+
+
+def test_file_of_an_earlier_release_names_no_seeds(tmp_path):
+    (tmp_path / fleet_control.FIRST_START_NAME).touch()
+    settings = types.SimpleNamespace(data_folder=tmp_path, is_first_start=True)
+    assert fleet_control._first_seeds(settings, ('a',)) == ('a',)
+
+
+ROUND_S = 0.25
+PATIENCE_S = silent_voter.PATIENCE_S
+RETURN_S = silent_voter.RETURN_S
+
+
+# What the others did, for how long in seconds, and who is given up then.
+@pytest.mark.parametrize(
+    ('periods', 'expected'),
+    [
+        ([('bc', '', PATIENCE_S * 2)], ''),
+        ([('b', '', PATIENCE_S - 1)], ''),
+        ([('b', '', PATIENCE_S + 1)], 'c'),
+        ([('b', '', PATIENCE_S - 1), ('bc', '', 1.0), ('b', '', 5.0)], ''),
+        ([('b', '', PATIENCE_S + 1), ('bc', '', RETURN_S - 1)], 'c'),
+        ([('b', '', PATIENCE_S + 1), ('bc', '', RETURN_S + 1)], ''),
+        ([('bc', 'c', ROUND_S)], 'c'),
+        ([('bc', 'c', RETURN_S * 2)], 'c'),
+        ([('b', '', PATIENCE_S + 1), ('c', '', PATIENCE_S + 1)], 'b'),
+        ([('', '', PATIENCE_S + 1)], 'b'),
+    ],
+)
+def test_voter_is_given_up_once_it_was_silent(periods, expected):
+    now_s = 100.0
+    silent = silent_voter.SilentVoter(voters='bc', now_s=now_s)
+    for responded, emptied, lasts_s in periods:
+        for _round in range(round(lasts_s / ROUND_S)):
+            now_s += ROUND_S
+            silent.record_round(responded, emptied=emptied, now_s=now_s)
+    assert silent.given_up == expected
+
+
+# Guards against a host that stood still and takes the others for silent.
+def test_time_in_which_this_host_stood_still_does_not_count():
+    silent = silent_voter.SilentVoter(voters='bc', now_s=0.0)
+    silent.record_round('b', now_s=PATIENCE_S * 3)
+    assert silent.given_up == ''
