--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -167,11 +167,14 @@
         """Return the transport, then the roles."""
         return [self._loop_delay, self._peers, *self._roles]
 
-    async def on_started(self) -> None:
-        """Log that every service has started, and serve the metrics."""
+    async def on_start(self) -> None:
+        """Handle SIGHUP, before any service opens anything."""
         asyncio.get_running_loop().add_signal_handler(
             signal.SIGHUP, self._reload
         )
+
+    async def on_started(self) -> None:
+        """Log that every service has started, and serve the metrics."""
         if self._settings.metrics_address is not None:
             await asyncio.get_running_loop().create_server(
                 web.Server(self._handle_metrics, access_log=None),
