Let the region soak order drains and departures as their callers do

Now an operator drains failure domains and takes them back at once, and upstreams leave and start again under their ids, with heartbeats that arrive seconds late. Each order goes to one control host, often one that stands still, and after a second to another one.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import contextlib
 import itertools
 import json
@@ -84,6 +85,7 @@
             self.seen.calm_since_s = time.monotonic()
             self._ends_s = time.monotonic() + self.calm_s
             await asyncio.gather(*callers)
+            await self._after_calm(upstreams)
             await self._read_back()
             ended = self._ended_by_themselves()
             for task in self._tasks:
@@ -105,6 +107,13 @@
         """Return what the checks of a scenario of its own found."""
         return []
 
+    def _on_run_in(self, domain: str) -> Callable[[], None]:
+        """Return what to call when an upstream of a domain runs a request."""
+        return lambda: None
+
+    async def _after_calm(self, upstreams: list[parts.Upstream]) -> None:
+        """Do what a scenario of its own checks once all has been calm."""
+
     def _entries(self) -> list[str]:
         return [
             name for name in self._fleet.addresses if name.startswith('entry')
@@ -126,6 +135,9 @@
                 rng=random.Random(self._rng.random()),
                 seen=self.seen,
                 announce=changed.set,
+                on_run=self._on_run_in(
+                    self.domains[number % len(self.domains)]
+                ),
             )
             await upstream.start()
             stack.push_async_callback(upstream.stop)
--- a/benchmarks/process_soak_parts.py
+++ b/benchmarks/process_soak_parts.py
@@ -72,7 +72,8 @@
     """Upstream that crashes, breaks off and rejects now and then.
 
     ``name`` is its id for as long as no other instance takes its address.
-    ``announce`` is called when another one has.
+    ``announce`` is called when another one has, and ``on_run`` when it begins
+    to run a request.
     """
 
     def __init__(
@@ -82,10 +83,12 @@
         rng: random.Random,
         seen: checks.Observations,
         announce: Callable[[], None] = lambda: None,
+        on_run: Callable[[], None] = lambda: None,
     ) -> None:
         self._first_name = name
         self._replacements = 0
         self._announce = announce
+        self._on_run = on_run
         self._rng = rng
         self._seen = seen
         self._faulty_share = 0.0
@@ -169,6 +172,7 @@
             await self._reject(writer, request_id, status)
             return
         self._seen.arrived(request_id)
+        self._on_run()
         await asyncio.sleep(self._rng.uniform(*WORK_S))
         status, content = 200, digest(request_id, body)
         if fault == 'error':
--- a/benchmarks/process_soak_regions.py
+++ b/benchmarks/process_soak_regions.py
@@ -8,6 +8,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+import functools
 import pathlib
 import random
 import shutil
@@ -17,11 +19,13 @@
 
 from benchmarks import link_proxy
 from benchmarks import process_soak
+from benchmarks import process_soak_checks as checks
 from benchmarks import process_soak_fleet as fleets
+from benchmarks import process_soak_orders as orders
+from benchmarks import process_soak_parts as parts
 from benchmarks import process_soak_plays as plays
 from benchmarks import process_soak_probes as probes
 from benchmarks import process_soak_versions as process_versions
-from benchmarks import upgrade_fleet
 
 __all__ = ['RegionSoak', 'main']
 
@@ -43,7 +47,9 @@
 REPLACE_SHARE = 0.3
 # Links are harmed as often as this number of other faults.
 HARM_WEIGHT = 4
-DRAIN_SHARE = 0.2
+LEAVING_UPSTREAMS = 3
+# Longer than an upstream is left alone after failures.
+ALONE_S = 12.0
 
 
 class RegionSoak(process_soak.Soak):
@@ -53,26 +59,96 @@
     calm_s = 7.0
 
     def __init__(
-        self, *, seed: int, folder: pathlib.Path, entries_per_domain: int = 1
+        self,
+        *,
+        seed: int,
+        folder: pathlib.Path,
+        entries_per_domain: int = 1,
+        root: pathlib.Path = process_soak.ROOT,
     ) -> None:
+        self._root = root
         self._entries_per_domain = entries_per_domain
         self._fleet_rng = random.Random(seed)
         self._lost_until_s: dict[str, float] = {}
-        self._drained: str | None = None
+        self._frozen: set[str] = set()
+        sender = orders.Sender(
+            rng=random.Random(seed + 0.5),
+            controls=lambda: {
+                name: self._fleet.addresses[name]
+                for name in self._fleet.controls()
+            },
+            frozen=lambda: self._frozen,
+        )
+        self._sender = sender
+        self._drains = orders.DrainOrders(
+            rng=random.Random(seed + 0.25),
+            sender=sender,
+            domains=self.domains,
+        )
+        self._leaving: list[orders.LeavingUpstream] = []
+        self._unused: list[str] = []
         self.versions = process_versions.Versions()
         super().__init__(seed=seed, folder=folder)
         self._region = self._rng.choice(fleets.REGION_NAMES)
 
     def _create_fleet(self, folder: pathlib.Path) -> fleets.RegionFleet:
         return fleets.RegionFleet(
-            root=process_soak.ROOT,
+            root=self._root,
             folder=folder,
             entries_per_domain=self._entries_per_domain,
             rng=self._fleet_rng,
         )
 
     def found(self) -> list[str]:
-        return self.versions.found
+        return [
+            *self.versions.found,
+            *self._drains.violations(),
+            *(
+                violation
+                for upstream in self._leaving
+                for violation in upstream.violations()
+            ),
+            *(f'{name} gets nothing, though alone' for name in self._unused),
+        ]
+
+    async def _after_calm(self, upstreams: list) -> None:
+        """Let each upstream that had left be the only one that listens."""
+        others = [*upstreams, *self._leaving]
+        for upstream in others:
+            await upstream.stop()
+        caller = parts.Caller(
+            rng=random.Random(self._rng.random()),
+            seen=checks.Observations(),
+            addresses=[self._fleet.addresses[n] for n in self._entries()],
+        )
+        for upstream in self._leaving:
+            since_s = time.monotonic()
+            await upstream.listen()
+            while not upstream.has_run_since(since_s):
+                await caller.call()
+                if time.monotonic() - since_s > ALONE_S:
+                    self._unused.append(upstream.name)
+                    break
+            await upstream.stop()
+        caller.close()
+
+    def _on_run_in(self, domain: str) -> Callable[[], None]:
+        return functools.partial(self._drains.arrived, domain)
+
+    def _add_leaving(self, stack) -> None:
+        for number in range(LEAVING_UPSTREAMS):
+            domain = self.domains[number]
+            upstream = orders.LeavingUpstream(
+                name=f'leaving{number}',
+                domain=domain,
+                rng=random.Random(self._rng.random()),
+                seen=self.seen,
+                sender=self._sender,
+                start=self._start,
+                on_run=self._on_run_in(domain),
+            )
+            stack.push_async_callback(upstream.stop)
+            self._leaving.append(upstream)
 
     async def _bring_up(self, stack) -> list:
         for name in self._fleet.addresses:
@@ -89,6 +165,7 @@
                 )
             )
         self._start(self._read_forever())
+        self._add_leaving(stack)
         return upstreams
 
     async def _read_forever(self) -> None:
@@ -109,35 +186,23 @@
             await self._change()
             for _number in range(3):
                 await self._read(self._rng.choice(self._fleet.controls()))
-            if self._rng.random() < DRAIN_SHARE:
-                await self._change_drain()
             pause_s = process_soak.OPERATOR_PAUSE_S
             if self._rng.random() < LONG_PAUSE_SHARE:
                 pause_s = LONG_PAUSE_S
             await asyncio.sleep(self._rng.uniform(*pause_s))
-        if self._drained is not None:
-            await self._change_drain()
-
-    async def _change_drain(self) -> None:
-        """Drain a failure domain, or end the drain there is."""
-        method = 'PUT' if self._drained is None else 'DELETE'
-        domain = self._drained or self._rng.choice(self.domains)
-        self._drained = domain if method == 'PUT' else None
-        path = f'/v1/drains/{domain}'
-        self.counts['drain_changes'] += 1
-        while not await self._fleet.answer(
-            method,
-            self._rng.choice(self._fleet.controls()),
-            path,
-            headers=upgrade_fleet.AUTHORISED,
-        ):
-            await asyncio.sleep(0.1)
 
     async def _disturb_until(self, ends_s: float, upstreams) -> None:
         await asyncio.gather(
             self._disturb_controls(ends_s),
             self._disturb_entries(ends_s),
             self._disturb_upstreams(ends_s, upstreams),
+            self._drains.order_until(ends_s),
+            *(upstream.live_until(ends_s) for upstream in self._leaving),
+        )
+        self.counts['orders'] = self._drains.orders
+        self.counts['orders_resent'] = self._sender.resent
+        self.counts['departures'] = sum(
+            upstream.departures for upstream in self._leaving
         )
         self.counts.update(self.versions.counts)
 
@@ -217,6 +282,13 @@
         await super()._restart(name)
         self.versions.started(name)
 
+    async def _freeze(self, name: str) -> None:
+        self._frozen.add(name)
+        try:
+            await super()._freeze(name)
+        finally:
+            self._frozen.discard(name)
+
     async def _empty(self, name: str) -> None:
         self._fleet.processes[name].kill()
         await asyncio.to_thread(self._fleet.processes[name].wait)
@@ -260,17 +332,27 @@
     '--entries', default=1, show_default=True, help='In a failure domain.'
 )
 @click.option('--keep-logs', type=click.Path(path_type=pathlib.Path))
+@click.option(
+    '--root',
+    type=click.Path(path_type=pathlib.Path),
+    default=process_soak.ROOT,
+    help='Checkout whose processes run.',
+)
 def main(
     seed: int,
     seeds: int,
     seconds: float,
     entries: int,
     keep_logs: pathlib.Path | None,
+    root: pathlib.Path,
 ) -> None:
     """Play random faults, one fleet for each seed from SEED on."""
     plays.play_seeds(
         lambda number, folder: RegionSoak(
-            seed=number, folder=folder, entries_per_domain=entries
+            seed=number,
+            folder=folder,
+            entries_per_domain=entries,
+            root=root,
         ),
         numbers=range(seed, seed + seeds),
         seconds=seconds,
