--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -6,6 +6,7 @@
 
 from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import departures
+from skylarkpitch.fleet import model
 from skylarkpitch.fleet import time_of_day
 from skylarkpitch.fleet import waiting_callers
 from tests.stand_ins import fleet_cluster
@@ -39,9 +40,9 @@
         now_s = asyncio.get_running_loop().time()
         await asyncio.sleep(self._begin_s + at_s - now_s)
 
-    async def beat(self, *, born_s, sequence=1):
+    async def beat(self, *, born_s, sequence=1, **fields):
         reported = fleet_fixtures.upstream(
-            born_ms=self.born_ms(born_s), sequence=sequence
+            born_ms=self.born_ms(born_s), sequence=sequence, **fields
         )
         await self.cluster.submit_until_accepted(
             self.follower, control_requests.Heartbeat(upstream=reported)
@@ -142,6 +143,21 @@
     assert run(play) == []
 
 
+async def expired_while_it_drained(play):
+    """Lose all heartbeats after the one that says that it drains."""
+    draining = model.UpstreamState.DRAINING
+    await play.beat(born_s=-10.0, sequence=5, state=draining)
+    await play.wait_until(8.0)
+    assert play.recorded() == []
+    await play.beat(born_s=-10.0, sequence=4)
+
+
+# Guards against DRAIN: an upstream that drains and whose heartbeats are lost
+# is forgotten, so that a late heartbeat of before it drained brings it back.
+def test_late_heartbeat_does_not_undo_a_drain_that_expired():
+    assert run(expired_while_it_drained) == []
+
+
 async def started_again_after_it_left(play):
     await reborn_and_left(play, hosts='abcdef')
     await play.wait_until(3.0)
