--- a/benchmarks/process_soak_orders.py
+++ b/benchmarks/process_soak_orders.py
@@ -31,9 +31,14 @@
 # An entry host that stood still, or was cut off, may lag behind by so much.
 DISTURBED_S = 3.0
 FROZEN_SHARE = 0.5
-ORDER_PAUSES_S = (0.05, 0.1, 0.3, 1.0, 7.0)
-LIVES_S = (0.2, 4.0)
-SERVES_ON_S = (0.5, 9.0)
+FREEZE_SHARE = 0.3
+# A drain lasts for longer than the bounds on what may still arrive.
+DRAIN_PAUSES_S = (0.1, 1.0, 11.0)
+TAKEN_BACK_PAUSES_S = (0.05, 0.1, 0.3)
+# Some incarnations leave before their first heartbeat arrives.
+SHORT_LIVES_S = (0.05, 0.6)
+LONG_LIVES_S = (0.6, 4.0)
+SERVES_ON_S = (0.5, 10.0)
 DOWN_S = (0.05, 2.0)
 LATE_S = (0.0, 3.5)
 LATE_SHARE = 0.5
@@ -49,19 +54,31 @@
         rng: random.Random,
         controls: Callable[[], dict[str, str]],
         frozen: Callable[[], set[str]],
+        freeze: Callable[[str], None],
     ) -> None:
         self._rng = rng
         self._controls = controls
         self._frozen = frozen
+        self._freeze = freeze
         self.resent = 0
 
-    async def send(self, method: str, path: str, body: dict | None) -> bool:
-        """Send one call to one host; return whether it was acknowledged."""
-        addresses = self._controls()
+    def _pick(self, addresses: dict[str, str], *, is_order: bool) -> str:
+        """Return a host, which may be one that stands still from now on."""
         frozen = sorted(self._frozen() & set(addresses))
-        name = self._rng.choice(sorted(addresses))
         if frozen and self._rng.random() < FROZEN_SHARE:
-            name = self._rng.choice(frozen)
+            return self._rng.choice(frozen)
+        name = self._rng.choice(sorted(addresses))
+        if is_order and self._rng.random() < FREEZE_SHARE:
+            self._freeze(name)
+        return name
+
+    async def send(self, method: str, path: str, body: dict | None) -> bool:
+        """Send one call to one host; return whether it was acknowledged.
+
+        Orders have no body.
+        """
+        addresses = self._controls()
+        name = self._pick(addresses, is_order=body is None)
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with (
                 aiohttp.ClientSession(
@@ -144,9 +161,9 @@
             domain = self._rng.choice(sorted(self._arrivals))
             for _time in range(self._rng.choice((1, 2, 3))):
                 await self._drain(domain)
-                await asyncio.sleep(self._rng.choice(ORDER_PAUSES_S))
+                await asyncio.sleep(self._rng.choice(DRAIN_PAUSES_S))
                 await self._take_back(domain)
-                await asyncio.sleep(self._rng.choice(ORDER_PAUSES_S[:3]))
+                await asyncio.sleep(self._rng.choice(TAKEN_BACK_PAUSES_S))
 
     async def _drain(self, domain: str) -> None:
         self.orders += 1
@@ -210,7 +227,8 @@
         """Live one life after another; the last one goes on."""
         while time.monotonic() < ends_s:
             beating = await self._begin()
-            await asyncio.sleep(self._rng.uniform(*LIVES_S))
+            lives_s = self._rng.choice((SHORT_LIVES_S, LONG_LIVES_S))
+            await asyncio.sleep(self._rng.uniform(*lives_s))
             beating.cancel()
             if self._rng.random() < 0.6:
                 await self._leave()
@@ -290,7 +308,7 @@
                     from_s=time.monotonic() + DEPARTED_S + DISTURBED_S,
                 )
             )
-            await asyncio.sleep(self._rng.uniform(*SERVES_ON_S))
+            await asyncio.sleep(self._rng.choice(SERVES_ON_S))
 
     def violations(self) -> list[str]:
         """Return which departures did not hold."""
--- a/benchmarks/process_soak_regions.py
+++ b/benchmarks/process_soak_regions.py
@@ -78,6 +78,7 @@
                 for name in self._fleet.controls()
             },
             frozen=lambda: self._frozen,
+            freeze=self._freeze_if_allowed,
         )
         self._sender = sender
         self._drains = orders.DrainOrders(
@@ -235,13 +236,23 @@
             await asyncio.sleep(max(0.0, next_s - time.monotonic()))
         await asyncio.gather(*running)
 
-    def _next_control(self) -> str | None:
-        """Return a control host that may be lost now, or None."""
+    def _freeze_if_allowed(self, name: str) -> None:
+        """Let a control host stand still, unless too many are lost."""
+        lost = self._lost()
+        if name not in lost and len(lost) < fleets.TOLERATED:
+            self._begin(self._freeze, name)
+
+    def _lost(self) -> set[str]:
+        """Return the control hosts that count as lost now."""
         now_s = time.monotonic()
         lost = {name for name in self._busy if name.startswith('control')}
-        lost |= {
+        return lost | {
             name for name, at_s in self._lost_until_s.items() if at_s > now_s
         }
+
+    def _next_control(self) -> str | None:
+        """Return a control host that may be lost now, or None."""
+        lost = self._lost()
         if len(lost) >= fleets.TOLERATED:
             return None
         free = [name for name in self._fleet.controls() if name not in lost]
