--- a/tests/test_consensus_founding_model.py
+++ b/tests/test_consensus_founding_model.py
@@ -206,7 +206,8 @@
 # always founded then, but never two.
 @pytest.mark.parametrize('ends', [ENDS, EMPTIED], ids=['ends', 'emptied'])
 @pytest.mark.parametrize(
-    ('lost', 'suspect'), [('c', 'a'), ('b', 'a'), ('a', 'c')]
+    ('lost', 'suspect'),
+    [('c', 'a'), ('b', 'a'), ('a', 'c'), ('a', 'b'), ('b', 'c'), ('c', 'b')],
 )
 def test_two_groups_are_never_founded(lost, suspect, ends):
     following = explore((lost, ends), suspects=suspect)
