--- a/src/skylarkpitch/daemon/control.py
+++ b/src/skylarkpitch/daemon/control.py
@@ -9,12 +9,16 @@
 from skylarkpitch.consensus import service as consensus
 from skylarkpitch.daemon import listener
 from skylarkpitch.dissemination import source as sources
+from skylarkpitch.listening import limits as connection_limits
 from skylarkpitch.operators import api
 from skylarkpitch.peers import network
 from skylarkpitch.settings import daemon as daemon_settings
 
 __all__ = ['ControlRole']
 
+# Part of the connections of the process that operators may have.
+CONNECTIONS_SHARE = 0.1
+
 
 class ControlRole(mode.Service):
     """Replicate the control state and serve the operators' HTTP API."""
@@ -24,10 +28,12 @@
         *,
         settings: daemon_settings.DaemonSettings,
         peers: network.Peers,
+        resources: connection_limits.Resources,
         rng: random.Random,
         **options: Any,
     ) -> None:
         self._settings = settings
+        self._resources = resources
         self._control_state = config_state.ControlState()
         self._control_log = consensus.ReplicatedLog(
             peers=peers,
@@ -69,5 +75,7 @@
                 address=self._settings.control.operators,
                 routes=self._api.routes(),
                 limits=self._settings.limits,
+                resources=self._resources,
+                connections_share=CONNECTIONS_SHARE,
             ),
         ]
--- a/src/skylarkpitch/daemon/entry.py
+++ b/src/skylarkpitch/daemon/entry.py
@@ -19,6 +19,7 @@
 from skylarkpitch.dissemination import follower as followers
 from skylarkpitch.dissemination import tree
 from skylarkpitch.limits import service as limits
+from skylarkpitch.listening import limits as connection_limits
 from skylarkpitch.membership import heartbeats
 from skylarkpitch.membership import service as membership
 from skylarkpitch.observability import histograms
@@ -42,6 +43,9 @@
 LOOKUP_MARGIN_S = 0.5
 DEFAULT_LEDGER_RETENTION_S = 86_400.0
 LEDGER_SYNC_TIMEOUT_S = 10.0
+# Parts of the connections of the process, by port.
+CALLERS_SHARE = 0.6
+RELAY_SHARE = 0.3
 
 _log = structlog.get_logger(__name__)
 
@@ -59,12 +63,14 @@
         *,
         settings: daemon_settings.DaemonSettings,
         peers: network.Peers,
+        resources: connection_limits.Resources,
         rng: random.Random,
         stop_process: Callable[[], None] = lambda: None,
         **options: Any,
     ) -> None:
         self._stop_process = stop_process
         self._settings = settings
+        self._resources = resources
         self._peers = peers
         self._rng = rng
         self._chart = charts.Chart(name='entry_host')
@@ -160,6 +166,7 @@
             slot_allocator=self._slot_allocator,
             ledger=self._ledger,
             settings=self._settings.limits,
+            pool=self._resources.pool,
             is_stopping=lambda: self._chart.state == 'stopped',
             on_finished=self._on_finished,
             crash_watch=self._crash_watch(),
@@ -305,6 +312,8 @@
                 address=self._settings.callers_address,
                 routes=routes,
                 limits=self._settings.limits,
+                resources=self._resources,
+                connections_share=CALLERS_SHARE,
                 tls=context,
             ),
         ]
@@ -315,6 +324,8 @@
             address=self._settings.relay_address,
             routes=self._relay.routes(),
             limits=self._settings.limits,
+            resources=self._resources,
+            connections_share=RELAY_SHARE,
         )
 
     async def _health(self, _request: web.Request) -> web.Response:
--- a/src/skylarkpitch/daemon/fleet.py
+++ b/src/skylarkpitch/daemon/fleet.py
@@ -23,6 +23,9 @@
 from skylarkpitch.daemon import keys
 from skylarkpitch.daemon import runner
 from skylarkpitch.forwarding import callers_listener
+from skylarkpitch.listening import guard as guards
+from skylarkpitch.listening import limits as connection_limits
+from skylarkpitch.listening import serving
 from skylarkpitch.observability import histograms
 from skylarkpitch.observability import logs
 from skylarkpitch.observability import loop_delay as loop_delays
@@ -60,10 +63,12 @@
     """What a process provides to its roles.
 
     ``seeds`` returns the IP addresses of the control hosts to contact first.
+    ``resources`` are for all clients of the process together.
     """
 
     peers: network.Peers
     seeds: Callable[[], tuple[str, ...]]
+    resources: connection_limits.Resources
     loop_delay: loop_delays.LoopDelay
     rng: random.Random
 
@@ -82,6 +87,8 @@
 
     ``seeds`` returns the IP addresses of the control hosts to contact first.
     All hosts share ``secret``. ``roles`` create the roles of the process.
+    It may use ``memory_bytes``, and ``max_descriptors`` unless the operating
+    system allows fewer.
     """
 
     name: str
@@ -95,6 +102,8 @@
     seeds: Callable[[], tuple[str, ...]]
     roles: tuple[RoleFactory, ...]
     metrics_address: str | None = None
+    memory_bytes: int = connection_limits.DEFAULT_MEMORY_BYTES
+    max_descriptors: int | None = None
 
 
 def _curve_secret_key(secret: str) -> str:
@@ -154,9 +163,20 @@
             secret_key=_curve_secret_key(settings.secret),
         )
         self._loop_delay = loop_delays.LoopDelay()
+        resources = connection_limits.resources_of(
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+        )
+        self._metrics_guard = guards.ConnectionGuard(
+            name='metrics',
+            max_connections=connection_limits.MAX_CHECKS,
+            pool=resources.pool,
+            limits=connection_limits.ConnectionLimits(),
+        )
         context = RoleContext(
             peers=self._peers,
             seeds=settings.seeds,
+            resources=resources,
             loop_delay=self._loop_delay,
             rng=rng,
         )
@@ -176,9 +196,12 @@
     async def on_started(self) -> None:
         """Log that every service has started, and serve the metrics."""
         if self._settings.metrics_address is not None:
-            await asyncio.get_running_loop().create_server(
-                web.Server(self._handle_metrics, access_log=None),
-                sock=callers_listener.bind(self._settings.metrics_address),
+            await serving.serve(
+                web.Server(self._handle_metrics),
+                guard=self._metrics_guard,
+                listening_socket=callers_listener.bind(
+                    self._settings.metrics_address
+                ),
             )
         _log.info(
             'started',
--- a/src/skylarkpitch/daemon/fleet_control.py
+++ b/src/skylarkpitch/daemon/fleet_control.py
@@ -23,7 +23,11 @@
 from skylarkpitch.fleet import log_lag
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers_listener
+from skylarkpitch.listening import guard as guards
+from skylarkpitch.listening import limits as connection_limits
+from skylarkpitch.listening import serving
 from skylarkpitch.observability import histograms
 
 __all__ = ['ControlRole', 'ControlSettings', 'factory']
@@ -46,9 +50,10 @@
     """Settings of a control host.
 
     ``create_handler`` returns the handler of the HTTP API, which is served
-    at each of the ``addresses``. ``region_of`` returns the region of a
-    failure domain, None if it is unknown. A control host that has been back
-    for ``catch_up_s``, or whose successor has, is no loss any more.
+    at each of the ``addresses`` and holds bodies within a budget.
+    ``region_of`` returns the region of a failure domain, None if it is
+    unknown. A control host that has been back for ``catch_up_s``, or whose
+    successor has, is no loss any more.
     """
 
     data_folder: pathlib.Path
@@ -59,7 +64,9 @@
     heartbeat_s: float
     region_of: Callable[[str], str | None]
     addresses: tuple[str, ...]
-    create_handler: Callable[[control_services.ControlService], HttpHandler]
+    create_handler: Callable[
+        [control_services.ControlService, body_budget.BodyBudget], HttpHandler
+    ]
 
 
 def _first_seeds(
@@ -132,6 +139,13 @@
             loop_delay=context.loop_delay,
         )
         self._log_lag = log_lag.LogLag(log=self._replicated_log)
+        self._bodies = body_budget.BodyBudget(pool=context.resources.pool)
+        self._guard = guards.ConnectionGuard(
+            name='calls',
+            max_connections=context.resources.max_connections,
+            pool=context.resources.pool,
+            limits=connection_limits.ConnectionLimits(),
+        )
         super().__init__(**options)
 
     def on_init_dependencies(self) -> list[mode.Service]:
@@ -145,14 +159,14 @@
 
     async def on_started(self) -> None:
         """Serve the HTTP API at every address."""
-        loop = asyncio.get_running_loop()
         self._http_server = web.Server(
-            self._settings.create_handler(self.control_service),
-            access_log=None,
+            self._settings.create_handler(self.control_service, self._bodies)
         )
         self._servers = [
-            await loop.create_server(
-                self._http_server, sock=callers_listener.bind(address)
+            await serving.serve(
+                self._http_server,
+                guard=self._guard,
+                listening_socket=callers_listener.bind(address),
             )
             for address in self._settings.addresses
         ]
@@ -197,6 +211,8 @@
                 f'orders_{k}': v
                 for k, v in self.control_service.counts.items()
             },
+            **self._guard.counters(),
+            'body_bytes_held': self._bodies.held_bytes,
             'upstreams': len(self.fleet.upstreams),
             'entry_hosts': len(self.fleet.entry_hosts),
             'configuration_version': self.fleet.configuration_version,
--- a/src/skylarkpitch/daemon/fleet_entry.py
+++ b/src/skylarkpitch/daemon/fleet_entry.py
@@ -12,5 +12,6 @@
         settings=settings,
         peers=context.peers,
         seeds=context.seeds,
+        resources=context.resources,
         rng=context.rng,
     )
--- a/src/skylarkpitch/daemon/fleet_main.py
+++ b/src/skylarkpitch/daemon/fleet_main.py
@@ -55,8 +55,9 @@
         heartbeat_s=section.heartbeat_s,
         region_of=file.regions.get,
         addresses=(section.calls.host_port,),
-        create_handler=lambda control_service: fleet_calls.handler(
+        create_handler=lambda control_service, bodies: fleet_calls.handler(
             control_service=control_service,
+            bodies=bodies,
             region_of=file.regions.get,
             operator_token=token,
         ),
@@ -93,7 +94,6 @@
         region_of=file.regions.get,
         drain_s=section.goodbye_s,
         grace_s=section.grace_s,
-        memory_bytes=section.memory_mb * BYTES_PER_MB,
     )
     return fleet_entry.factory(settings)
 
@@ -106,6 +106,7 @@
     """
     seeds = tuple(str(seed) for seed in file.seeds)
     is_control = file.control is not None
+    section = file.control or file.entry
     roles = []
     if file.control is not None:
         roles.append(_control_role(file, file.control))
@@ -125,6 +126,8 @@
         seeds=lambda: seeds,
         roles=tuple(roles),
         metrics_address=file.metrics.host_port if file.metrics else None,
+        memory_bytes=section.memory_mb * BYTES_PER_MB,
+        max_descriptors=section.max_descriptors,
     )
 
 
--- a/src/skylarkpitch/daemon/listener.py
+++ b/src/skylarkpitch/daemon/listener.py
@@ -1,6 +1,8 @@
 """Serve a set of HTTP routes on one address."""
 
+import asyncio
 from collections.abc import Iterable
+import socket
 import ssl
 from typing import Any
 
@@ -8,12 +10,14 @@
 import mode
 
 from skylarkpitch import errors
+from skylarkpitch.listening import guard as guards
+from skylarkpitch.listening import limits as connection_limits
+from skylarkpitch.listening import serving
 from skylarkpitch.settings import daemon as daemon_settings
 
 __all__ = ['Listener']
 
 KEEPALIVE_TIMEOUT_S = 30.0
-ACCEPT_BACKLOG_CONNECTIONS = 1024
 
 
 class Listener(mode.Service):
@@ -26,6 +30,8 @@
         address: daemon_settings.Address,
         routes: Iterable[web.RouteDef],
         limits: daemon_settings.LimitSettings,
+        resources: connection_limits.Resources,
+        connections_share: float,
         tls: ssl.SSLContext | None = None,
         shutdown_timeout_s: float = 5.0,
         **options: Any,
@@ -34,6 +40,19 @@
         self._address = address
         self._routes = tuple(routes)
         self._limits = limits
+        max_connections = int(connections_share * resources.max_connections)
+        self._guard = guards.ConnectionGuard(
+            name=name,
+            max_connections=max(1, max_connections),
+            pool=resources.pool,
+            limits=connection_limits.ConnectionLimits(
+                header_bytes=limits.max_header_bytes,
+                header_timeout_s=limits.header_timeout_s,
+                idle_timeout_s=KEEPALIVE_TIMEOUT_S,
+                delivery_timeout_s=limits.body_timeout_s,
+            ),
+        )
+        self._tcp_server: asyncio.Server | None = None
         self._tls = tls
         self._shutdown_timeout_s = shutdown_timeout_s
         super().__init__(**options)
@@ -46,25 +65,18 @@
         application.add_routes(self._routes)
         self._runner = web.AppRunner(
             application,
-            access_log=None,
             handle_signals=False,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            max_line_size=self._limits.max_header_bytes,
-            max_field_size=self._limits.max_header_bytes,
             shutdown_timeout=self._shutdown_timeout_s,
             handler_cancellation=True,
-            auto_decompress=False,
         )
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner,
-            str(self._address.ip),
-            self._address.port,
-            ssl_context=self._tls,
-            backlog=ACCEPT_BACKLOG_CONNECTIONS,
-        )
         try:
-            await site.start()
+            self._tcp_server = await serving.serve(
+                self._runner.server,
+                guard=self._guard,
+                listening_socket=self._bind(),
+                tls=self._tls,
+            )
         except OSError as error:
             await self._runner.cleanup()
             raise errors.SettingsError(
@@ -72,9 +84,21 @@
                 f'bound ({error.strerror}); use a free address of this host'
             ) from error
 
+    def _bind(self) -> socket.socket:
+        is_ipv6 = self._address.ip.version == 6
+        family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
+        address = (str(self._address.ip), self._address.port)
+        return socket.create_server(
+            address,
+            family=family,
+            backlog=serving.ACCEPT_BACKLOG_CONNECTIONS,
+        )
+
     async def on_stop(self) -> None:
         """Close the socket, then wait for running requests.
 
         After ``shutdown_timeout_s`` the requests still running are cancelled.
         """
+        if self._tcp_server is not None:
+            self._tcp_server.close()
         await self._runner.cleanup()
--- a/src/skylarkpitch/daemon/main.py
+++ b/src/skylarkpitch/daemon/main.py
@@ -17,6 +17,7 @@
 from skylarkpitch.daemon import keys
 from skylarkpitch.daemon import runner
 from skylarkpitch import errors
+from skylarkpitch.listening import limits as connection_limits
 from skylarkpitch.observability import logs
 from skylarkpitch.peers import network
 from skylarkpitch.settings import daemon as daemon_settings
@@ -25,6 +26,7 @@
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+BYTES_PER_MB = 1024 * 1024
 
 _log = structlog.get_logger(__name__)
 
@@ -49,11 +51,18 @@
             secret_key=secret_key,
             on_malformed=self._count_malformed,
         )
+        resources = connection_limits.resources_of(
+            memory_bytes=settings.limits.memory_mb * BYTES_PER_MB,
+            max_descriptors=settings.limits.max_descriptors,
+        )
         self._roles: list[mode.Service] = []
         if 'control' in settings.roles:
             self._roles.append(
                 control.ControlRole(
-                    settings=settings, peers=self._peers, rng=rng
+                    settings=settings,
+                    peers=self._peers,
+                    resources=resources,
+                    rng=rng,
                 )
             )
         if 'entry' in settings.roles:
@@ -61,6 +70,7 @@
                 entry.EntryRole(
                     settings=settings,
                     peers=self._peers,
+                    resources=resources,
                     rng=rng,
                     stop_process=_stop_process,
                 )
--- a/src/skylarkpitch/forwarding/body_budget.py
+++ b/src/skylarkpitch/forwarding/body_budget.py
@@ -1,10 +1,9 @@
 """Limit the bytes of request bodies that an entry host holds at a time."""
 
-__all__ = ['DEFAULT_MEMORY_BYTES', 'BodyBudget', 'append_chunk']
+from skylarkpitch.listening import limits
+
+__all__ = ['BodyBudget', 'append_chunk']
 
-DEFAULT_MEMORY_BYTES = 300 * 1024 * 1024
-# A host takes this much memory before it holds any body, with a margin.
-BASE_MEMORY_BYTES = 90 * 1024 * 1024
 # Larger bodies leave a part of the budget to all others.
 SMALL_BODY_BYTES = 64 * 1024
 SMALL_BODIES_SHARE = 0.2
@@ -15,15 +14,20 @@
 class BodyBudget:
     """Bytes that request bodies of all callers may take together.
 
-    ``memory_bytes`` is what the process may use. ``refused`` counts the
-    bodies that did not fit.
+    They are a part of what a process holds for its clients. ``refused``
+    counts the bodies that did not fit.
     """
 
-    def __init__(self, *, memory_bytes: int) -> None:
-        self.max_bytes = max(0, memory_bytes - BASE_MEMORY_BYTES)
+    def __init__(self, *, pool: limits.MemoryPool) -> None:
+        self._pool = pool
         self.held_bytes = 0
         self.refused = 0
 
+    @property
+    def is_memory_short(self) -> bool:
+        """Return whether the process holds more than it may."""
+        return self._pool.is_short
+
     def take(self, more_bytes: int, *, body_bytes: int) -> bool:
         """Take bytes for a body of a known size or a size so far.
 
@@ -31,19 +35,24 @@
         is taken there all the same, alone: the configured limit of a body
         goes before this one.
         """
-        limit = self.max_bytes
+        limit = self._pool.max_bytes
         if body_bytes > SMALL_BODY_BYTES:
             limit -= int(limit * SMALL_BODIES_SHARE)
         held_by_others = self.held_bytes - (body_bytes - more_bytes)
-        if self.held_bytes + more_bytes > limit and held_by_others > 0:
+        is_full = self._pool.held_bytes + more_bytes > limit
+        if is_full and held_by_others > 0:
             self.refused += 1
             return False
-        self.held_bytes += more_bytes
+        self._hold(more_bytes)
         return True
 
     def release(self, size_bytes: int) -> None:
         """Give back the bytes of a body that is no longer held."""
-        self.held_bytes -= size_bytes
+        self._hold(-size_bytes)
+
+    def _hold(self, more_bytes: int) -> None:
+        self.held_bytes += more_bytes
+        self._pool.add(more_bytes)
 
 
 def append_chunk(blocks: list[bytearray], chunk: bytes) -> None:
--- a/src/skylarkpitch/forwarding/callers_listener.py
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -10,11 +10,13 @@
 
 from skylarkpitch import errors
 from skylarkpitch.fleet import model
+from skylarkpitch.listening import guard as guards
+from skylarkpitch.listening import limits as connection_limits
+from skylarkpitch.listening import serving
 from skylarkpitch.requests import exchange_sessions as sessions
 
-__all__ = ['CallersListener', 'bind']
+__all__ = ['CallersListener', 'bind', 'limits_of']
 
-ACCEPT_BACKLOG_CONNECTIONS = 2048
 # Time to accept the connections, and to read the requests, that have arrived.
 ARRIVED_S = 0.05
 # How long connections may take to close once their requests are aborted.
@@ -45,43 +47,59 @@
             f'address {host_port} cannot be bound ({error.strerror}); '
             'configure a free address of this host'
         ) from error
-    listening_socket.listen(ACCEPT_BACKLOG_CONNECTIONS)
+    listening_socket.listen(serving.ACCEPT_BACKLOG_CONNECTIONS)
     return listening_socket
 
 
+def limits_of(
+    limits: model.CallerLimits,
+) -> connection_limits.ConnectionLimits:
+    """Return the limits of connections under the limits of callers.
+
+    A limit of 0 stands for the default of connections.
+    """
+    default = connection_limits.ConnectionLimits()
+    header_timeout_s = limits.header_timeout_ms / MS_PER_S
+    idle_timeout_s = limits.idle_timeout_ms / MS_PER_S
+    return connection_limits.ConnectionLimits(
+        header_bytes=int(limits.max_header_bytes) or default.header_bytes,
+        header_timeout_s=header_timeout_s or default.header_timeout_s,
+        idle_timeout_s=idle_timeout_s or default.idle_timeout_s,
+    )
+
+
 class CallersListener:
-    """Listener on one address; new limits apply to new connections."""
+    """Listener on one address, whose connections a guard limits.
 
-    def __init__(self, *, address: str, handler: Handler) -> None:
+    New time-outs apply to all connections, new sizes to new ones.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        handler: Handler,
+        guard: guards.ConnectionGuard,
+    ) -> None:
         self._address = address
         self._handler = handler
-        self._servers: dict[model.CallerLimits, web.Server] = {}
-        self._current: web.Server | None = None
+        self._guard = guard
+        self._server: web.Server | None = None
         self._tcp_server: asyncio.Server | None = None
 
     async def open(self, limits: model.CallerLimits) -> None:
         """Start listening."""
         self.set_limits(limits)
-        self._tcp_server = await asyncio.get_running_loop().create_server(
-            lambda: self._current(),
-            sock=bind(self._address),
-            backlog=ACCEPT_BACKLOG_CONNECTIONS,
+        self._server = web.Server(self._handler, handler_cancellation=True)
+        self._tcp_server = await serving.serve(
+            self._server,
+            guard=self._guard,
+            listening_socket=bind(self._address),
         )
 
     def set_limits(self, limits: model.CallerLimits) -> None:
-        """Set the limits of connections that are accepted from now on."""
-        if limits not in self._servers:
-            self._servers[limits] = web.Server(
-                self._handler,
-                handler_cancellation=True,
-                keepalive_timeout=limits.idle_timeout_ms / MS_PER_S,
-                max_line_size=limits.max_header_bytes,
-                max_field_size=limits.max_header_bytes,
-                access_log=None,
-                # The body reaches the upstream under the caller's headers.
-                auto_decompress=False,
-            )
-        self._current = self._servers[limits]
+        """Set the limits of connections."""
+        self._guard.set_limits(limits_of(limits))
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
@@ -98,20 +116,16 @@
         await asyncio.sleep(ARRIVED_S)
         self.stop_listening()
         await asyncio.sleep(ARRIVED_S)
-        for server in self._servers.values():
-            server.pre_shutdown()
+        self._server.pre_shutdown()
         if not await self._wait_closed(timeout_s):
             _log.warning('requests_broken_off', timeout_s=round(timeout_s, 2))
             await self._wait_closed(ABORT_TIMEOUT_S)
 
     async def _wait_closed(self, timeout_s: float) -> bool:
         """Return whether all connections closed within the time-out."""
-        closing = asyncio.gather(
-            *(item.shutdown(timeout_s) for item in self._servers.values())
-        )
         try:
             async with asyncio.timeout(2 * ABORT_TIMEOUT_S + timeout_s):
-                await closing
+                await self._server.shutdown(timeout_s)
         except TimeoutError:
             return False
         return True
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -28,6 +28,7 @@
 from skylarkpitch.forwarding import scheduler as schedulers
 from skylarkpitch.forwarding import sender as senders
 from skylarkpitch.forwarding import upstream_selector as selectors
+from skylarkpitch.listening import limits
 
 __all__ = ['RequestHandler', 'RequestOutcome']
 
@@ -61,7 +62,7 @@
 class RequestHandler:
     """Handle all requests of callers on the entry host named ``host``.
 
-    ``memory_bytes`` is what the process may use.
+    ``pool`` is what the process may hold for its callers.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         is_ready: Callable[[], bool],
         is_stopping: Callable[[], bool],
         on_finished: Callable[[RequestOutcome], None],
-        memory_bytes: int = body_budget.DEFAULT_MEMORY_BYTES,
+        pool: limits.MemoryPool,
         sender: senders.Sender | None = None,
         clock: Callable[[], float] = time.monotonic,
         unix_clock: Callable[[], float] = time.time,
@@ -88,7 +89,7 @@
         self._is_stopping = is_stopping
         self._on_finished = on_finished
         self._clock = clock
-        self._bodies = body_budget.BodyBudget(memory_bytes=memory_bytes)
+        self._bodies = body_budget.BodyBudget(pool=pool)
         self._admission = admission.Admission(
             view=view,
             names=names,
@@ -109,7 +110,7 @@
             rng=rng,
         )
         self._crash_tracker = crash_tracker.CrashTracker(rng=rng)
-        self._sender = sender or senders.Sender(names=names)
+        self._sender = sender or senders.Sender(names=names, pool=pool)
         self._exchanges = exchanges.Exchanges(
             view=view,
             host=host,
@@ -231,12 +232,15 @@
         self, call: calls.Call, response: senders.UpstreamResponse
     ) -> web.StreamResponse:
         is_streamed = response.rest is not None
-        relayed = await http_messages.relay_response(
-            call.request,
-            response,
-            finish=self._close_if_stopping,
-            left_s=call.deadline_s - self._clock(),
-        )
+        try:
+            relayed = await http_messages.relay_response(
+                call.request,
+                response,
+                finish=self._close_if_stopping,
+                left_s=call.deadline_s - self._clock(),
+            )
+        finally:
+            response.release()
         if is_streamed:
             self._crash_tracker.record_response(
                 call, status=response.status, now_s=self._clock()
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -17,6 +17,7 @@
 
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import refusals
+from skylarkpitch.listening import limits
 from skylarkpitch.requests import exchange_protocol
 from skylarkpitch.requests import exchange_sessions as sessions
 from skylarkpitch.requests import headers as header_rules
@@ -90,7 +91,8 @@
 
     ``body`` is the whole body if ``rest`` is None, otherwise its first part;
     ``rest`` then yields the remaining chunks. ``local_port`` is that of the
-    connection.
+    connection. ``held_bytes`` of ``pool`` are given back when the response is
+    released.
     """
 
     def __init__(
@@ -101,8 +103,12 @@
         body: bytes,
         rest: AsyncIterator[bytes] | None,
         local_port: int,
+        pool: limits.MemoryPool,
+        held_bytes: int,
     ) -> None:
         self.local_port = local_port
+        self._pool = pool
+        self._held_bytes = held_bytes
         self.status = response.status
         self.headers = headers
         self.body = body
@@ -116,6 +122,12 @@
     def close(self) -> None:
         """Close the connection unless the response was read to its end."""
         self._response.close()
+        self.release()
+
+    def release(self) -> None:
+        """Count the body no longer as held."""
+        self._pool.add(-self._held_bytes)
+        self._held_bytes = 0
 
 
 class Sender:
@@ -124,8 +136,11 @@
     They are not reused for requests without an id.
     """
 
-    def __init__(self, *, names: header_names.HeaderNames) -> None:
+    def __init__(
+        self, *, names: header_names.HeaderNames, pool: limits.MemoryPool
+    ) -> None:
         self._names = names
+        self._pool = pool
         self._session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
 
@@ -253,6 +268,8 @@
             body=b''.join(chunks),
             rest=None if is_complete else _rest(response),
             local_port=sessions.progress.get().local_port,
+            pool=self._pool,
+            held_bytes=0,
         )
 
     def _belongs_to(
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -16,13 +16,15 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import subscriber as subscribers
 from skylarkpitch.fleet import view as views
-from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import request_handler as handlers
 from skylarkpitch.forwarding import retry_budget
 from skylarkpitch.forwarding import upstream_selector as selectors
+from skylarkpitch.listening import guard as guards
+from skylarkpitch.listening import limits as connection_limits
+from skylarkpitch.listening import serving
 from skylarkpitch.observability import histograms
 from skylarkpitch.peers import network
 
@@ -44,8 +46,7 @@
     ``region_of`` returns the region of a failure domain, or None. On a
     planned stop the host accepts new connections for another ``drain_s``,
     since callers cache the result of a look-up that long. Running requests
-    may take until ``grace_s`` after the stop began. Bodies of requests are
-    held within ``memory_bytes``, which is all that the process may use.
+    may take until ``grace_s`` after the stop began.
     """
 
     entry_host: model.EntryHost
@@ -55,7 +56,6 @@
     retry_limits: retry_budget.RetryLimits
     rate_tolerance: callers.RateTolerance
     region_of: Callable[[str], str | None]
-    memory_bytes: int = body_budget.DEFAULT_MEMORY_BYTES
     drain_s: float = 2.6
     grace_s: float = 6.0
 
@@ -69,6 +69,7 @@
         settings: ForwardingSettings,
         peers: network.Peers,
         seeds: Callable[[], tuple[str, ...]],
+        resources: connection_limits.Resources,
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
         **options: Any,
@@ -90,7 +91,7 @@
             names=settings.names,
             retry_limits=settings.retry_limits,
             rate_tolerance=settings.rate_tolerance,
-            memory_bytes=settings.memory_bytes,
+            pool=resources.pool,
             is_ready=lambda: self._subscriber.is_ready,
             is_stopping=lambda: self._subscriber.is_leaving,
             on_finished=self._record_outcome,
@@ -107,8 +108,22 @@
             region_of=settings.region_of,
             clock=clock,
         )
+        self._callers_guard = guards.ConnectionGuard(
+            name='callers',
+            max_connections=resources.max_connections,
+            pool=resources.pool,
+            limits=connection_limits.ConnectionLimits(),
+        )
+        self._ready_guard = guards.ConnectionGuard(
+            name='ready',
+            max_connections=connection_limits.MAX_CHECKS,
+            pool=resources.pool,
+            limits=connection_limits.ConnectionLimits(),
+        )
         self._listener = callers_listener.CallersListener(
-            address=host.callers_address, handler=self._handler.handle
+            address=host.callers_address,
+            handler=self._handler.handle,
+            guard=self._callers_guard,
         )
         super().__init__(**options)
 
@@ -119,14 +134,13 @@
     async def on_start(self) -> None:
         """Start listening; requests are refused until the view is ready."""
         self._handler.open()
-        self._ready_web_server = web.Server(
-            self._handle_ready, access_log=None
-        )
-        self._ready_tcp_server = (
-            await asyncio.get_running_loop().create_server(
-                self._ready_web_server,
-                sock=callers_listener.bind(self._settings.ready_address),
-            )
+        self._ready_web_server = web.Server(self._handle_ready)
+        self._ready_tcp_server = await serving.serve(
+            self._ready_web_server,
+            guard=self._ready_guard,
+            listening_socket=callers_listener.bind(
+                self._settings.ready_address
+            ),
         )
         await self._listener.open(self._view.limits)
 
@@ -150,6 +164,7 @@
             **self.counts,
             **self._handler.counters(),
             **self._subscriber.counters(),
+            **self._callers_guard.counters(),
             'view_age_s': min(self._subscriber.age_s(), MAX_VIEW_AGE_S),
             'view_index': self._view.index,
             'configuration_version': self._view.version,
--- /dev/null
+++ b/src/skylarkpitch/listening/__init__.py
@@ -0,0 +1,1 @@
+"""Serve HTTP to clients that may not behave, within limits."""
--- /dev/null
+++ b/src/skylarkpitch/listening/client_connection.py
@@ -0,0 +1,216 @@
+"""Read requests from one client, and write the answers, within limits.
+
+The HTTP server of aiohttp bounds each line of a head. It does not bound a
+head, its time, what follows a request that cannot be read, or how long an
+answer waits for its reader. This module does, by names of aiohttp that are
+not public, so that its version is fixed in the requirements.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import http
+from aiohttp import http_exceptions
+from aiohttp import streams
+from aiohttp import web
+from aiohttp import web_protocol
+
+from skylarkpitch.listening import connection_table
+from skylarkpitch.listening import guard as guards
+
+__all__ = ['ClientConnection', 'ClientReader']
+
+READ_BYTES = 64 * 1024
+# Requests that are parsed while one before them is handled.
+MAX_QUEUED_REQUESTS = 4
+# The shortest header field, so that the number of fields is limited by their
+# bytes alone.
+SHORTEST_FIELD_BYTES = len(b'a:\r\n')
+# How long more of a body is read after its request was refused, so that the
+# client can read the refusal.
+LINGERING_S = 5.0
+MAX_REASON_CHARACTERS = 100
+
+_State = connection_table.State
+
+
+class ClientConnection(web_protocol.RequestHandler):
+    """Connection of one client to a server.
+
+    ``peer`` is its address, for logs. Sizes are limited as the guard's
+    limits are when the connection is made.
+    """
+
+    def __init__(
+        self,
+        server: web.Server,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        guard: guards.ConnectionGuard,
+    ) -> None:
+        self._guard = guard
+        self._header_bytes = guard.limits.header_bytes
+        sizes = {
+            'max_line_size': self._header_bytes,
+            'max_field_size': self._header_bytes,
+            'max_headers': max(1, self._header_bytes // SHORTEST_FIELD_BYTES),
+        }
+        super().__init__(
+            server,
+            loop=loop,
+            keepalive_timeout=guard.limits.idle_timeout_s,
+            lingering_time=LINGERING_S,
+            read_bufsize=READ_BYTES,
+            access_log=None,
+            # The body reaches the upstream under the caller's headers.
+            auto_decompress=False,
+            **sizes,
+        )
+        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
+        self._parser = http.HttpRequestParser(
+            self,
+            loop,
+            READ_BYTES,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=MAX_QUEUED_REQUESTS,
+            **sizes,
+        )
+        self.peer = ''
+        self._own_transport: asyncio.Transport | None = None
+        self._is_refused = False
+        # Body of the last request that was parsed.
+        self._last_body: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection."""
+        super().connection_made(transport)
+        self._own_transport = transport
+        peer = transport.get_extra_info('peername')
+        self.peer = f'{peer[0]}:{peer[1]}' if peer else ''
+        self._guard.opened(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Count the connection no more."""
+        self._guard.closed(self)
+        self._own_transport = None
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes, up to those that are no request."""
+        if self._is_refused or self._force_close or self._close:
+            return
+        seen = self._request_count
+        super().data_received(data)
+        if self._request_count > seen:
+            self._check_request()
+
+    def force_close(self) -> None:
+        """Close the connection once what was written has been taken."""
+        super().force_close()
+        self._guard.move(self, _State.CLOSING)
+
+    def log_exception(self, *args: Any, **options: Any) -> None:
+        """Log an error, but none that a client has caused."""
+        if not self._is_refused and self.transport is not None:
+            super().log_exception(*args, **options)
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: Any, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write the answer, then wait for the next request."""
+        finished = await super().finish_response(request, resp, start_time)
+        response, _is_reset = finished
+        if not response.keep_alive or self._close:
+            self._guard.move(self, _State.CLOSING)
+        elif not self._messages:
+            self._guard.move(self, _State.IDLE)
+        return finished
+
+    def _make_error_handler(
+        self, err_info: Any
+    ) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+        """Return the handler of a request that could not be read."""
+        self._is_refused = True
+
+        async def handle(_request: web.BaseRequest) -> web.StreamResponse:
+            text = err_info.message[:MAX_REASON_CHARACTERS]
+            response = web.Response(status=err_info.status, text=text)
+            response.force_close()
+            return response
+
+        return handle
+
+    def _check_request(self) -> None:
+        """Check the request that has been parsed last."""
+        message, body = self._messages[-1]
+        if isinstance(message, web_protocol._ErrInfo):
+            self._messages.pop()
+            self._refuse(message.exc)
+            return
+        self._last_body = body
+        if self._guard.state_of(self) in (
+            _State.NEW,
+            _State.HEAD,
+            _State.IDLE,
+        ):
+            self._guard.move(self, _State.RUNNING)
+
+    def _refuse(self, error: http_exceptions.HttpProcessingError) -> None:
+        """Refuse the request that is being read, and read no more.
+
+        Requests before it are answered first. What the error refers to is
+        not kept.
+        """
+        self._is_refused = True
+        self._pause_transport_reading()
+        reason, _end, _rest = error.message.partition('\n')
+        reason = reason[:MAX_REASON_CHARACTERS]
+        plain = http_exceptions.HttpProcessingError(
+            code=error.code, message=reason
+        )
+        info = web_protocol._ErrInfo(
+            status=error.code, exc=plain, message=reason
+        )
+        body = self._last_body
+        self._messages.append((info, streams.EMPTY_PAYLOAD))
+        if body is not None and not body.is_eof():
+            body.set_exception(web.RequestPayloadError(reason))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+        self._guard.refused(self, status=error.code, reason=reason)
+
+    def _resume_transport_reading(self) -> None:
+        """Read on, unless a request could not be read."""
+        if not self._is_refused:
+            super()._resume_transport_reading()
+
+
+class ClientReader(asyncio.BufferedProtocol):
+    """Read small parts of what a client has sent, for its connection.
+
+    The event loop would read up to 256 KiB at once, of each client.
+    """
+
+    # Used for a single read at a time, so all connections share it.
+    _buffer = bytearray(READ_BYTES)
+    _view = memoryview(_buffer)
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self._connection = connection
+        self.connection_made = connection.connection_made
+        self.connection_lost = connection.connection_lost
+        self.pause_writing = connection.pause_writing
+        self.resume_writing = connection.resume_writing
+        self.eof_received = connection.eof_received
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to read to."""
+        return self._view
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what has been read."""
+        self._connection.data_received(bytes(self._view[:nbytes]))
--- a/src/skylarkpitch/operators/call_bodies.py
+++ b/src/skylarkpitch/operators/call_bodies.py
@@ -1,8 +1,18 @@
 """Read the bodies of calls to a control host, within limits."""
 
+import enum
+
 from aiohttp import web
 
-__all__ = ['MAX_CONFIGURATION_BYTES', 'MAX_REPORT_BYTES', 'read']
+from skylarkpitch.forwarding import body_budget
+
+__all__ = [
+    'MAX_CONFIGURATION_BYTES',
+    'MAX_REPORT_BYTES',
+    'BodyProblem',
+    'problem_text',
+    'read',
+]
 
 # A configuration is stored with its document, in a command of at most twice
 # this size.
@@ -10,19 +20,58 @@
 MAX_REPORT_BYTES = 64 * 1024
 
 
-async def read(request: web.BaseRequest, *, max_bytes: int) -> bytes | None:
-    """Return the body of a call, None if it has over ``max_bytes``.
+class BodyProblem(enum.IntEnum):
+    """Why a body cannot be taken, as the status of the answer."""
+
+    TOO_LARGE = 413
+
+
+def problem_text(problem: BodyProblem, *, max_bytes: int) -> str:
+    """Return what a caller should do about a body that was not taken."""
+    return {
+        BodyProblem.TOO_LARGE: f'this call takes at most {max_bytes} bytes',
+    }[problem]
+
+
+async def read(
+    request: web.BaseRequest,
+    *,
+    max_bytes: int,
+    bodies: body_budget.BodyBudget,
+) -> bytes | BodyProblem:
+    """Return the body of a call, or why it cannot be taken.
 
     The limit of the library does not apply: it is the same for all calls,
     and lower than a large configuration.
     """
-    if (request.content_length or 0) > max_bytes:
+    body = _HeldBody(max_bytes=max_bytes, bodies=bodies)
+    problem = await body.receive(request)
+    return b''.join(body.blocks) if problem is None else problem
+
+
+class _HeldBody:
+    """Body of one call, as far as it has been read."""
+
+    def __init__(
+        self, *, max_bytes: int, bodies: body_budget.BodyBudget
+    ) -> None:
+        self._max_bytes = max_bytes
+        self._bodies = bodies
+        self.blocks: list[bytearray] = []
+        self.size_bytes = 0
+
+    async def receive(self, request: web.BaseRequest) -> BodyProblem | None:
+        """Read a body; return why it cannot be taken, otherwise None."""
+        while chunk := await request.content.readany():
+            problem = self._append(chunk)
+            if problem is not None:
+                return problem
+        return None
+
+    def _append(self, chunk: bytes) -> BodyProblem | None:
+        size_bytes = self.size_bytes + len(chunk)
+        if size_bytes > self._max_bytes:
+            return BodyProblem.TOO_LARGE
+        self.size_bytes = size_bytes
+        body_budget.append_chunk(self.blocks, chunk)
         return None
-    chunks = []
-    size_bytes = 0
-    while chunk := await request.content.readany():
-        size_bytes += len(chunk)
-        if size_bytes > max_bytes:
-            return None
-        chunks.append(chunk)
-    return b''.join(chunks)
--- a/src/skylarkpitch/operators/fleet_calls.py
+++ b/src/skylarkpitch/operators/fleet_calls.py
@@ -19,6 +19,7 @@
 from skylarkpitch.fleet import control_requests
 from skylarkpitch.fleet import control_service as control_services
 from skylarkpitch.fleet import model
+from skylarkpitch.forwarding import body_budget
 from skylarkpitch.operators import call_bodies
 from skylarkpitch.operators import executed_calls
 
@@ -100,11 +101,12 @@
     control_service: control_services.ControlService,
     region_of: Callable[[str], str | None],
     operator_token: str,
+    bodies: body_budget.BodyBudget,
 ) -> Callable[[web.BaseRequest], Awaitable[web.Response]]:
     """Return the handler of all HTTP calls to a control host.
 
     ``region_of`` returns the region of a failure domain, or None if it is
-    unknown.
+    unknown. Bodies are held within ``bodies``.
     """
 
     async def handle(request: web.BaseRequest) -> web.Response:
@@ -121,7 +123,9 @@
             return _error(404, 'no such call; see docs/operators/fleet.md')
         if requires_operator and not _is_operator(request, operator_token):
             return _error(401, 'the operator token is missing or wrong')
-        return await _execute_call(control_service, request, build, name)
+        return await _execute_call(
+            control_service, request, build, name, bodies
+        )
 
     return handle
 
@@ -139,13 +143,15 @@
     request: web.BaseRequest,
     build: Callable[[str, Any, bytes], control_requests.ControlRequest],
     quoted_name: str,
+    bodies: body_budget.BodyBudget,
 ) -> web.Response:
     max_bytes = call_bodies.MAX_REPORT_BYTES
     if build is _put_configuration:
         max_bytes = call_bodies.MAX_CONFIGURATION_BYTES
-    body = await call_bodies.read(request, max_bytes=max_bytes)
-    if body is None:
-        return _error(413, f'this call takes at most {max_bytes} bytes')
+    body = await call_bodies.read(request, max_bytes=max_bytes, bodies=bodies)
+    if isinstance(body, call_bodies.BodyProblem):
+        text = call_bodies.problem_text(body, max_bytes=max_bytes)
+        return _error(body.value, text)
     name = urllib.parse.unquote(quoted_name)
     try:
         control_request = build(name, request, body)
--- a/src/skylarkpitch/requests/bodies.py
+++ b/src/skylarkpitch/requests/bodies.py
@@ -5,17 +5,17 @@
 
 from aiohttp import web
 
+from skylarkpitch.listening import limits
 from skylarkpitch import sentinels
 from skylarkpitch.settings import daemon
 
 __all__ = ['BodyReader', 'CallerBody', 'stream']
 
-MAX_BUFFERED_BYTES = 256 * 1024 * 1024
 PREFETCH_BYTES = 64 * 1024
 
 
 class _BufferLimitError(Exception):
-    """The buffered bodies of all requests exceed ``MAX_BUFFERED_BYTES``."""
+    """The process holds as much as it may for its clients."""
 
 
 class CallerBody:
@@ -71,10 +71,13 @@
 
 
 class BodyReader:
-    """Reader of request bodies, with a limit of buffered bytes in total."""
+    """Reader of request bodies, which are held in the pool of the process."""
 
-    def __init__(self, *, settings: daemon.LimitSettings) -> None:
+    def __init__(
+        self, *, settings: daemon.LimitSettings, pool: limits.MemoryPool
+    ) -> None:
         self._settings = settings
+        self._pool = pool
         self.buffered_bytes = 0
 
     async def read(
@@ -84,9 +87,9 @@
 
         Reads the body to its end if ``whole``, else its first
         ``PREFETCH_BYTES``. Returns ``Absent`` with reason
-        ``body_too_large``, ``host_busy`` if the buffered bytes of all
-        requests exceed the limit, ``body_timeout`` or ``caller_gone``. Pass
-        the body to :meth:`release` once it is no longer needed.
+        ``body_too_large``, ``host_busy`` if the process has no memory for
+        it, ``body_timeout`` or ``caller_gone``. Pass the body to
+        :meth:`release` once it is no longer needed.
         """
         length = request.content_length
         if length is not None and length > self._settings.max_body_bytes:
@@ -106,7 +109,11 @@
 
     def release(self, body: CallerBody) -> None:
         """Subtract a body from the buffered bytes."""
-        self.buffered_bytes -= len(body.prefix)
+        self._hold(-len(body.prefix))
+
+    def _hold(self, more_bytes: int) -> None:
+        self.buffered_bytes += more_bytes
+        self._pool.add(more_bytes)
 
     async def _read_chunks(
         self, request: web.BaseRequest, *, limit: int, whole: bool
@@ -120,11 +127,11 @@
                     break
                 chunks.append(chunk)
                 size += len(chunk)
-                self.buffered_bytes += len(chunk)
-                if self.buffered_bytes > MAX_BUFFERED_BYTES:
+                self._hold(len(chunk))
+                if self._pool.is_short:
                     raise _BufferLimitError
         except BaseException as error:
-            self.buffered_bytes -= size
+            self._hold(-size)
             if isinstance(error, _BufferLimitError):
                 return sentinels.Absent('host_busy')
             raise
@@ -143,7 +150,7 @@
         if len(prefix) <= limit:
             return CallerBody(prefix=prefix, rest=None)
         if whole:
-            self.buffered_bytes -= len(prefix)
+            self._hold(-len(prefix))
             return sentinels.Absent('body_too_large')
         return CallerBody(
             prefix=prefix,
--- a/src/skylarkpitch/requests/request_handler.py
+++ b/src/skylarkpitch/requests/request_handler.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 import structlog
 
+from skylarkpitch.listening import limits as connection_limits
 from skylarkpitch import ports
 from skylarkpitch.requests import admission
 from skylarkpitch.requests import attempts
@@ -32,6 +33,7 @@
 __all__ = ['RequestHandler', 'RequestOutcome']
 
 DEFAULT_QUARANTINE_S = 300.0
+BYTES_PER_MB = 1024 * 1024
 
 _log = structlog.get_logger(__name__)
 
@@ -66,8 +68,9 @@
     """Handler of all requests outside the paths of the system itself.
 
     ``site_config`` returns the configuration in use, or ``Absent``.
-    ``is_stopping`` returns True while the host refuses new requests. Calls
-    ``on_finished`` with the outcome of each request.
+    ``pool`` is what the process may hold for its clients. ``is_stopping``
+    returns True while the host refuses new requests. Calls ``on_finished``
+    with the outcome of each request.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         slot_allocator: ports.SlotAllocator,
         ledger: ports.Ledger,
         settings: daemon.LimitSettings,
+        pool: connection_limits.MemoryPool | None = None,
         is_stopping: Callable[[], bool],
         on_finished: Callable[[RequestOutcome], None] = lambda outcome: None,
         crash_watch: crash_watches.CrashWatch | None = None,
@@ -100,7 +104,13 @@
             max_header_bytes=settings.max_header_bytes,
             region_of=region_of,
         )
-        self._bodies = bodies.BodyReader(settings=settings)
+        self._bodies = bodies.BodyReader(
+            settings=settings,
+            pool=pool
+            or connection_limits.MemoryPool(
+                memory_bytes=settings.memory_mb * BYTES_PER_MB
+            ),
+        )
         self._client = exchange.UpstreamClient(settings=settings, clock=clock)
         self._crash_watch = crash_watch or crash_watches.CrashWatch(
             quarantine_s=lambda: DEFAULT_QUARANTINE_S, clock=clock
--- a/src/skylarkpitch/settings/daemon.py
+++ b/src/skylarkpitch/settings/daemon.py
@@ -87,7 +87,10 @@
     """Limits on the memory and time that callers can use in this process.
 
     ``max_answer_bytes`` limits the body of a response, and ``body_timeout_s``
-    the time to transfer a body.
+    the time to transfer a body. A head may take ``header_timeout_s``.
+    ``memory_mb`` limits what the process holds for its clients. Without
+    ``max_descriptors`` the limit of the operating system holds, as it does
+    if it is lower.
     """
 
     max_header_bytes: int = pydantic.Field(default=16384, ge=1024)
@@ -95,6 +98,9 @@
     max_answer_bytes: int = pydantic.Field(default=64 * 1024 * 1024, ge=1024)
     max_running_calls: int = pydantic.Field(default=4000, ge=1)
     body_timeout_s: float = pydantic.Field(default=30.0, gt=0)
+    header_timeout_s: float = pydantic.Field(default=10.0, gt=0)
+    memory_mb: int = pydantic.Field(default=300, ge=128, le=1_000_000)
+    max_descriptors: int | None = pydantic.Field(default=None, ge=128)
 
 
 class ControlSettings(_Model):
--- a/src/skylarkpitch/settings/fleet.py
+++ b/src/skylarkpitch/settings/fleet.py
@@ -22,7 +22,20 @@
     model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
 
 
-class ControlFile(_Model):
+class _ProcessFile(_Model):
+    """What a process may use.
+
+    ``memory_mb`` limits what it holds for its clients: bodies that do not
+    fit are refused, and clients that do not behave are closed. Without
+    ``max_descriptors`` the limit of the operating system holds, as it does
+    if it is lower.
+    """
+
+    memory_mb: int = pydantic.Field(default=300, ge=128, le=1_000_000)
+    max_descriptors: int | None = pydantic.Field(default=None, ge=128)
+
+
+class ControlFile(_ProcessFile):
     """Settings of a control host.
 
     ``calls`` is the address of the HTTP API. Only hosts with
@@ -42,7 +55,7 @@
     heartbeat_s: float = pydantic.Field(default=1.5, gt=0, le=60)
 
 
-class EntryFile(_Model):
+class EntryFile(_ProcessFile):
     """Settings of an entry host.
 
     ``retry_ratio`` and ``retry_extra`` limit the retries within
@@ -51,8 +64,7 @@
     apply to the whole fleet. ``ready`` and ``ready_path`` are the address and
     path of the readiness check. During a planned stop the host accepts
     requests for another ``goodbye_s``, since callers cache look-ups that
-    long; the stop ends within ``grace_s``. ``memory_mb`` is what the process
-    may use; bodies that do not fit are refused.
+    long; the stop ends within ``grace_s``.
     """
 
     callers: daemon.Address
@@ -66,7 +78,6 @@
     rate_window_s: float = pydantic.Field(default=5.0, gt=0, le=600)
     goodbye_s: float = pydantic.Field(default=2.6, ge=0, le=60)
     grace_s: float = pydantic.Field(default=6.0, gt=0, le=600)
-    memory_mb: int = pydantic.Field(default=300, ge=128, le=1_000_000)
 
 
 class FleetFile(_Model):
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -28,6 +28,7 @@
 from skylarkpitch.forwarding import sender as senders
 from skylarkpitch.forwarding import upstream_selector as selectors
 from skylarkpitch.messages import fleet as messages
+from tests.stand_ins import connection_guards
 
 HOST = 'pans.example'
 NAMES = header_names.HeaderNames()
@@ -248,6 +249,7 @@
             names=NAMES,
             retry_limits=retry_budget.RetryLimits(ratio=0.2, extra=60.0),
             rate_tolerance=callers.RateTolerance(),
+            pool=connection_guards.resources().pool,
             is_ready=lambda: True,
             is_stopping=lambda: False,
             on_finished=self.outcomes.append,
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -10,6 +10,7 @@
 
 from skylarkpitch.daemon import fleet
 from skylarkpitch.daemon import fleet_control
+from tests.stand_ins import connection_guards
 
 SETTINGS = """\
 Node=front-a-1
@@ -81,7 +82,7 @@
                 heartbeat_s=1.0,
                 region_of={}.get,
                 addresses=(),
-                create_handler=lambda control_service: None,
+                create_handler=lambda control_service, bodies: None,
             ),
             context=fleet.RoleContext(
                 peers=types.SimpleNamespace(
@@ -91,6 +92,7 @@
                     send=lambda host, message: False,
                 ),
                 seeds=lambda: (),
+                resources=connection_guards.resources(),
                 loop_delay=None,
                 rng=random.Random(1),
             ),
--- a/tests/test_fleet_currency.py
+++ b/tests/test_fleet_currency.py
@@ -16,6 +16,7 @@
 from skylarkpitch.fleet import subscriber as subscribers
 from skylarkpitch.fleet import view as views
 from skylarkpitch.messages import consensus as messages
+from tests.stand_ins import connection_guards
 from tests.stand_ins import fake_peers
 from tests.stand_ins import fleet_cluster
 from tests.stand_ins import lossy_network
@@ -222,6 +223,7 @@
     handle = calls.handler(
         calls.Context(
             control_service=play.cluster.control_services[name],
+            bodies=connection_guards.bodies(),
             own_ip=name,
             control_port='1',
             region_of=lambda domain: domain[:4],
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -16,6 +16,7 @@
 
 from skylarkpitch.daemon import fleet_main
 from skylarkpitch.operators import fleet_calls
+from tests.stand_ins import connection_guards
 from tests.stand_ins import fleet_cluster
 from tests.stand_ins import raw_upstream
 from tests import test_fleet_state as fleet_fixtures
@@ -182,6 +183,7 @@
             control_service=cluster.control_services['b'],
             region_of=lambda domain: domain[:4],
             operator_token=OPERATOR_TOKEN,
+            bodies=connection_guards.bodies(),
         )
         server = web.Server(handle)
         listening = await asyncio.get_running_loop().create_server(
--- a/tests/test_fleet_orders.py
+++ b/tests/test_fleet_orders.py
@@ -16,6 +16,7 @@
 from skylarkpitch.messages import fleet as messages
 from skylarkpitch.operators import fleet_calls
 from skylarkpitch import sentinels
+from tests.stand_ins import connection_guards
 from tests.stand_ins import fleet_cluster
 from tests.stand_ins import virtual_time
 
@@ -248,6 +249,7 @@
         control_service=service,
         region_of=lambda domain: domain[:4],
         operator_token='t',
+        bodies=connection_guards.bodies(),
     )
 
 
@@ -255,6 +257,7 @@
     return calls.handler(
         calls.Context(
             control_service=service,
+            bodies=connection_guards.bodies(),
             own_ip='b',
             control_port='1',
             region_of=lambda domain: domain[:4],
--- a/tests/test_forwarding_body_budget.py
+++ b/tests/test_forwarding_body_budget.py
@@ -5,12 +5,17 @@
 import pytest
 
 from skylarkpitch.forwarding import body_budget
+from skylarkpitch.listening import limits
 from tests.stand_ins import raw_upstream as upstreams
 from tests import test_forwarding_exchange as exchanges
 
 KIB = 1024
 # Memory of a host that may hold 1000 KiB of bodies.
-MEMORY_BYTES = body_budget.BASE_MEMORY_BYTES + 1000 * KIB
+MEMORY_BYTES = limits.BASE_MEMORY_BYTES + 1000 * KIB
+
+
+def new_pool():
+    return limits.MemoryPool(memory_bytes=MEMORY_BYTES)
 
 
 @pytest.mark.parametrize(
@@ -29,7 +34,7 @@
     ],
 )
 def test_bodies_fit_within_the_budget(sizes_kib, expected):
-    budget = body_budget.BodyBudget(memory_bytes=MEMORY_BYTES)
+    budget = body_budget.BodyBudget(pool=new_pool())
     taken = [
         budget.take(size * KIB, body_bytes=size * KIB) for size in sizes_kib
     ]
@@ -38,7 +43,7 @@
 
 
 def test_budget_is_free_again_after_a_release():
-    budget = body_budget.BodyBudget(memory_bytes=MEMORY_BYTES)
+    budget = body_budget.BodyBudget(pool=new_pool())
     for _number in range(3):
         assert budget.take(700 * KIB, body_bytes=700 * KIB)
         assert not budget.take(700 * KIB, body_bytes=700 * KIB)
@@ -47,7 +52,7 @@
 
 
 def test_growing_bodies_do_not_exceed_the_budget_together():
-    budget = body_budget.BodyBudget(memory_bytes=MEMORY_BYTES)
+    budget = body_budget.BodyBudget(pool=new_pool())
     sizes = {'a': 0, 'b': 0}
     for _round in range(100):
         for name, size in sizes.items():
@@ -95,7 +100,7 @@
         async with exchanges.forwarding(
             [respond_late],
             repeatable=False,
-            memory_bytes=MEMORY_BYTES,
+            pool=new_pool(),
             timeout_ms=5000.0,
         ) as entry:
             first = asyncio.ensure_future(
--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -12,13 +12,14 @@
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
-from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import callers_listener
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import request_handler as handlers
 from skylarkpitch.forwarding import retry_budget
 from skylarkpitch.forwarding import upstream_selector as selectors
+from skylarkpitch.listening import limits
+from tests.stand_ins import connection_guards
 from tests.stand_ins import raw_upstream as upstreams
 from tests import test_fleet_state as fleet_fixtures
 
@@ -49,13 +50,14 @@
 async def forwarding(
     *behaviours,
     repeatable,
-    memory_bytes=body_budget.DEFAULT_MEMORY_BYTES,
+    pool=None,
     **options,
 ):
     """Run one entry host and one upstream for each list of behaviours.
 
     Yields an ``EntryHostClient``.
     """
+    pool = pool or limits.MemoryPool(memory_bytes=limits.DEFAULT_MEMORY_BYTES)
     running = [upstreams.RawUpstream(*items) for items in behaviours]
     for item in running:
         await item.start()
@@ -76,7 +78,7 @@
         names=header_names.HeaderNames(),
         retry_limits=retry_budget.RetryLimits(ratio=1.0, extra=50.0),
         rate_tolerance=callers.RateTolerance(),
-        memory_bytes=memory_bytes,
+        pool=pool,
         is_ready=lambda: True,
         is_stopping=lambda: False,
         on_finished=outcomes.append,
@@ -88,7 +90,9 @@
     with callers_listener.bind('127.0.0.1:0') as free_socket:
         port = free_socket.getsockname()[1]
     listener = callers_listener.CallersListener(
-        address=f'127.0.0.1:{port}', handler=handler.handle
+        address=f'127.0.0.1:{port}',
+        handler=handler.handle,
+        guard=connection_guards.guard(pool=pool),
     )
     await listener.open(model.CallerLimits())
     async with aiohttp.ClientSession() as session:
--- a/tests/test_forwarding_keys.py
+++ b/tests/test_forwarding_keys.py
@@ -13,10 +13,10 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import admission as admissions
-from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import header_names
+from tests.stand_ins import connection_guards
 from tests import test_fleet_state as fleet_fixtures
 
 HELD, UNKNOWN = 'key', 'never-held'
@@ -59,9 +59,7 @@
         view=view,
         names=header_names.HeaderNames(),
         rate_tolerance=callers.RateTolerance(),
-        bodies=body_budget.BodyBudget(
-            memory_bytes=body_budget.DEFAULT_MEMORY_BYTES
-        ),
+        bodies=connection_guards.bodies(),
         is_serving=lambda: True,
         clock=lambda: 0.0,
     )
--- a/tests/test_forwarding_routing.py
+++ b/tests/test_forwarding_routing.py
@@ -12,12 +12,12 @@
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import view as views
 from skylarkpitch.forwarding import admission
-from skylarkpitch.forwarding import body_budget
 from skylarkpitch.forwarding import callers
 from skylarkpitch.forwarding import calls
 from skylarkpitch.forwarding import header_names
 from skylarkpitch.forwarding import refusals
 from skylarkpitch.forwarding import routing
+from tests.stand_ins import connection_guards
 from tests.stand_ins import virtual_time
 from tests import test_fleet_state as fleet_fixtures
 
@@ -132,7 +132,7 @@
             rate_tolerance=callers.RateTolerance(),
             is_serving=lambda: True,
             clock=asyncio.get_running_loop().time,
-            bodies=body_budget.BodyBudget(memory_bytes=300_000_000),
+            bodies=connection_guards.bodies(),
         )
 
     def configure(
--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -8,6 +8,7 @@
 
 from skylarkpitch.fleet import model
 from skylarkpitch.forwarding import callers_listener
+from tests.stand_ins import connection_guards
 
 LONG_S = 30.0
 
@@ -18,7 +19,9 @@
     address = f'127.0.0.1:{free_socket.getsockname()[1]}'
     free_socket.close()
     listener = callers_listener.CallersListener(
-        address=address, handler=handler
+        address=address,
+        handler=handler,
+        guard=connection_guards.guard(),
     )
     await listener.open(model.CallerLimits())
     return listener, address
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -11,6 +11,7 @@
 from skylark_platform import calls
 from skylark_platform import documents as platform_documents
 
+from tests.stand_ins import connection_guards
 from tests.stand_ins import fleet_cluster
 from tests import test_platform_configurations as documents
 
@@ -29,6 +30,7 @@
     handler = calls.handler(
         calls.Context(
             control_service=cluster.control_services['b'],
+            bodies=connection_guards.bodies(),
             own_ip='b',
             control_port='1',
             region_of=lambda domain: domain[:4],
