Bound the head of a request in all, and by its bytes only

What was seen: heads of many lines, each within the limit, were kept without a limit in all (128 fields of 16 KiB each are 2 MB a connection), and empty lines before a request were read for ever. A request with 1,000 fields in 15 KB was refused (400), though it is within MaxHeaderBytes.

Cause: the parser limits each line, and the number of fields to 128; it drops empty lines without a callback, so nothing counted them.

Change: a connection counts the bytes since its last request. The fields of a request have MaxHeaderBytes together, its request line as many, and what has been read before it is complete may be twice that and 4 KiB; beyond it 431, and the connection is closed. The number of fields is limited by their bytes.

Evidence, on: header_lines, large_fields, empty_lines and empty_lines_after_a_request at callers and control failed (one run each with the long IdleTimeout that the test has; with 15 s, that closed them at callers), so did heads at every other port of a fleet (7 rows) and of skylarkd (3 rows), and thousand_fields among the requests at the edge, in both programs.

--- a/src/skylarkpitch/listening/client_connection.py
+++ b/src/skylarkpitch/listening/client_connection.py
@@ -28,10 +28,13 @@
 # The shortest header field, so that the number of fields is limited by their
 # bytes alone.
 SHORTEST_FIELD_BYTES = len(b'a:\r\n')
+# Method, version and empty lines, beside the target and the fields.
+HEAD_SLACK_BYTES = 4096
 # How long more of a body is read after its request was refused, so that the
 # client can read the refusal.
 LINGERING_S = 5.0
 MAX_REASON_CHARACTERS = 100
+STATUS_HEAD_TOO_LARGE = 431
 
 _State = connection_table.State
 
@@ -84,6 +87,8 @@
         self._is_refused = False
         # Body of the last request that was parsed.
         self._last_body: Any = None
+        # Bytes since the last request, of a head that is not complete.
+        self._head_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection."""
@@ -100,13 +105,16 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes, up to those that are no request."""
+        """Parse bytes, within the limits of a head."""
         if self._is_refused or self._force_close or self._close:
             return
+        was_in_head = self._last_body is None or self._last_body.is_eof()
         seen = self._request_count
         super().data_received(data)
         if self._request_count > seen:
-            self._check_request()
+            self._check_requests(self._request_count - seen, data)
+        elif was_in_head and data:
+            self._check_head(data)
 
     def force_close(self) -> None:
         """Close the connection once what was written has been taken."""
@@ -144,8 +152,13 @@
 
         return handle
 
-    def _check_request(self) -> None:
-        """Check the request that has been parsed last."""
+    def _check_requests(self, count: int, data: bytes) -> None:
+        """Check requests that have just been parsed, the last ones."""
+        if self._head_bytes + len(data) > self._header_bytes:
+            self._drop_large_heads(count)
+            if self._is_refused:
+                return
+        self._head_bytes = 0
         message, body = self._messages[-1]
         if isinstance(message, web_protocol._ErrInfo):
             self._messages.pop()
@@ -159,6 +172,38 @@
         ):
             self._guard.move(self, _State.RUNNING)
 
+    def _drop_large_heads(self, count: int) -> None:
+        """Refuse the first of the last requests whose head is too large."""
+        for number in range(len(self._messages) - count, len(self._messages)):
+            message, body = self._messages[number]
+            if _fields_bytes(message) > self._header_bytes:
+                while len(self._messages) > number:
+                    self._messages.pop()
+                body.set_exception(web.RequestPayloadError('not read'))
+                self._refuse_large_head()
+                return
+
+    def _check_head(self, data: bytes) -> None:
+        """Check a part of a head."""
+        self._head_bytes += len(data)
+        if self._head_bytes > 2 * self._header_bytes + HEAD_SLACK_BYTES:
+            self._refuse_large_head()
+            return
+        # Empty lines before a request are no part of it.
+        is_started = bool(data.strip(b'\r\n'))
+        state = self._guard.state_of(self)
+        if is_started and state in (_State.NEW, _State.IDLE):
+            self._guard.move(self, _State.HEAD)
+
+    def _refuse_large_head(self) -> None:
+        self._refuse(
+            http_exceptions.HttpProcessingError(
+                code=STATUS_HEAD_TOO_LARGE,
+                message=f'a head may have {self._header_bytes} bytes of '
+                'fields; send less of them',
+            )
+        )
+
     def _refuse(self, error: http_exceptions.HttpProcessingError) -> None:
         """Refuse the request that is being read, and read no more.
 
@@ -214,3 +259,12 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Handle what has been read."""
         self._connection.data_received(bytes(self._view[:nbytes]))
+
+
+def _fields_bytes(message: Any) -> int:
+    """Return the bytes of the header fields of a request."""
+    if isinstance(message, web_protocol._ErrInfo):
+        return 0
+    return sum(
+        len(name) + len(value) + 4 for name, value in message.raw_headers
+    )
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -42,8 +42,27 @@
     'request_line': crowds.endless(b'GET /', b'x'),
     'header_value': crowds.endless(HEAD + b'X: ', b'x'),
     'header_name': crowds.endless(HEAD, b'x'),
+    'header_lines': crowds.endless(HEAD, b'a: b\r\n'),
+    'large_fields': crowds.endless(HEAD, LARGE_FIELD),
+    'empty_lines': crowds.endless(b'', b'\r\n'),
+    'empty_lines_after_a_request': crowds.endless(
+        b'GET /unknown HTTP/1.1\r\nHost: pans.example\r\n\r\n', b'\r\n'
+    ),
     'no_request': crowds.endless(b'', b'\x00\xff no request at all \r\n'),
 }
+# Ports with an HTTP server of their own, beside callers and control.
+OTHER_PORTS = (
+    ('platform', 'ready'),
+    ('platform', 'directory'),
+    ('platform', 'entry-metrics'),
+    ('own', 'callers'),
+    ('own', 'ready'),
+    ('own', 'control'),
+    ('own', 'control-metrics'),
+)
+SINGLE_HOST_PORTS = ('callers', 'relay', 'operators')
+# Beside these, heads in pieces and silence have no end of their own.
+KINDS_AT_ALL_PORTS = ('request_line', 'header_value', 'empty_lines')
 
 
 def assert_within_settings(system, *, memory_mb=small_system.MEMORY_MB):
@@ -90,6 +109,34 @@
     asyncio.run(scenario())
 
 
+# The same at every other port of a fleet.
+@pytest.mark.parametrize(
+    ('program', 'port'), OTHER_PORTS, ids=map('-'.join, OTHER_PORTS)
+)
+def test_heads_without_end_are_closed_at_every_port(program, port, tmp_path):
+    async def scenario():
+        async with small_system.fleet_system(program, tmp_path) as system:
+            for kind in KINDS_AT_ALL_PORTS:
+                crowd = crowd_at(system, port, HEADS_WITHOUT_END[kind])
+                assert await play(system, port, crowd) == 0, kind
+            assert_within_settings(system)
+
+    asyncio.run(scenario())
+
+
+# The same at the ports of the other request path.
+@pytest.mark.parametrize('port', SINGLE_HOST_PORTS)
+def test_heads_without_end_are_closed_by_skylarkd(port, tmp_path):
+    async def scenario():
+        async with small_system.single_host(tmp_path) as system:
+            for kind in KINDS_AT_ALL_PORTS:
+                crowd = crowd_at(system, port, HEADS_WITHOUT_END[kind])
+                assert await play(system, port, crowd) == 0, kind
+            assert_within_settings(system, memory_mb=DEFAULT_MEMORY_MB)
+
+    asyncio.run(scenario())
+
+
 # Guards against a line with a traceback for each bad request.
 @pytest.mark.parametrize('port', ['callers', 'ready', 'control'])
 @pytest.mark.parametrize('program', ['platform', 'own'])
@@ -108,3 +155,117 @@
             assert written_bytes <= MAX_LOG_BYTES
 
     asyncio.run(scenario())
+
+
+def request_of(*rows, target=b'/pans/4', method=b'GET', body=b''):
+    line = method + b' ' + target + b' HTTP/1.1'
+    rows = (line, b'Host: pans.example', *rows, b'', b'')
+    return [b'\r\n'.join(rows) + body]
+
+
+def fields(count):
+    """Return header rows of 15 KB in so many fields."""
+    size = 15 * 1024 // count
+    return [
+        b'X-%04d: ' % number + b'x' * max(1, size - 10)
+        for number in range(count)
+    ]
+
+
+def slowly(request, *, for_s, pieces):
+    """Return pauses in seconds between the pieces of a request."""
+    size = len(request) // pieces
+    parts = [
+        request[size * number : size * (number + 1)]
+        for number in range(pieces)
+    ]
+    parts[-1] += request[size * pieces :]
+    return [item for part in parts for item in (part, for_s / pieces)][:-1]
+
+
+IDLE_TIMEOUT_MS = 15_000
+BODY_BYTES = small_system.MAX_BODY_BYTES
+IN_CHUNKS = b''.join(
+    b'200\r\n' + b'x' * 512 + b'\r\n' for _ in range(BODY_BYTES // 512)
+)
+ORDINARY = request_of()[0]
+# Each a list of bytes to send and of seconds to pause.
+EDGES = {
+    'one_field': request_of(*fields(1)),
+    'six_fields': request_of(*fields(6)),
+    'hundred_fields': request_of(*fields(100)),
+    'thousand_fields': request_of(*fields(1000)),
+    'long_path': request_of(target=b'/pans/' + b'x' * 14_000 + b'/4'),
+    'long_path_and_fields': request_of(
+        *fields(6), target=b'/pans/' + b'x' * 14_000 + b'/4'
+    ),
+    'largest_body': request_of(
+        b'Content-Length: %d' % BODY_BYTES,
+        method=b'POST',
+        body=b'x' * BODY_BYTES,
+    ),
+    'largest_body_in_chunks': request_of(
+        b'Transfer-Encoding: chunked',
+        method=b'POST',
+        body=IN_CHUNKS + b'0\r\n\r\n',
+    ),
+    'slow_head': slowly(
+        ORDINARY,
+        for_s=0.9 * small_system.HEADER_TIMEOUT_MS / 1000,
+        pieces=9,
+    ),
+    'empty_line_first': [b'\r\n', ORDINARY],
+    'idle_before_the_next': [
+        ORDINARY,
+        0.8 * IDLE_TIMEOUT_MS / 1000,
+        ORDINARY,
+    ],
+    'two_at_once': [ORDINARY + ORDINARY],
+    'slow_body': [
+        POST + b'Content-Length: 4\r\n\r\n',
+        1.5 * small_system.HEADER_TIMEOUT_MS / 1000,
+        b'body',
+    ],
+}
+
+
+async def statuses_of(address, steps):
+    """Return the statuses of the answers to bytes sent over one connection."""
+    reader, writer = await asyncio.open_connection(*address)
+    expected = sum(
+        step.count(b' HTTP/1.1\r\n') for step in steps if type(step) is bytes
+    )
+    async with asyncio.timeout(LONG_PATIENCE_S):
+        for step in steps:
+            if isinstance(step, bytes):
+                writer.write(step)
+                await writer.drain()
+            else:
+                await asyncio.sleep(step)
+        statuses = []
+        for _ in range(expected):
+            head = await reader.readuntil(b'\r\n\r\n')
+            statuses.append(int(head.split()[1]))
+            length = head.lower().partition(b'content-length: ')[2].split()[0]
+            await reader.readexactly(int(length))
+    writer.close()
+    return statuses
+
+
+# Guards against limits that ordinary clients meet.
+@pytest.mark.parametrize('program', ['platform', 'own'])
+def test_requests_at_the_edge_of_the_limits_are_served(program, tmp_path):
+    async def scenario():
+        async with small_system.fleet_system(
+            program, tmp_path, idle_timeout_ms=IDLE_TIMEOUT_MS
+        ) as system:
+            address = system.addresses['callers']
+            found = await asyncio.gather(
+                *(statuses_of(address, steps) for steps in EDGES.values())
+            )
+            assert {status for row in found for status in row} == {200}, dict(
+                zip(EDGES, found, strict=True)
+            )
+            assert_within_settings(system)
+
+    asyncio.run(scenario())
