Close heads that take too long, and connections without a request

What was seen: 400 clients that sent half a head, then a byte each half second, stayed open past HeaderTimeout. Control, readiness and metrics kept connections that say nothing for an hour.

Cause: no code read `header_timeout_ms`; the servers besides callers' had the default of the library, 3,630 s. Limits were fixed when a connection was made.

Change: a table knows what each connection waits for and since when. It closes heads after HeaderTimeout (408, nothing of them has run), connections without a request after IdleTimeout, and those that do not end after 30 s. New time-outs hold for open connections. One timer serves a port. After a stall of the process, what has arrived is read before a head counts as late.

--- a/src/skylarkpitch/listening/client_connection.py
+++ b/src/skylarkpitch/listening/client_connection.py
@@ -33,7 +33,13 @@
 # How long more of a body is read after its request was refused, so that the
 # client can read the refusal.
 LINGERING_S = 5.0
+# Longer than any connection lasts without a request: the guard closes it.
+UNUSED_KEEPALIVE_S = 7 * 24 * 3600.0
 MAX_REASON_CHARACTERS = 100
+HEAD_LATE = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
 STATUS_HEAD_TOO_LARGE = 431
 
 _State = connection_table.State
@@ -63,7 +69,7 @@
         super().__init__(
             server,
             loop=loop,
-            keepalive_timeout=guard.limits.idle_timeout_s,
+            keepalive_timeout=UNUSED_KEEPALIVE_S,
             lingering_time=LINGERING_S,
             read_bufsize=READ_BYTES,
             access_log=None,
@@ -121,11 +127,35 @@
         super().force_close()
         self._guard.move(self, _State.CLOSING)
 
+    def give_up(self, state: connection_table.State) -> None:
+        """Close the connection, which has been in a state for too long.
+
+        An answer that waits is cut by a reset, so that the client cannot
+        take it for whole.
+        """
+        transport = self._own_transport
+        if transport is None:
+            self._guard.closed(self)
+            return
+        is_waiting = transport.get_write_buffer_size() > 0
+        if state is _State.CLOSING or is_waiting:
+            self._force_close = True
+            transport.abort()
+            self._guard.closed(self)
+            return
+        if state is _State.HEAD:
+            transport.write(HEAD_LATE)
+        self.force_close()
+
     def log_exception(self, *args: Any, **options: Any) -> None:
         """Log an error, but none that a client has caused."""
         if not self._is_refused and self.transport is not None:
             super().log_exception(*args, **options)
 
+    def _process_keepalive(self) -> None:
+        """Do nothing: the guard closes connections without a request."""
+        self._keepalive_handle = None
+
     async def finish_response(
         self, request: web.BaseRequest, resp: Any, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
--- a/src/skylarkpitch/listening/connection_table.py
+++ b/src/skylarkpitch/listening/connection_table.py
@@ -1,11 +1,20 @@
-"""Count the connections of clients, by what they wait for."""
+"""Decide which connections of clients stay open.
+
+Every connection is in one state at a time. Those that wait too long in a
+state expire.
+"""
 
 from collections.abc import Hashable
+from collections.abc import Iterator
+import dataclasses
 import enum
 
 from skylarkpitch.listening import limits as connection_limits
 
-__all__ = ['ConnectionTable', 'State']
+__all__ = ['Closing', 'ConnectionTable', 'State']
+
+# How long a connection may take to close.
+CLOSING_TIMEOUT_S = 30.0
 
 
 class State(enum.StrEnum):
@@ -23,6 +32,16 @@
     CLOSING = 'closing'
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Closing:
+    """A connection that should be closed, its state and its age there."""
+
+    connection: Hashable
+    state: State
+    reason: str
+    age_s: float
+
+
 class ConnectionTable:
     """Connections of a process at one or more ports.
 
@@ -38,6 +57,7 @@
         limits: connection_limits.ConnectionLimits,
     ) -> None:
         self.pool = pool
+        self.set_limits(limits)
         self._max_connections = max_connections
         # Connections by state, each with the time since when it is in it; a
         # dictionary keeps the order of insertion, so the oldest is first.
@@ -50,6 +70,15 @@
         """Return how many connections there are."""
         return len(self._states)
 
+    def set_limits(self, limits: connection_limits.ConnectionLimits) -> None:
+        """Set the time-outs of the states, also for what is in them."""
+        self._timeouts_s = {
+            State.NEW: limits.idle_timeout_s,
+            State.HEAD: limits.header_timeout_s,
+            State.IDLE: limits.idle_timeout_s,
+            State.CLOSING: CLOSING_TIMEOUT_S,
+        }
+
     def state_of(self, connection: Hashable) -> State | None:
         """Return the state of a connection, None if it is not known."""
         return self._states.get(connection)
@@ -72,9 +101,43 @@
         if state is not None:
             del self._since_s[state][connection]
 
+    def expired(self, *, now_s: float) -> list[Closing]:
+        """Return the connections that have waited for too long."""
+        return [
+            found
+            for state, timeout_s in self._timeouts_s.items()
+            for found in self._older_than(state, timeout_s, now_s=now_s)
+        ]
+
+    def timeout_s(self, state: State) -> float | None:
+        """Return how long a connection may be in a state, None if for ever."""
+        return self._timeouts_s.get(state)
+
+    def next_check_s(self) -> float | None:
+        """Return when the next connection may be closed, None without any."""
+        ends_s = [
+            next(iter(since_s.values())) + timeout_s
+            for state, since_s in self._since_s.items()
+            if since_s and (timeout_s := self.timeout_s(state)) is not None
+        ]
+        return min(ends_s, default=None)
+
     def counts(self) -> dict[str, int]:
         """Return the number of connections in each state."""
         return {
             f'connections_{state.value}': len(since_s)
             for state, since_s in self._since_s.items()
         }
+
+    def _older_than(
+        self, state: State, timeout_s: float, *, now_s: float
+    ) -> Iterator[Closing]:
+        for connection, since_s in self._since_s[state].items():
+            if now_s - since_s < timeout_s:
+                return
+            yield Closing(
+                connection=connection,
+                state=state,
+                reason=f'{state.value}_too_long',
+                age_s=now_s - since_s,
+            )
--- a/src/skylarkpitch/listening/guard.py
+++ b/src/skylarkpitch/listening/guard.py
@@ -1,5 +1,6 @@
 """Close the connections of clients that a ``ConnectionTable`` names."""
 
+import asyncio
 from collections.abc import Callable
 import time
 from typing import Protocol
@@ -15,6 +16,11 @@
 # Lines about clients that do not behave, however many there are of them.
 LINES_PER_S = 5.0
 LINE_BURST = 20.0
+# A timer that fires early finds nothing to close.
+TIMER_SLACK_S = 0.01
+# After a longer stall of the process, what has arrived is read first.
+MAX_LATE_S = 0.25
+READ_AFTER_STALL_S = 0.1
 
 _log = structlog.get_logger(__name__)
 
@@ -24,6 +30,9 @@
 
     peer: str
 
+    def give_up(self, state: connection_table.State) -> None:
+        """Close the connection, which has been in a state for too long."""
+
 
 class ConnectionGuard:
     """Connections of clients at one or more ports of a process.
@@ -46,6 +55,8 @@
         self._table = connection_table.ConnectionTable(
             max_connections=max_connections, pool=pool, limits=limits
         )
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at_s = float('inf')
         self._lines = line_budget.LineBudget(
             per_s=LINES_PER_S, burst=LINE_BURST
         )
@@ -57,8 +68,13 @@
         return self._limits
 
     def set_limits(self, limits: connection_limits.ConnectionLimits) -> None:
-        """Set the limits, of new connections."""
+        """Set the limits.
+
+        Time-outs hold for open connections too, sizes for new ones.
+        """
         self._limits = limits
+        self._table.set_limits(limits)
+        self._set_timer()
 
     def counters(self) -> dict[str, float]:
         """Return the connections by state, and those closed by reason."""
@@ -70,6 +86,7 @@
         now_s = self._clock()
         state = connection_table.State.NEW
         self._table.move(connection, state, now_s=now_s)
+        self._check_in_time(state, now_s)
 
     def move(
         self, connection: Connection, state: connection_table.State
@@ -79,6 +96,7 @@
             return
         now_s = self._clock()
         self._table.move(connection, state, now_s=now_s)
+        self._check_in_time(state, now_s)
 
     def state_of(
         self, connection: Connection
@@ -107,5 +125,55 @@
                 not_logged=not_logged,
             )
 
+    def _check(self) -> None:
+        self._timer = None
+        now_s = self._clock()
+        if now_s - self._timer_at_s > MAX_LATE_S:
+            self._set_timer_at(now_s + READ_AFTER_STALL_S)
+            return
+        for closing in self._table.expired(now_s=now_s):
+            self._close(closing)
+        self._set_timer()
+
+    def _check_in_time(
+        self, state: connection_table.State, now_s: float
+    ) -> None:
+        """Set the timer earlier if a connection of a state needs that."""
+        timeout_s = self._table.timeout_s(state)
+        if timeout_s is not None and now_s + timeout_s < self._timer_at_s:
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._timer_at_s = float('inf')
+        at_s = self._table.next_check_s()
+        if at_s is not None:
+            self._set_timer_at(max(at_s, self._clock()))
+
+    def _set_timer_at(self, at_s: float) -> None:
+        self._timer_at_s = at_s
+        self._timer = asyncio.get_running_loop().call_later(
+            at_s - self._clock() + TIMER_SLACK_S, self._check
+        )
+
+    def _close(self, closing: connection_table.Closing) -> None:
+        """Close a connection that has waited for too long."""
+        self._count(closing.reason)
+        not_logged = self._lines.consume('given_up', now_s=self._clock())
+        if not_logged is not None:
+            _log.info(
+                'connection_given_up',
+                ports=self._name,
+                peer=closing.connection.peer,
+                reason=closing.reason,
+                state=closing.state.value,
+                age_s=round(closing.age_s, 2),
+                connections=len(self._table),
+                not_logged=not_logged,
+            )
+        closing.connection.give_up(closing.state)
+
     def _count(self, reason: str) -> None:
         self._counts[reason] = self._counts.get(reason, 0) + 1
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -137,6 +137,61 @@
     asyncio.run(scenario())
 
 
+HALF_HEADS = {
+    'nothing': b'',
+    'request_line': b'GET /pans',
+    'header': HEAD + b'X: ',
+    'after_a_request': (
+        b'GET /unknown HTTP/1.1\r\nHost: pans.example\r\n\r\n' + HEAD
+    ),
+}
+HALF_HEAD_PORTS = (
+    ('platform', 'callers'),
+    ('platform', 'ready'),
+    ('platform', 'control'),
+    ('own', 'entry-metrics'),
+    ('skylarkd', 'callers'),
+    ('skylarkd', 'relay'),
+    ('skylarkd', 'operators'),
+)
+
+
+def any_system(program, folder):
+    if program == 'skylarkd':
+        return small_system.single_host(folder)
+    return small_system.fleet_system(program, folder)
+
+
+def memory_mb_of(program):
+    if program == 'skylarkd':
+        return DEFAULT_MEMORY_MB
+    return small_system.MEMORY_MB
+
+
+# Guards against heads in pieces that keep a connection for ever: no code read
+# the limit of the time for a head.
+@pytest.mark.parametrize(
+    ('program', 'port'), HALF_HEAD_PORTS, ids=map('-'.join, HALF_HEAD_PORTS)
+)
+def test_heads_in_pieces_are_closed(program, port, tmp_path):
+    async def scenario():
+        async with any_system(program, tmp_path) as system:
+            kinds = [crowds.half_head(start) for start in HALF_HEADS.values()]
+            waiting = [
+                play(
+                    system,
+                    port,
+                    crowd_at(system, port, kind, clients=CLIENTS // 4),
+                    patience_s=LONG_PATIENCE_S,
+                )
+                for kind in kinds
+            ]
+            assert await asyncio.gather(*waiting) == [0] * len(kinds)
+            assert_within_settings(system, memory_mb=memory_mb_of(program))
+
+    asyncio.run(scenario())
+
+
 # Guards against a line with a traceback for each bad request.
 @pytest.mark.parametrize('port', ['callers', 'ready', 'control'])
 @pytest.mark.parametrize('program', ['platform', 'own'])
