Leave descriptors for upstreams and hosts, whoever connects

What was seen: 4,165 connections that say nothing stood open at a control host of 4,100 descriptors or fewer; with a crowd of 400 and a limit of 300, callers and upstreams got no answer while it held on, at callers, readiness, control and metrics. Connections to the port for other hosts had no limit either.

Cause: nothing counted connections; when descriptors are out, each new one is refused, whoever makes it.

Beyond that a new connection is still taken, and one makes room for it, the oldest first: one without a request so far, one with a part of a head, an idle one. One whose request runs is never closed for another. The process limits its own descriptors to the same number, so that what ZeroMQ accepts keeps to it too.

Evidence: 400 silent connections, limit 300, an ordinary request at every port while they hold on.

--- a/src/skylarkpitch/listening/connection_table.py
+++ b/src/skylarkpitch/listening/connection_table.py
@@ -1,7 +1,8 @@
 """Decide which connections of clients stay open.
 
 Every connection is in one state at a time. Those that wait too long in a
-state expire.
+state expire. When there are too many, those are closed first that no ordinary
+client would leave as they are. One whose request runs is never closed.
 """
 
 from collections.abc import Hashable
@@ -13,8 +14,10 @@
 
 __all__ = ['Closing', 'ConnectionTable', 'State']
 
-# How long a connection may take to close.
+# How long a connection may take to close, and at least has for its last
+# answer.
 CLOSING_TIMEOUT_S = 30.0
+MIN_CLOSING_S = 1.0
 
 
 class State(enum.StrEnum):
@@ -32,6 +35,16 @@
     CLOSING = 'closing'
 
 
+# In which order connections make room for others.
+_ORDER_OF_COUNT = (
+    State.CLOSING,
+    State.NEW,
+    State.HEAD,
+    State.IDLE,
+)
+_MIN_AGE_S = {State.CLOSING: MIN_CLOSING_S}
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Closing:
     """A connection that should be closed, its state and its age there."""
@@ -101,6 +114,23 @@
         if state is not None:
             del self._since_s[state][connection]
 
+    def surplus(self, newest: Hashable, *, now_s: float) -> Closing | None:
+        """Return what to close now that a new connection has been made.
+
+        It is the new one itself if nothing else can make room.
+        """
+        if len(self._states) <= self._max_connections:
+            return None
+        for found in self._oldest(_ORDER_OF_COUNT, now_s=now_s):
+            if found.connection is not newest:
+                return dataclasses.replace(found, reason='too_many')
+        return Closing(
+            connection=newest,
+            state=State.NEW,
+            reason='too_many_running',
+            age_s=0.0,
+        )
+
     def expired(self, *, now_s: float) -> list[Closing]:
         """Return the connections that have waited for too long."""
         return [
@@ -129,6 +159,22 @@
             for state, since_s in self._since_s.items()
         }
 
+    def _oldest(
+        self, states: tuple[State, ...], *, now_s: float
+    ) -> Iterator[Closing]:
+        """Yield the oldest connection of each state that may be closed."""
+        for state in states:
+            for connection, since_s in self._since_s[state].items():
+                age_s = now_s - since_s
+                if age_s >= _MIN_AGE_S.get(state, 0.0):
+                    yield Closing(
+                        connection=connection,
+                        state=state,
+                        reason='',
+                        age_s=age_s,
+                    )
+                break
+
     def _older_than(
         self, state: State, timeout_s: float, *, now_s: float
     ) -> Iterator[Closing]:
--- a/src/skylarkpitch/listening/guard.py
+++ b/src/skylarkpitch/listening/guard.py
@@ -82,10 +82,13 @@
         return {**self._table.counts(), **closed}
 
     def opened(self, connection: Connection) -> None:
-        """Add a connection."""
+        """Add a connection, and close another one if there are too many."""
         now_s = self._clock()
         state = connection_table.State.NEW
         self._table.move(connection, state, now_s=now_s)
+        closing = self._table.surplus(connection, now_s=now_s)
+        if closing is not None:
+            self._close(closing)
         self._check_in_time(state, now_s)
 
     def move(
@@ -159,7 +162,7 @@
         )
 
     def _close(self, closing: connection_table.Closing) -> None:
-        """Close a connection that has waited for too long."""
+        """Close a connection that has waited, or that makes room."""
         self._count(closing.reason)
         not_logged = self._lines.consume('given_up', now_s=self._clock())
         if not_logged is not None:
--- a/src/skylarkpitch/listening/limits.py
+++ b/src/skylarkpitch/listening/limits.py
@@ -1,6 +1,8 @@
 """Limits of the connections of clients to one process."""
 
+import contextlib
 import dataclasses
+import resource
 
 __all__ = [
     'BASE_MEMORY_BYTES',
@@ -89,10 +91,27 @@
     The limit of the operating system holds if it has fewer descriptors than
     ``max_descriptors``, or if that is None.
     """
-    descriptors = max_descriptors or MAX_CONNECTIONS
+    descriptors = _limited_descriptors(max_descriptors)
     files = min(FILE_DESCRIPTORS, int(descriptors * FILES_SHARE))
     connections = int((descriptors - files) * CONNECTIONS_SHARE)
     return Resources(
         pool=MemoryPool(memory_bytes=memory_bytes),
         max_connections=max(1, min(connections, MAX_CONNECTIONS)),
     )
+
+
+def _limited_descriptors(max_descriptors: int | None) -> int:
+    """Limit the descriptors of this process, and return how many it has.
+
+    The limit also holds for connections that libraries accept by themselves.
+    """
+    soft_limit, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        soft_limit = max_descriptors or MAX_CONNECTIONS
+    if max_descriptors is None or max_descriptors >= soft_limit:
+        return soft_limit
+    with contextlib.suppress(OSError, ValueError):
+        resource.setrlimit(
+            resource.RLIMIT_NOFILE, (max_descriptors, hard_limit)
+        )
+    return max_descriptors
--- a/tests/stand_ins/handler_fleet.py
+++ b/tests/stand_ins/handler_fleet.py
@@ -83,6 +83,9 @@
     def close(self):
         pass
 
+    def release(self):
+        """Hold nothing, since nothing was read from a connection."""
+
 
 class Upstream:
     """Upstream that answers after ``work_s``, unless a request crashes it.
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -192,6 +192,59 @@
     asyncio.run(scenario())
 
 
+SILENT_PORTS = (
+    *(('platform', port) for port in ('callers', 'ready', 'control')),
+    *(('own', port) for port in ('callers', 'control', 'entry-metrics')),
+    *(('skylarkd', port) for port in SINGLE_HOST_PORTS),
+)
+
+
+# Guards against connections that take all descriptors: upstreams, hosts and
+# ordinary callers need some too, while the crowd holds on.
+@pytest.mark.parametrize(
+    ('program', 'port'), SILENT_PORTS, ids=map('-'.join, SILENT_PORTS)
+)
+def test_silent_connections_leave_room(program, port, tmp_path):
+    async def scenario():
+        async with any_system(program, tmp_path) as system:
+            crowd = crowd_at(
+                system, port, crowds.silent, clients=SILENT_CLIENTS
+            )
+            async with crowd:
+                await crowd.finished(patience_s=3.0)
+                assert_within_settings(system, memory_mb=memory_mb_of(program))
+                for other in system.addresses:
+                    assert await system.is_answered(other), other
+            assert await system.is_answered(port)
+            assert_within_settings(system, memory_mb=memory_mb_of(program))
+
+    asyncio.run(scenario())
+
+
+# The same at the port for other hosts: those that say nothing are closed, but
+# may come again at once.
+@pytest.mark.parametrize('program', ['platform', 'own'])
+@pytest.mark.parametrize('role', ['entry', 'control'])
+def test_silent_connections_to_other_hosts_ports_leave_room(
+    program, role, tmp_path
+):
+    async def scenario():
+        async with small_system.fleet_system(program, tmp_path) as system:
+            crowd = crowds.Crowd(
+                crowds.silent_again,
+                address=system.peers[role],
+                clients=SILENT_CLIENTS,
+            )
+            async with crowd:
+                await crowd.finished(patience_s=3.0)
+                assert_within_settings(system)
+                for other in system.addresses:
+                    assert await system.is_answered(other), other
+                assert_within_settings(system)
+
+    asyncio.run(scenario())
+
+
 # Guards against a line with a traceback for each bad request.
 @pytest.mark.parametrize('port', ['callers', 'ready', 'control'])
 @pytest.mark.parametrize('program', ['platform', 'own'])
