Hold heads and answers within the memory of the process too

What was seen: 250 clients that ask for 4 MB and read nothing took 301 MB of an entry host, and it grew with the crowd. So did requests with large heads behind one that waits, and trailers without end.

Cause: of each answer up to 1 MiB was read ahead, then held once more when it was written in one piece; up to 0.75 MB more stood in the buffers of both connections. Only request bodies had a budget. Nothing ended a write that the client does not take.

An answer is read ahead while there is room, and passed through otherwise; larger ones are written in parts. A connection whose answer waits for 30 s without progress is reset, so that the part cannot be taken for the whole; while memory is short, the longest waiting one is (after 0.5 s), then heads, new and idle connections, and new requests get 503 (no_memory, not run). Buffers of bodies are 64 KiB, not 256.

Evidence, 60 clients, 128 MB. Failed on: large and large_byte_by_byte and small_behind_one_that_waits (both programs); bodies unfinished, trailers, trailer_value, beyond_the_limit. Held there and are kept: medium, one after another, many_fields, unknown_routes, slow readers (first form: 200 KB is held by the operating system on loopback, so the crowd was changed to more), the chunk extension, bodies at control.

--- a/src/skylarkpitch/forwarding/admission.py
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -89,6 +89,8 @@
             return refusals.refuse(
                 refusals.Reason.NO_CONFIGURATION, retry_after_s=RETRY_AFTER_S
             )
+        if self._bodies.is_memory_short:
+            return _no_memory()
         refusal = (
             self._look_up(call)
             or self._spend_rate(call)
@@ -151,17 +153,17 @@
 
     async def _read_body(self, call: calls.Call) -> refusals.Refusal | None:
         request = call.request
-        limits = self._view.limits
+        max_body_bytes = self._view.limits.max_body_bytes
         problem = header_rules.check_framing(request.headers)
         if problem is not None:
             return refusals.refuse(refusals.Reason.MALFORMED, problem.detail)
         length = request.content_length or 0
-        if length > limits.max_body_bytes:
+        if length > max_body_bytes:
             return refusals.refuse(refusals.Reason.BODY_TOO_LARGE)
         if request.body_exists:
             if request.headers.get('Expect', '').lower() == '100-continue':
                 request.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-            refusal = await self._receive_body(call, limits.max_body_bytes)
+            refusal = await self._receive_body(call, max_body_bytes)
             if refusal is not None:
                 return refusal
         return None
--- a/src/skylarkpitch/forwarding/http_messages.py
+++ b/src/skylarkpitch/forwarding/http_messages.py
@@ -16,6 +16,9 @@
 __all__ = ['refusal_response', 'relay_response', 'upstream_request']
 
 MS_PER_S = 1000
+# A larger body is written in parts of this size, so that the connection does
+# not hold a second copy of it.
+WRITE_BYTES = 64 * 1024
 
 Finish = Callable[[web.StreamResponse], web.StreamResponse]
 
@@ -81,23 +84,27 @@
     """Relay the response of an upstream to the caller.
 
     ``finish`` is called with the response before its head is written. A body
-    that is not buffered completely is streamed, for at most ``left_s``.
+    that is not buffered completely is streamed, for at most ``left_s``; one
+    that is has no limit here, since it is ready.
     """
     headers = multidict.CIMultiDict(upstream_response.headers)
-    if upstream_response.rest is None:
+    body = upstream_response.body
+    is_complete = upstream_response.rest is None
+    if is_complete:
         headers.popall(header_rules.CONTENT_LENGTH, None)
-        return finish(
-            web.Response(
-                status=upstream_response.status,
-                headers=headers,
-                body=upstream_response.body,
+        if len(body) <= WRITE_BYTES:
+            return finish(
+                web.Response(
+                    status=upstream_response.status, headers=headers, body=body
+                )
             )
-        )
     response = finish(
         web.StreamResponse(status=upstream_response.status, headers=headers)
     )
+    if is_complete:
+        response.content_length = len(body)
     try:
-        async with asyncio.timeout(left_s):
+        async with asyncio.timeout(None if is_complete else left_s):
             await _stream(request, response, upstream_response)
     except BaseException:
         # Abort the connection, so that the caller cannot take an incomplete
@@ -115,7 +122,10 @@
     upstream_response: senders.UpstreamResponse,
 ) -> None:
     await response.prepare(request)
-    await response.write(upstream_response.body)
-    async for chunk in upstream_response.rest:
-        await response.write(chunk)
+    body = memoryview(upstream_response.body)
+    for start in range(0, len(body), WRITE_BYTES):
+        await response.write(body[start : start + WRITE_BYTES])
+    if upstream_response.rest is not None:
+        async for chunk in upstream_response.rest:
+            await response.write(chunk)
     await response.write_eof()
--- a/src/skylarkpitch/forwarding/sender.py
+++ b/src/skylarkpitch/forwarding/sender.py
@@ -33,8 +33,14 @@
 
 KEEPALIVE_S = 8.0
 CONNECT_TIMEOUT_S = 0.45
-# The rest of a larger response body is streamed.
+# The rest of a larger response body is streamed, that of a smaller one too
+# while memory is short.
 MAX_BUFFERED_BYTES = 1024 * 1024
+# What is read of a body at a time.
+READ_BYTES = 64 * 1024
+# What arrives of a longer body meanwhile: the buffer of the connection, twice
+# filled, and a part that the event loop reads at once.
+ARRIVING_BYTES = 384 * 1024
 # What a response raises while its rest is read, if the upstream breaks off.
 BROKEN_OFF_ERRORS = (
     aiohttp.ClientPayloadError,
@@ -251,27 +257,44 @@
                 reason=refusals.Reason.MALFORMED_RESPONSE,
                 detail=problem,
             )
-        chunks = []
-        size = 0
-        while size < MAX_BUFFERED_BYTES:
-            chunk = await response.content.readany()
-            if not chunk:
-                break
-            chunks.append(chunk)
-            size += len(chunk)
+        body, held_bytes = await self._read_body(response)
         is_complete = response.content.at_eof()
         if is_complete:
             response.release()
         return UpstreamResponse(
             response=response,
             headers=header_rules.end_to_end(response.headers),
-            body=b''.join(chunks),
+            body=body,
             rest=None if is_complete else _rest(response),
             local_port=sessions.progress.get().local_port,
             pool=self._pool,
-            held_bytes=0,
+            held_bytes=held_bytes,
         )
 
+    async def _read_body(
+        self, response: aiohttp.ClientResponse
+    ) -> tuple[bytearray, int]:
+        """Read a body, or a part of it; return it and what it holds.
+
+        Not much of it is read while memory is short.
+        """
+        body = bytearray()
+        held_bytes = 0
+        try:
+            while len(body) < MAX_BUFFERED_BYTES:
+                chunk = await response.content.read(READ_BYTES)
+                body += chunk
+                held_before, held_bytes = held_bytes, len(body)
+                if chunk and len(body) >= READ_BYTES:
+                    held_bytes += ARRIVING_BYTES
+                self._pool.add(held_bytes - held_before)
+                if not chunk or not self._pool.fits(READ_BYTES):
+                    break
+        except BaseException:
+            self._pool.add(-held_bytes)
+            raise
+        return body, held_bytes
+
     def _belongs_to(
         self, response: aiohttp.ClientResponse, request: UpstreamRequest
     ) -> bool:
@@ -326,7 +349,7 @@
 
 
 async def _rest(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    while chunk := await response.content.readany():
+    while chunk := await response.content.read(READ_BYTES):
         yield chunk
     response.release()
 
--- a/src/skylarkpitch/listening/client_connection.py
+++ b/src/skylarkpitch/listening/client_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import itertools
 from typing import Any
 
 from aiohttp import http
@@ -35,6 +36,13 @@
 LINGERING_S = 5.0
 # Longer than any connection lasts without a request: the guard closes it.
 UNUSED_KEEPALIVE_S = 7 * 24 * 3600.0
+# What an open connection takes, with its parser, task and buffers.
+CONNECTION_BYTES = 24 * 1024
+# What a byte of a head takes while it is parsed, and what a field takes.
+BYTES_PER_HEAD_BYTE = 3
+BYTES_PER_FIELD = 600
+# What an answer takes per byte that waits for its reader.
+BYTES_PER_WAITING_BYTE = 2
 MAX_REASON_CHARACTERS = 100
 HEAD_LATE = (
     b'HTTP/1.1 408 Request Timeout\r\n'
@@ -95,6 +103,11 @@
         self._last_body: Any = None
         # Bytes since the last request, of a head that is not complete.
         self._head_bytes = 0
+        # What is held for heads, of that the last part read, and what is held
+        # for an answer that waits.
+        self._head_cost_bytes = 0
+        self._last_part_cost_bytes = 0
+        self._waiting_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection."""
@@ -103,6 +116,7 @@
         peer = transport.get_extra_info('peername')
         self.peer = f'{peer[0]}:{peer[1]}' if peer else ''
         self._guard.opened(self)
+        self._update_held()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Count the connection no more."""
@@ -122,6 +136,24 @@
         elif was_in_head and data:
             self._check_head(data)
 
+    def pause_writing(self) -> None:
+        """Record that the client does not take its answer."""
+        super().pause_writing()
+        if self._own_transport is None:
+            return
+        waiting = self._own_transport.get_write_buffer_size()
+        self._waiting_bytes = BYTES_PER_WAITING_BYTE * waiting
+        self._guard.move(self, _State.BLOCKED)
+        self._update_held()
+
+    def resume_writing(self) -> None:
+        """Record that the client has taken enough of its answer."""
+        super().resume_writing()
+        self._waiting_bytes = 0
+        if self._guard.state_of(self) is _State.BLOCKED:
+            self._guard.move(self, _State.RUNNING)
+            self._update_held()
+
     def force_close(self) -> None:
         """Close the connection once what was written has been taken."""
         super().force_close()
@@ -138,7 +170,7 @@
             self._guard.closed(self)
             return
         is_waiting = transport.get_write_buffer_size() > 0
-        if state is _State.CLOSING or is_waiting:
+        if state in (_State.BLOCKED, _State.CLOSING) or is_waiting:
             self._force_close = True
             transport.abort()
             self._guard.closed(self)
@@ -162,6 +194,10 @@
         """Write the answer, then wait for the next request."""
         finished = await super().finish_response(request, resp, start_time)
         response, _is_reset = finished
+        self._head_cost_bytes = self._last_part_cost_bytes + sum(
+            _head_cost_bytes(message) for message, _body in self._messages
+        )
+        self._update_held()
         if not response.keep_alive or self._close:
             self._guard.move(self, _State.CLOSING)
         elif not self._messages:
@@ -195,12 +231,19 @@
             self._refuse(message.exc)
             return
         self._last_body = body
+        if body.is_eof():
+            self._add_head_cost(_part_cost_bytes(data))
+        else:
+            # The rest of the data is of the body.
+            new = itertools.islice(reversed(self._messages), count)
+            self._add_head_cost(sum(_head_cost_bytes(m) for m, _body in new))
         if self._guard.state_of(self) in (
             _State.NEW,
             _State.HEAD,
             _State.IDLE,
         ):
             self._guard.move(self, _State.RUNNING)
+        self._update_held()
 
     def _drop_large_heads(self, count: int) -> None:
         """Refuse the first of the last requests whose head is too large."""
@@ -219,11 +262,23 @@
         if self._head_bytes > 2 * self._header_bytes + HEAD_SLACK_BYTES:
             self._refuse_large_head()
             return
+        self._add_head_cost(_part_cost_bytes(data))
         # Empty lines before a request are no part of it.
         is_started = bool(data.strip(b'\r\n'))
         state = self._guard.state_of(self)
         if is_started and state in (_State.NEW, _State.IDLE):
             self._guard.move(self, _State.HEAD)
+        self._update_held()
+
+    def _add_head_cost(self, part_bytes: int) -> None:
+        if self._guard.state_of(self) in (_State.NEW, _State.IDLE):
+            self._head_cost_bytes = 0
+        self._last_part_cost_bytes = part_bytes
+        self._head_cost_bytes += part_bytes
+
+    def _update_held(self) -> None:
+        held = CONNECTION_BYTES + self._head_cost_bytes + self._waiting_bytes
+        self._guard.hold(self, held)
 
     def _refuse_large_head(self) -> None:
         self._refuse(
@@ -291,6 +346,23 @@
         self._connection.data_received(bytes(self._view[:nbytes]))
 
 
+def _part_cost_bytes(data: bytes) -> int:
+    """Return what a part of heads takes at most: each field ends a line."""
+    return _cost_bytes(len(data), fields=data.count(b'\n'))
+
+
+def _cost_bytes(size_bytes: int, *, fields: int) -> int:
+    return BYTES_PER_HEAD_BYTE * size_bytes + BYTES_PER_FIELD * fields
+
+
+def _head_cost_bytes(message: Any) -> int:
+    """Return what the head of a request takes in memory."""
+    if isinstance(message, web_protocol._ErrInfo):
+        return 0
+    size_bytes = len(message.path) + _fields_bytes(message)
+    return _cost_bytes(size_bytes, fields=len(message.raw_headers))
+
+
 def _fields_bytes(message: Any) -> int:
     """Return the bytes of the header fields of a request."""
     if isinstance(message, web_protocol._ErrInfo):
--- a/src/skylarkpitch/listening/connection_table.py
+++ b/src/skylarkpitch/listening/connection_table.py
@@ -1,8 +1,9 @@
 """Decide which connections of clients stay open.
 
 Every connection is in one state at a time. Those that wait too long in a
-state expire. When there are too many, those are closed first that no ordinary
-client would leave as they are. One whose request runs is never closed.
+state expire. When there are too many, or when they hold too much memory,
+those are closed first that no ordinary client would leave as they are. One
+whose request runs is never closed.
 """
 
 from collections.abc import Hashable
@@ -14,6 +15,8 @@
 
 __all__ = ['Closing', 'ConnectionTable', 'State']
 
+# A client that is not slow lets an answer wait for less than this.
+MIN_BLOCKED_S = 0.5
 # How long a connection may take to close, and at least has for its last
 # answer.
 CLOSING_TIMEOUT_S = 30.0
@@ -24,25 +27,34 @@
     """What a connection waits for.
 
     ``NEW`` has not had a request, ``HEAD`` has a part of one, ``IDLE`` has
-    had some, ``RUNNING`` has one that is handled, and ``CLOSING`` has been
-    closed.
+    had some, ``RUNNING`` has one that is handled, ``BLOCKED`` does not take
+    its answer, and ``CLOSING`` has been closed.
     """
 
     NEW = 'new'
     HEAD = 'head'
     IDLE = 'idle'
     RUNNING = 'running'
+    BLOCKED = 'blocked'
     CLOSING = 'closing'
 
 
-# In which order connections make room for others.
+# In which order connections make room for others, by what they lack.
 _ORDER_OF_COUNT = (
     State.CLOSING,
     State.NEW,
     State.HEAD,
     State.IDLE,
+    State.BLOCKED,
 )
-_MIN_AGE_S = {State.CLOSING: MIN_CLOSING_S}
+_ORDER_OF_MEMORY = (
+    State.CLOSING,
+    State.BLOCKED,
+    State.HEAD,
+    State.NEW,
+    State.IDLE,
+)
+_MIN_AGE_S = {State.BLOCKED: MIN_BLOCKED_S, State.CLOSING: MIN_CLOSING_S}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,6 +90,7 @@
             state: {} for state in State
         }
         self._states: dict[Hashable, State] = {}
+        self._held_bytes: dict[Hashable, int] = {}
 
     def __len__(self) -> int:
         """Return how many connections there are."""
@@ -89,6 +102,7 @@
             State.NEW: limits.idle_timeout_s,
             State.HEAD: limits.header_timeout_s,
             State.IDLE: limits.idle_timeout_s,
+            State.BLOCKED: limits.delivery_timeout_s,
             State.CLOSING: CLOSING_TIMEOUT_S,
         }
 
@@ -108,11 +122,17 @@
         self._states[connection] = state
         self._since_s[state][connection] = now_s
 
+    def hold(self, connection: Hashable, held_bytes: int) -> None:
+        """Set how many bytes are held for a connection."""
+        self.pool.add(held_bytes - self._held_bytes.get(connection, 0))
+        self._held_bytes[connection] = held_bytes
+
     def remove(self, connection: Hashable) -> None:
         """Forget a connection that has closed."""
         state = self._states.pop(connection, None)
         if state is not None:
             del self._since_s[state][connection]
+        self.pool.add(-self._held_bytes.pop(connection, 0))
 
     def surplus(self, newest: Hashable, *, now_s: float) -> Closing | None:
         """Return what to close now that a new connection has been made.
@@ -131,6 +151,14 @@
             age_s=0.0,
         )
 
+    def memory_hog(self, *, now_s: float) -> Closing | None:
+        """Return what to close while more memory is held than there is."""
+        if not self.pool.is_short:
+            return None
+        for found in self._oldest(_ORDER_OF_MEMORY, now_s=now_s):
+            return dataclasses.replace(found, reason='no_memory')
+        return None
+
     def expired(self, *, now_s: float) -> list[Closing]:
         """Return the connections that have waited for too long."""
         return [
@@ -140,7 +168,12 @@
         ]
 
     def timeout_s(self, state: State) -> float | None:
-        """Return how long a connection may be in a state, None if for ever."""
+        """Return how long a connection may be in a state, None if for ever.
+
+        While memory is short, it is for as long as it may not be closed.
+        """
+        if self.pool.is_short and state is State.BLOCKED:
+            return MIN_BLOCKED_S
         return self._timeouts_s.get(state)
 
     def next_check_s(self) -> float | None:
--- a/src/skylarkpitch/listening/guard.py
+++ b/src/skylarkpitch/listening/guard.py
@@ -107,6 +107,16 @@
         """Return the state of a connection, None after its end."""
         return self._table.state_of(connection)
 
+    def hold(self, connection: Connection, held_bytes: int) -> None:
+        """Record what is held for a connection; close some if too much."""
+        state = self._table.state_of(connection)
+        if state in (None, connection_table.State.CLOSING):
+            return
+        self._table.hold(connection, held_bytes)
+        if self._table.pool.is_short:
+            self._free_memory()
+            self._check_in_time(state, self._clock())
+
     def closed(self, connection: Connection) -> None:
         """Remove a connection that is closed."""
         self._table.remove(connection)
@@ -128,6 +138,11 @@
                 not_logged=not_logged,
             )
 
+    def _free_memory(self) -> None:
+        now_s = self._clock()
+        while (closing := self._table.memory_hog(now_s=now_s)) is not None:
+            self._close(closing)
+
     def _check(self) -> None:
         self._timer = None
         now_s = self._clock()
@@ -136,6 +151,7 @@
             return
         for closing in self._table.expired(now_s=now_s):
             self._close(closing)
+        self._free_memory()
         self._set_timer()
 
     def _check_in_time(
@@ -162,7 +178,7 @@
         )
 
     def _close(self, closing: connection_table.Closing) -> None:
-        """Close a connection that has waited, or that makes room."""
+        """Close a connection, which no longer counts as holding memory."""
         self._count(closing.reason)
         not_logged = self._lines.consume('given_up', now_s=self._clock())
         if not_logged is not None:
@@ -174,8 +190,10 @@
                 state=closing.state.value,
                 age_s=round(closing.age_s, 2),
                 connections=len(self._table),
+                held_bytes=self._table.pool.held_bytes,
                 not_logged=not_logged,
             )
+        self._table.hold(closing.connection, 0)
         closing.connection.give_up(closing.state)
 
     def _count(self, reason: str) -> None:
--- a/src/skylarkpitch/requests/exchange_sessions.py
+++ b/src/skylarkpitch/requests/exchange_sessions.py
@@ -30,6 +30,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 15.0
+# Of a body that arrives faster than it is read.
+READ_BUFFER_BYTES = 64 * 1024
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 3000
@@ -168,6 +170,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, connect=connect_s),
         auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
         middlewares=(_translate_errors,),
     )
 
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -245,6 +245,95 @@
     asyncio.run(scenario())
 
 
+UNREAD = {
+    'large': crowds.unread(LARGE % LARGE_BYTES, every_s=None),
+    'large_byte_by_byte': crowds.unread(LARGE % LARGE_BYTES, every_s=0.2),
+    'medium': crowds.unread(LARGE % MEDIUM_BYTES, every_s=None),
+    'medium_one_after_another': crowds.many_requests(
+        LARGE % MEDIUM_BYTES, count=PIPELINED
+    ),
+    'small_behind_one_that_waits': crowds.many_requests(
+        HEAD.replace(b'/pans/4', b'/pans/wait') + LARGE_FIELD + b'\r\n',
+        count=PIPELINED,
+    ),
+    'many_fields_behind_one_that_waits': crowds.many_requests(
+        HEAD.replace(b'/pans/4', b'/pans/wait') + 100 * b'a: b\r\n' + b'\r\n',
+        count=10 * PIPELINED,
+    ),
+    'unknown_routes': crowds.many_requests(
+        b'GET /unknown HTTP/1.1\r\nHost: pans.example\r\n\r\n',
+        count=200 * PIPELINED,
+    ),
+}
+
+
+# Guards against answers that are held for clients that do not read them, and
+# against requests that are held behind those.
+@pytest.mark.parametrize('kind', UNREAD)
+@pytest.mark.parametrize('program', ['platform', 'own'])
+def test_unread_answers_stay_within_memory(program, kind, tmp_path):
+    async def scenario():
+        async with small_system.fleet_system(program, tmp_path) as system:
+            crowd = crowd_at(
+                system,
+                'callers',
+                UNREAD[kind],
+                clients=SLOW_READERS,
+                small_buffers=True,
+            )
+            await play(system, 'callers', crowd, patience_s=8.0)
+            assert_within_settings(system)
+
+    asyncio.run(scenario())
+
+
+# Guards against slow readers that keep their connections for ever: each
+# reads 1 KB a second of more than the operating system holds.
+@pytest.mark.parametrize('program', ['platform', 'own'])
+def test_slow_readers_are_closed_at_last(program, tmp_path):
+    async def scenario():
+        async with small_system.fleet_system(program, tmp_path) as system:
+            client = crowds.unread(
+                LARGE % MEDIUM_BYTES * PIPELINED, every_s=0.25, size_bytes=256
+            )
+            crowd = crowd_at(system, 'callers', client, small_buffers=True)
+            left = await play(
+                system, 'callers', crowd, patience_s=LONG_PATIENCE_S
+            )
+            assert left == 0
+            assert_within_settings(system)
+
+    asyncio.run(scenario())
+
+
+BODIES = {
+    'unfinished': crowds.body_unfinished(
+        BODY, size_bytes=small_system.MAX_BODY_BYTES
+    ),
+    'chunk_extension': crowds.endless(CHUNKED + b'5;', b'x'),
+    'trailers': crowds.endless(CHUNKED + b'0\r\n', b'a: b\r\n'),
+    'trailer_value': crowds.endless(CHUNKED + b'0\r\na: ', b'x'),
+    'beyond_the_limit': crowds.endless(
+        CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n'
+    ),
+    'control': crowds.endless(CHUNKED, b'10000\r\n' + b'x' * 65536 + b'\r\n'),
+}
+
+
+# Guards against bodies that take more memory than they have bytes, and
+# against what follows a body that was refused.
+@pytest.mark.parametrize('kind', BODIES)
+def test_bodies_stay_within_memory(kind, tmp_path):
+    async def scenario():
+        async with small_system.fleet_system('platform', tmp_path) as system:
+            port = 'control' if kind == 'control' else 'callers'
+            crowd = crowd_at(system, port, BODIES[kind], clients=SLOW_READERS)
+            await play(system, port, crowd, patience_s=8.0)
+            assert_within_settings(system)
+
+    asyncio.run(scenario())
+
+
 # Guards against a line with a traceback for each bad request.
 @pytest.mark.parametrize('port', ['callers', 'ready', 'control'])
 @pytest.mark.parametrize('program', ['platform', 'own'])
