Bound the bodies of calls to control, and say what is limited

What was seen: 60 calls with a body of 7 MB each, but for the last byte, took as much memory of a control host as they sent, for ever.

Cause: each call had a limit (8 MB), all of them together had none, and a body had no end in time. A body with broken framing became a 500.

Change: bodies of calls are held in the pool of the process; one that does not fit gets 503 and may be sent again, one that takes over 60 s 408, one that cannot be read 400.

Evidence: test_bodies_of_calls_stay_within_memory failed on for both programs (128 MB, and 300 MB where the settings name none); it holds now.

--- a/src/skylarkpitch/operators/call_bodies.py
+++ b/src/skylarkpitch/operators/call_bodies.py
@@ -1,5 +1,6 @@
 """Read the bodies of calls to a control host, within limits."""
 
+import asyncio
 import enum
 
 from aiohttp import web
@@ -18,18 +19,25 @@
 # this size.
 MAX_CONFIGURATION_BYTES = 8 * 1024 * 1024
 MAX_REPORT_BYTES = 64 * 1024
+BODY_TIMEOUT_S = 60.0
 
 
 class BodyProblem(enum.IntEnum):
     """Why a body cannot be taken, as the status of the answer."""
 
     TOO_LARGE = 413
+    MALFORMED = 400
+    LATE = 408
+    NO_MEMORY = 503
 
 
 def problem_text(problem: BodyProblem, *, max_bytes: int) -> str:
     """Return what a caller should do about a body that was not taken."""
     return {
         BodyProblem.TOO_LARGE: f'this call takes at most {max_bytes} bytes',
+        BodyProblem.MALFORMED: 'the body cannot be read; correct its framing',
+        BodyProblem.LATE: f'send the whole body in {BODY_TIMEOUT_S:.0f} s',
+        BodyProblem.NO_MEMORY: 'too many large calls at once; send it again',
     }[problem]
 
 
@@ -42,11 +50,20 @@
     """Return the body of a call, or why it cannot be taken.
 
     The limit of the library does not apply: it is the same for all calls,
-    and lower than a large configuration.
+    and lower than a large configuration. While a body is read, it counts as
+    held in ``bodies``.
     """
     body = _HeldBody(max_bytes=max_bytes, bodies=bodies)
-    problem = await body.receive(request)
-    return b''.join(body.blocks) if problem is None else problem
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            problem = await body.receive(request)
+        return b''.join(body.blocks) if problem is None else problem
+    except TimeoutError:
+        return BodyProblem.LATE
+    except web.RequestPayloadError:
+        return BodyProblem.MALFORMED
+    finally:
+        bodies.release(body.size_bytes)
 
 
 class _HeldBody:
@@ -72,6 +89,8 @@
         size_bytes = self.size_bytes + len(chunk)
         if size_bytes > self._max_bytes:
             return BodyProblem.TOO_LARGE
+        if not self._bodies.take(len(chunk), body_bytes=size_bytes):
+            return BodyProblem.NO_MEMORY
         self.size_bytes = size_bytes
         body_budget.append_chunk(self.blocks, chunk)
         return None
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -334,6 +334,35 @@
     asyncio.run(scenario())
 
 
+PUT = {
+    'platform': b'POST /rpc?call=config.put HTTP/1.1\r\n',
+    'own': b'PUT /v1/configuration HTTP/1.1\r\n'
+    b'Authorization: Bearer a secret of over sixteen characters\r\n',
+}
+
+
+# Guards against bodies of calls that control holds without a limit in all:
+# each may be a large configuration.
+@pytest.mark.parametrize('program', PUT)
+def test_bodies_of_calls_stay_within_memory(program, tmp_path):
+    async def scenario():
+        size_bytes = CONFIGURATION_BYTES
+        head = PUT[program] + b'Host: a\r\nContent-Length: %d\r\n\r\n'
+        client = crowds.body_unfinished(
+            head % size_bytes, size_bytes=size_bytes
+        )
+        async with small_system.fleet_system(program, tmp_path) as system:
+            crowd = crowd_at(system, 'control', client, clients=SLOW_READERS)
+            await play(system, 'control', crowd, patience_s=8.0)
+            # Only the settings of the platform name less for control.
+            memory_mb = small_system.MEMORY_MB
+            if program == 'own':
+                memory_mb = DEFAULT_MEMORY_MB
+            assert_within_settings(system, memory_mb=memory_mb)
+
+    asyncio.run(scenario())
+
+
 # Guards against a line with a traceback for each bad request.
 @pytest.mark.parametrize('port', ['callers', 'ready', 'control'])
 @pytest.mark.parametrize('program', ['platform', 'own'])
