Stop the entry hosts of case 11 in turn, as the platform does

Cause: with one stop, a run could end before a body arrived at the moment at which the host closes its connections.

--- a/review/support_3/fleet.py
+++ b/review/support_3/fleet.py
@@ -100,6 +100,15 @@
         self.log.write(f'{machine.name} ended {took_s:.2f} s later')
         return stopped_s
 
+    async def start_again(self, number: int) -> None:
+        """Start an entry host that was stopped; return once it is ready."""
+        machine = self.deployment.entries[number]
+        if self.has_trouble:
+            self.deployment.start(machine, bootstrap=False)
+        address = self.deployment.address(machine, deployments.READY)
+        if not await operator.wait_until(address, '/readyz'):
+            raise deployments.Problem(f'{machine.name} is not ready again')
+
     async def stop(self) -> None:
         """End every process and server."""
         for server in self.servers:
