Show that a late heartbeat undoes an acknowledged drain

Cause: an upstream that is silent for 3.4 heartbeats is removed without a trace, also one whose drain was acknowledged. A heartbeat of before the drain, which arrives after that, then counts as new, as a ready upstream's.

One server of four drains, is cut off from control for 5 s, and one of its earlier heartbeats arrives 5.7 s after the drain was acknowledged.

--- a/review/support_3/fleet.py
+++ b/review/support_3/fleet.py
@@ -14,7 +14,8 @@
 __all__ = ['Fleet', 'running']
 
 SERVICE = 'kiln-planner'
-SERVERS = 3
+# Two in the zone of the clients.
+SERVER_ZONES = ('seoul-a', 'busan-a', 'gwangju-a', 'busan-a')
 SETTLE_S = 1.0
 
 
@@ -36,12 +37,12 @@
                 server_id=f'i-{number}',
                 service=SERVICE,
                 address=(self.deployment.server_ip(number), 0),
-                zone=list(deployments.ZONES)[number],
+                zone=zone,
                 controls=self.controls,
                 work=work,
                 log=context.log,
             )
-            for number in range(SERVERS)
+            for number, zone in enumerate(SERVER_ZONES)
         ]
 
     @property
--- a/review/support_3/server.py
+++ b/review/support_3/server.py
@@ -37,7 +37,10 @@
 class Server:
     """One server of a service.
 
-    ``ran`` has the ids of the requests that it began to work on.
+    ``ran`` has the ids of the requests that it began to work on, and
+    ``ran_s`` when, by the monotonic clock. ``heard`` is set by each regular
+    report that was acknowledged. While ``is_cut_off``, nothing that
+    it reports arrives.
     """
 
     def __init__(
@@ -54,6 +57,9 @@
     ) -> None:
         self.server_id = server_id
         self.ran: list[str] = []
+        self.ran_s: list[float] = []
+        self.is_cut_off = False
+        self.heard = asyncio.Event()
         self.state = 'ready'
         self._service = service
         self._address = address
@@ -83,10 +89,10 @@
         if self._listener is not None:
             self._listener.close()
 
-    async def report(self) -> bool:
-        """Report once; return whether it was acknowledged."""
+    def next_report(self) -> dict:
+        """Return what it says of itself now, under the next number."""
         self._sequence += 1
-        body = {
+        return {
             'Service': self._service,
             'Addr': f'{self._address[0]}:{self._address[1]}',
             'Zone': self._zone,
@@ -97,10 +103,21 @@
             'Seq': self._sequence,
             'born': self._born_ms,
         }
-        target = f'/rpc?call=instances.heartbeat&of={self.server_id}'
+
+    async def report(self) -> bool:
+        """Report once; return whether it was acknowledged."""
+        return await self.deliver('heartbeat', self.next_report())
+
+    async def leave(self) -> bool:
+        """Say that it leaves; return whether that was acknowledged."""
+        return await self.deliver('leave', {'born': self._born_ms})
+
+    async def deliver(self, call: str, document: dict) -> bool:
+        """Send a call to one control host after the other."""
+        target = f'/rpc?call=instances.{call}&of={self.server_id}'
         for address in self._controls:
             answer = await http.call(
-                address, 'POST', target, body, timeout_s=ACK_S
+                address, 'POST', target, document, timeout_s=ACK_S
             )
             if answer is not None and answer.status < 300:
                 return len(answer.body) <= MAX_ACK_BYTES
@@ -109,7 +126,8 @@
     async def _beat(self) -> None:
         while True:
             started_s = time.monotonic()
-            await self.report()
+            if not self.is_cut_off and await self.report():
+                self.heard.set()
             took_s = time.monotonic() - started_s
             await asyncio.sleep(max(0.1, BEAT_S - took_s))
 
@@ -135,6 +153,7 @@
         if expected != self.server_id:
             return b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n'
         self.ran.append(request.attempt_id)
+        self.ran_s.append(time.monotonic())
         self._log.write(
             f'{self.server_id} runs {request.attempt_id} {request.method} '
             f'{request.target} body={len(request.body)}'
