--- a/review/support_3/deployment.py
+++ b/review/support_3/deployment.py
@@ -198,8 +198,8 @@
             'Discovery': 'self_register',
             'Entry': 'directory',
             'Beat': '1500ms',
-            'Contracts': 'base,drain,config,cost,retry,recover,places,'
-            'tenants,quota',
+            'Contracts': 'base,drain,config,cost,retry,recover,health,pool,'
+            'places,tenants,quota',
             'Tolerate.Machines': str(self._tolerated),
             'Tolerate.Zones': '1',
             'Tolerate.Regions': '1',
