Keep case 12 inside the share that a cut of servers has

Cause: the case cut one server of four off from control, a share of .25; srv_cut has a share of .2.

Case: review/12 has a fifth server, in another zone. Nothing else of it is changed, and the fleet of case 11 is as before.

--- a/review/12/play.py
+++ b/review/12/play.py
@@ -41,6 +41,8 @@
 LEAVE_AT_S = 9.0
 # The server that drains: the one in the zone of the clients.
 SERVER = 1
+# Five, so that one of them is the share that a cut of servers takes.
+ZONES = (*fleets.SERVER_ZONES, 'seoul-a')
 
 
 class Client:
@@ -162,6 +164,7 @@
         bounds=BOUNDS,
         contact_s=CONTACT_S,
         work=_work,
+        zones=ZONES,
     ) as fleet:
         return await _play(fleet)
 
--- a/review/support_3/fleet.py
+++ b/review/support_3/fleet.py
@@ -22,7 +22,14 @@
 class Fleet:
     """Processes of the system and servers, as clients find them."""
 
-    def __init__(self, *, context, bounds: dict, work: servers.Work) -> None:
+    def __init__(
+        self,
+        *,
+        context,
+        bounds: dict,
+        work: servers.Work,
+        zones: tuple[str, ...],
+    ) -> None:
         self.log = context.log
         self.has_trouble = context.has_trouble
         self.deployment = deployments.Deployment(
@@ -42,7 +49,7 @@
                 work=work,
                 log=context.log,
             )
-            for number, zone in enumerate(SERVER_ZONES)
+            for number, zone in enumerate(zones)
         ]
 
     @property
@@ -125,9 +132,10 @@
     bounds: dict,
     contact_s: float,
     work: servers.Work,
+    zones: tuple[str, ...] = SERVER_ZONES,
 ):
     """Run a fleet while the context lasts."""
-    fleet = Fleet(context=context, bounds=bounds, work=work)
+    fleet = Fleet(context=context, bounds=bounds, work=work, zones=zones)
     try:
         await fleet.start(configuration, contact_s=contact_s)
         yield fleet
