Remember what a removed upstream reported last

Cause: an upstream that is silent for 3.4 heartbeats was removed without a trace. Neither the replicated state nor the leader's liveness table knew after that which report had been acknowledged, so that an earlier one of the same incarnation counted as new. The virtual-time play shows the sequence: upstream_recorded draining, upstream_removed left=False, upstream_recorded ready. A new leader, a lost commit or an old state are not needed for it: the rows without them fail just so.

Reports up to that revision are ignored, later ones and later incarnations are not. The leader adds the sequence of the last heartbeat, as heartbeats that change nothing are not committed. The same cause on related paths: an upstream whose address another one takes over, one that is deleted by a mark, and an earlier incarnation of one that was silent. A removal no longer deletes an upstream of which a later report was committed meanwhile. Traces are forgotten after 30 s, like the marks of departures, and there are 10,000 of them at most.

--- a/src/skylarkpitch/fleet/commands.py
+++ b/src/skylarkpitch/fleet/commands.py
@@ -12,6 +12,7 @@
 __all__ = [
     'Command',
     'ForgetDeparture',
+    'ForgetRemoved',
     'MarkDeparture',
     'PutConfiguration',
     'RecordControlHost',
@@ -62,12 +63,15 @@
 
     ``left`` is true if the upstream announced its departure. Later reports
     of that incarnation are then ignored. It is false if the upstream is
-    removed because its heartbeats stopped.
+    removed because its heartbeats stopped. ``sequence`` is then that of the
+    last report that the leader received; it and earlier reports are ignored
+    until :class:`ForgetRemoved`. It is None in logs of earlier releases.
     """
 
     upstream_id: str
     born_ms: int
     left: bool
+    sequence: int | None = None
 
 
 class MarkDeparture(_Tagged, frozen=True, kw_only=True):
@@ -88,6 +92,14 @@
     before_ms: int
 
 
+class ForgetRemoved(_Tagged, frozen=True, kw_only=True):
+    """Forget the last report of a removed upstream, if it is this one."""
+
+    upstream_id: str
+    born_ms: int
+    sequence: int
+
+
 class RecordEntryHost(_Tagged, frozen=True, kw_only=True):
     """Record an entry host, so that look-ups return it to callers."""
 
@@ -119,6 +131,7 @@
     | RemoveUpstream
     | MarkDeparture
     | ForgetDeparture
+    | ForgetRemoved
     | RecordEntryHost
     | RemoveEntryHost
     | RecordControlHost
--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -375,7 +375,7 @@
         if self._upstreams.is_stale(name, revision=reported.revision):
             self._log_ignored(reported, recorded, why='earlier_report')
             return control_requests.accepted()
-        if not self._state.is_newer(reported):
+        if not self._state.upstream_table.is_newer(reported):
             self._log_ignored(reported, recorded, why='not_newer')
             if recorded is not None and recorded.revision == reported.revision:
                 self._upstreams.record_contact(
@@ -407,6 +407,8 @@
         why: str,
     ) -> None:
         name = reported.upstream_id
+        table = self._state.upstream_table
+        removed = table.removed.get(name)
         _log.info(
             'heartbeat_ignored',
             upstream=name,
@@ -414,8 +416,9 @@
             born_ms=reported.born_ms,
             sequence=reported.sequence,
             recorded_born_ms=None if recorded is None else recorded.born_ms,
-            departed_ms=self._state.departed.get(name),
-            marked_ms=self._state.departed_unrecorded.get(name),
+            departed_ms=table.departed.get(name),
+            marked_ms=table.departed_unrecorded.get(name),
+            removed_sequence=None if removed is None else removed[1],
         )
 
     async def _leave(
@@ -535,6 +538,15 @@
                     _log.info('local_shares', region=region, shares=shares)
             before = now
 
+    async def _remove_silent(self, upstream: model.Upstream) -> None:
+        last_revision = self._upstreams.last_revision(upstream.upstream_id)
+        last_sequence = upstream.sequence
+        if last_revision is not None and last_revision[0] == upstream.born_ms:
+            last_sequence = max(last_sequence, last_revision[1])
+        await self._departures.remove_silent(
+            upstream, last_sequence=last_sequence
+        )
+
     async def _remove_expired(self) -> None:
         """Remove what has been silent for too long.
 
@@ -546,9 +558,7 @@
         hosts = self._state.entry_hosts
         removals = [
             *(
-                self._departures.remove(
-                    name, upstreams[name].born_ms, left=False
-                )
+                self._remove_silent(upstreams[name])
                 for name in self._upstreams.expired(upstreams, now_s=now_s)
             ),
             *(
--- a/src/skylarkpitch/fleet/liveness.py
+++ b/src/skylarkpitch/fleet/liveness.py
@@ -42,6 +42,11 @@
         contact = self._contacts.get(name)
         return contact is not None and revision < contact.revision
 
+    def last_revision(self, name: str) -> tuple[int, int] | None:
+        """Return the revision of the last contact, None without one."""
+        contact = self._contacts.get(name)
+        return None if contact is None else contact.revision
+
     def reset(self) -> None:
         """Discard all contacts, as when this process becomes leader."""
         self._contacts.clear()
--- a/src/skylarkpitch/fleet/state.py
+++ b/src/skylarkpitch/fleet/state.py
@@ -13,11 +13,10 @@
 from skylarkpitch.config import parts
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import model
+from skylarkpitch.fleet import upstream_table
 
 __all__ = [
     'CONTROL_HOST',
-    'DEPARTED',
-    'DEPARTED_UNRECORDED',
     'DOCUMENT',
     'DRAIN',
     'ENTRY_HOST',
@@ -40,15 +39,10 @@
 ORGANISATION = 'organisation'
 REQUIRES_API_KEY = 'requires_api_key'
 DRAIN = 'drain'
-UPSTREAM = 'upstream'
+UPSTREAM = upstream_table.UPSTREAM
 ENTRY_HOST = 'entry_host'
 CONTROL_HOST = 'control_host'
-DEPARTED = 'departed'
-DEPARTED_UNRECORDED = 'departed_unrecorded'
 DOCUMENT = 'document'
-# Departures are stored so that late heartbeats of the departed incarnation
-# are ignored; above this number the oldest is discarded.
-MAX_DEPARTED = 2000
 
 KINDS: dict[str, type] = {
     VERSION: int,
@@ -70,7 +64,21 @@
     ORGANISATION,
     REQUIRES_API_KEY,
 )
-_CONTROL_ONLY_KINDS = frozenset((DEPARTED, DEPARTED_UNRECORDED, DOCUMENT))
+_CONTROL_ONLY_KINDS = frozenset(
+    (
+        DOCUMENT,
+        upstream_table.DEPARTED,
+        upstream_table.DEPARTED_UNRECORDED,
+        upstream_table.REMOVED,
+    )
+)
+_UPSTREAM_APPLIERS = {
+    commands.RecordUpstream: upstream_table.UpstreamTable.record,
+    commands.RemoveUpstream: upstream_table.UpstreamTable.remove,
+    commands.MarkDeparture: upstream_table.UpstreamTable.mark_departure,
+    commands.ForgetDeparture: upstream_table.UpstreamTable.forget_departure,
+    commands.ForgetRemoved: upstream_table.UpstreamTable.forget_removed,
+}
 # Kind, name, floor version and index of the snapshot: the key of a row that
 # earlier releases load as a removed part. They refuse further fields.
 _FLOOR_KEY = (DOCUMENT, 'floor_version')
@@ -82,7 +90,8 @@
 def shared_rows(rows: tuple[parts.Row, ...]) -> tuple[parts.Row, ...]:
     """Return the rows to send to entry hosts.
 
-    Departures and the configuration document are for control hosts only.
+    The traces of upstreams that were removed, and the configuration document,
+    are for control hosts only.
     """
     return tuple(row for row in rows if row[0][0] not in _CONTROL_ONLY_KINDS)
 
@@ -92,22 +101,15 @@
 
     def __init__(self) -> None:
         self.parts = parts.PartStore()
+        self.upstream_table = upstream_table.UpstreamTable(store=self.parts)
         self.configuration_version = 0
         self.document = b''
-        self.upstreams: dict[str, model.Upstream] = {}
         self.entry_hosts: dict[str, model.EntryHost] = {}
         self.control_hosts: dict[str, model.ControlHost] = {}
-        self.departed: dict[str, int] = {}
-        self.departed_unrecorded: dict[str, int] = {}
-        self._by_address: dict[str, str] = {}
         self._organisations: dict[str, model.Organisation] = {}
         self._appliers = {
             commands.PutConfiguration: self._put_configuration,
             commands.SetDomainDrain: self._set_drain,
-            commands.RecordUpstream: self._record_upstream,
-            commands.RemoveUpstream: self._remove_upstream,
-            commands.MarkDeparture: self._mark_departure,
-            commands.ForgetDeparture: self._forget_departure,
             commands.RecordEntryHost: self._record_entry_host,
             commands.RemoveEntryHost: self._remove_entry_host,
             commands.RecordControlHost: self._record_control_host,
@@ -119,10 +121,10 @@
         """Return the index of the last applied log entry."""
         return self.parts.version
 
-    def upstream_at(self, address: str) -> model.Upstream | None:
-        """Return the upstream that is recorded at an address, or None."""
-        upstream_id = self._by_address.get(address)
-        return None if upstream_id is None else self.upstreams.get(upstream_id)
+    @property
+    def upstreams(self) -> dict[str, model.Upstream]:
+        """Return the recorded upstreams by id."""
+        return self.upstream_table.upstreams
 
     def organisation(self, name: str) -> model.Organisation | None:
         """Return an organisation of the configuration, or None.
@@ -144,7 +146,11 @@
     def apply(self, index: int, command: bytes) -> object:
         """Apply a committed command; return the configuration version."""
         item = commands.decode(command)
-        self._appliers[type(item)](index, item)
+        kind = type(item)
+        if kind in _UPSTREAM_APPLIERS:
+            _UPSTREAM_APPLIERS[kind](self.upstream_table, index, item)
+        else:
+            self._appliers[kind](index, item)
         self.parts.advance(index)
         return self.configuration_version
 
@@ -158,15 +164,12 @@
         """Replace the state with that of a snapshot."""
         index, rows = _snapshot_decoder.decode(data)
         self.parts = parts.PartStore()
+        self.upstream_table = upstream_table.UpstreamTable(store=self.parts)
         self.parts.floor_version = _floor_version_of(rows, index=index)
         self.configuration_version = 0
         self.document = b''
-        self.upstreams.clear()
         self.entry_hosts.clear()
         self.control_hosts.clear()
-        self.departed.clear()
-        self.departed_unrecorded.clear()
-        self._by_address.clear()
         self._organisations.clear()
         for key, version, value in rows:
             if not _is_floor_key(key):
@@ -181,16 +184,12 @@
             self.configuration_version = model.decode(int, value)
         elif key[0] == DOCUMENT:
             self.document = value
-        elif key[0] == UPSTREAM:
-            self._store_upstream(model.decode(model.Upstream, value))
         elif key[0] == ENTRY_HOST:
             self.entry_hosts[key[1]] = model.decode(model.EntryHost, value)
         elif key[0] == CONTROL_HOST:
             self.control_hosts[key[1]] = model.decode(model.ControlHost, value)
-        elif key[0] == DEPARTED:
-            self.departed[key[1]] = model.decode(int, value)
-        elif key[0] == DEPARTED_UNRECORDED:
-            self.departed_unrecorded[key[1]] = model.decode(int, value)
+        else:
+            self.upstream_table.load(key, value)
 
     def _put_configuration(
         self, index: int, item: commands.PutConfiguration
@@ -220,98 +219,6 @@
         value = model.encode(True) if item.draining else None
         self.parts.put((DRAIN, item.failure_domain), index, value)
 
-    def _record_upstream(
-        self, index: int, item: commands.RecordUpstream
-    ) -> None:
-        reported = item.upstream
-        if not self.is_newer(reported):
-            return
-        other = self.upstream_at(reported.address)
-        if other is not None and other.upstream_id != reported.upstream_id:
-            self._delete_upstream(index, other.upstream_id)
-        recorded = self.upstreams.get(reported.upstream_id)
-        if recorded is not None:
-            self._by_address.pop(recorded.address, None)
-        self._store_upstream(reported)
-        key = (UPSTREAM, reported.upstream_id)
-        self.parts.put(key, index, model.encode(reported))
-
-    def is_newer(self, reported: model.Upstream) -> bool:
-        """Return whether a report is newer than the recorded state.
-
-        It is not if this incarnation has departed, if a report of the same
-        or a later revision is recorded, or if an upstream that was started
-        later is recorded at its address.
-        """
-        name = reported.upstream_id
-        departed_ms = max(
-            self.departed.get(name, -1), self.departed_unrecorded.get(name, -1)
-        )
-        if reported.born_ms <= departed_ms:
-            return False
-        recorded = self.upstreams.get(reported.upstream_id)
-        if recorded is not None and reported.revision <= recorded.revision:
-            return False
-        other = self.upstream_at(reported.address)
-        return other is None or other.born_ms <= reported.born_ms
-
-    def _remove_upstream(
-        self, index: int, item: commands.RemoveUpstream
-    ) -> None:
-        if item.left:
-            self._record_departure(index, item)
-        recorded = self.upstreams.get(item.upstream_id)
-        if recorded is not None and recorded.born_ms <= item.born_ms:
-            self._delete_upstream(index, item.upstream_id)
-
-    def _record_departure(
-        self, index: int, item: commands.RemoveUpstream
-    ) -> None:
-        self._store_departure(
-            index, DEPARTED, self.departed, item.upstream_id, item.born_ms
-        )
-
-    def _mark_departure(
-        self, index: int, item: commands.MarkDeparture
-    ) -> None:
-        self._store_departure(
-            index,
-            DEPARTED_UNRECORDED,
-            self.departed_unrecorded,
-            item.upstream_id,
-            item.before_ms,
-        )
-        # A heartbeat may have been committed since the departure arrived.
-        recorded = self.upstreams.get(item.upstream_id)
-        if recorded is not None and recorded.born_ms <= item.before_ms:
-            self._delete_upstream(index, item.upstream_id)
-
-    def _store_departure(
-        self,
-        index: int,
-        kind: str,
-        departures: dict[str, int],
-        upstream_id: str,
-        born_ms: int,
-    ) -> None:
-        if born_ms <= departures.get(upstream_id, -1):
-            return
-        departures.pop(upstream_id, None)
-        departures[upstream_id] = born_ms
-        self.parts.put((kind, upstream_id), index, model.encode(born_ms))
-        if len(departures) > MAX_DEPARTED:
-            oldest = next(iter(departures))
-            del departures[oldest]
-            self.parts.put((kind, oldest), index, None)
-
-    def _forget_departure(
-        self, index: int, item: commands.ForgetDeparture
-    ) -> None:
-        name = item.upstream_id
-        if self.departed_unrecorded.get(name) == item.before_ms:
-            del self.departed_unrecorded[name]
-            self.parts.put((DEPARTED_UNRECORDED, name), index, None)
-
     def _record_entry_host(
         self, index: int, item: commands.RecordEntryHost
     ) -> None:
@@ -342,16 +249,6 @@
         if self.control_hosts.pop(item.name, None) is not None:
             self.parts.put((CONTROL_HOST, item.name), index, None)
 
-    def _store_upstream(self, upstream: model.Upstream) -> None:
-        self.upstreams[upstream.upstream_id] = upstream
-        self._by_address[upstream.address] = upstream.upstream_id
-
-    def _delete_upstream(self, index: int, upstream_id: str) -> None:
-        deleted = self.upstreams.pop(upstream_id)
-        if self._by_address.get(deleted.address) == upstream_id:
-            del self._by_address[deleted.address]
-        self.parts.put((UPSTREAM, upstream_id), index, None)
-
 
 def _floor_row(floor_version: int, *, index: int) -> parts.Row:
     return (*_FLOOR_KEY, str(floor_version), str(index)), 0, None
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -52,6 +52,14 @@
         service = self.cluster.control_services[host or self.follower]
         return await service.execute(LEAVE, **options)
 
+    async def leave_of(self, upstream_id, *, born_s=0.0):
+        await self.cluster.submit_until_accepted(
+            self.follower,
+            control_requests.Leave(
+                upstream_id=upstream_id, born_ms=self.born_ms(born_s)
+            ),
+        )
+
     async def kill_leader(self):
         await self.cluster.kill(self.leader)
         await self.cluster.wait_until(
@@ -225,7 +233,7 @@
     await play.leave()
     await play.wait_until(1.2)
     await play.beat(born_s=1.1)
-    await play.wait_until(departures.MARK_LIFETIME_S + 2.0)
+    await play.wait_until(departures.TRACE_LIFETIME_S + 2.0)
     await play.beat(born_s=1.1, sequence=2)
 
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -12,6 +12,7 @@
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import upstream_table
 from skylarkpitch.fleet import view as views
 from skylarkpitch.fleet import watches
 from skylarkpitch.messages import fleet as messages
@@ -148,7 +149,7 @@
     restored.restore(state.snapshot())
     assert restored.snapshot() == state.snapshot()
     assert restored.upstreams == state.upstreams
-    assert restored.departed == state.departed
+    assert restored.upstream_table.departed == state.upstream_table.departed
     assert restored.entry_hosts == state.entry_hosts
     assert restored.is_draining('east-a')
     assert (restored.configuration_version, restored.document) == (3, b'doc')
@@ -181,16 +182,17 @@
     assert list(state.upstreams) == expected
     restored = fleet_state.FleetState()
     restored.restore(state.snapshot())
-    assert restored.departed_unrecorded == state.departed_unrecorded
+    marks = state.upstream_table.departed_unrecorded
+    assert restored.upstream_table.departed_unrecorded == marks
     assert restored.upstreams == state.upstreams
 
 
 def test_number_of_marked_departures_is_bounded():
-    state = applied(
-        *(mark(100, name=f'u{n}') for n in range(fleet_state.MAX_DEPARTED + 5))
-    )
-    assert len(state.departed_unrecorded) == fleet_state.MAX_DEPARTED
-    assert 'u0' not in state.departed_unrecorded
+    count = upstream_table.MAX_DEPARTED + 5
+    state = applied(*(mark(100, name=f'u{n}') for n in range(count)))
+    marks = state.upstream_table.departed_unrecorded
+    assert len(marks) == upstream_table.MAX_DEPARTED
+    assert 'u0' not in marks
 
 
 def watch_response(state, index):
@@ -307,6 +309,7 @@
         )
         index, rows = decoder.decode(data)
         self.parts = parts.PartStore()
+        self.upstream_table = upstream_table.UpstreamTable(store=self.parts)
         for key, version, value in rows:
             self.parts.put(key, version, value)
             self._load_part(key, value)
--- a/tests/test_restored_states.py
+++ b/tests/test_restored_states.py
@@ -21,6 +21,7 @@
 from skylarkpitch.fleet import commands
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import state as fleet_state
+from skylarkpitch.fleet import upstream_table
 from skylarkpitch.fleet import view as views
 from tests import test_config_state as config_fixtures
 from tests import test_fleet_state as fixtures
@@ -72,10 +73,23 @@
 
 
 def random_leave(rng):
-    return fixtures.leave(
-        rng.choice(NAMES),
+    return fixtures.leave(rng.choice(NAMES), born_ms=rng.randrange(20))
+
+
+def random_silence(rng):
+    return commands.RemoveUpstream(
+        upstream_id=rng.choice(NAMES),
+        born_ms=rng.randrange(20),
+        left=False,
+        sequence=rng.choice((None, *range(20))),
+    )
+
+
+def random_forget_removed(rng):
+    return commands.ForgetRemoved(
+        upstream_id=rng.choice(NAMES),
         born_ms=rng.randrange(20),
-        left=rng.random() < 0.7,
+        sequence=rng.randrange(20),
     )
 
 
@@ -118,6 +132,8 @@
     random_record,
     random_record,
     random_leave,
+    random_silence,
+    random_forget_removed,
     random_mark,
     random_forget,
     random_drain,
@@ -128,6 +144,7 @@
 
 def fleet_facts(state):
     """Return everything that a command or a control request may ask."""
+    table = state.upstream_table
     return {
         'index': state.index,
         'floor': state.parts.floor_version,
@@ -136,10 +153,11 @@
         'upstreams': state.upstreams,
         'entry_hosts': state.entry_hosts,
         'control_hosts': state.control_hosts,
-        'departed': list(state.departed.items()),
-        'marked': list(state.departed_unrecorded.items()),
+        'departed': list(table.departed.items()),
+        'marked': list(table.departed_unrecorded.items()),
+        'removed': list(table.removed.items()),
         'at': {
-            address: state.upstream_at(address)
+            address: table.at(address)
             for address in (f'10.0.0.{number}:80' for number in range(6))
         },
         'organisations': [state.organisation(name) for name in NAMES],
@@ -197,7 +215,8 @@
 @pytest.mark.parametrize('seed', range(SEEDS))
 def test_restored_fleet_state_answers_like_the_original(monkeypatch, seed):
     monkeypatch.setattr(parts, 'MAX_TOMBSTONES', LIMIT)
-    monkeypatch.setattr(fleet_state, 'MAX_DEPARTED', LIMIT)
+    monkeypatch.setattr(upstream_table, 'MAX_DEPARTED', LIMIT)
+    monkeypatch.setattr(upstream_table, 'MAX_REMOVED', LIMIT)
     rng = random.Random(seed)
     states = [fleet_state.FleetState() for _copy in range(COPIES)]
     readers = [views.FleetView() for _reader in range(COPIES)]
