Ignore reports of entry hosts that have left or started again

A report that waits at a control host and arrives after its host has left records it again, and look-ups name it until it is missed, 2.5 s later. A late leave of an earlier start removes the running one. A late report that counts fewer requests than one before it gives the fleet these requests back, to be passed a second time; one of an earlier start takes away all that it had ever passed.

Clocks of hosts step, so a number by time could keep a live host out. The leader remembers which starts it has seen end, by the incarnation that each report bears, and the counts of a start never decrease. A new leader does not know the starts that ended before: there a late report holds for 2.5 s, as it did.

Not seen by callers so far.

--- a/src/skylarkpitch/fleet/control_service.py
+++ b/src/skylarkpitch/fleet/control_service.py
@@ -26,6 +26,7 @@
 from skylarkpitch.fleet import membership as memberships
 from skylarkpitch.fleet import model
 from skylarkpitch.fleet import order_guard
+from skylarkpitch.fleet import report_order
 from skylarkpitch.fleet import state as fleet_state
 from skylarkpitch.fleet import time_of_day
 from skylarkpitch.fleet import upstream_checks
@@ -125,6 +126,7 @@
             timeout_s=UPSTREAM_TIMEOUT_INTERVALS * heartbeat_s
         )
         self._entry_hosts = liveness.Liveness(timeout_s=ENTRY_HOST_TIMEOUT_S)
+        self._report_order = report_order.ReportOrder()
         self._grants = grants.Grants(state=state, region_of=region_of)
         self._watches = watches.Watches(
             log=log,
@@ -438,6 +440,14 @@
         self, request: control_requests.EntryReport
     ) -> control_requests.Outcome:
         host = request.entry_host
+        if self._report_order.is_late(request):
+            _log.info(
+                'entry_report_ignored',
+                entry_host=host.name,
+                incarnation=request.incarnation,
+                leaving=request.leaving,
+            )
+            return control_requests.accepted()
         now_s = self._clock()
         self._entry_hosts.record_contact(
             host.name, revision=(0, 0), now_s=now_s
@@ -446,7 +456,9 @@
         if request.leaving:
             if recorded is not None:
                 await self._remove_entry_host(host.name, why='leaving')
+            self._report_order.record(request)
             return control_requests.accepted()
+        self._report_order.record(request)
         if recorded != host:
             await self._submit(commands.RecordEntryHost(entry_host=host))
             _log.info('entry_host_recorded', entry_host=host.name)
--- a/src/skylarkpitch/fleet/rate_shares.py
+++ b/src/skylarkpitch/fleet/rate_shares.py
@@ -199,7 +199,8 @@
         """Return how many requests a host passed since its last report.
 
         The first report of a host that was running before this process
-        became leader only sets what later reports are compared with.
+        became leader only sets what later reports are compared with. A late
+        report, which counts fewer, changes nothing.
         """
         if not usage.incarnation:
             return {}
@@ -207,10 +208,13 @@
         if recorded.incarnation != usage.incarnation:
             before = usage.passed if not recorded.incarnation else {}
         recorded.incarnation = usage.incarnation
-        recorded.passed = dict(usage.passed)
+        recorded.passed = {
+            name: max(count, before.get(name, 0))
+            for name, count in usage.passed.items()
+        }
         return {
             name: count - before.get(name, 0)
-            for name, count in usage.passed.items()
+            for name, count in recorded.passed.items()
         }
 
     def _share_of(
