Keep what an upstream runs when it is removed and returns

An upstream that control does not hear from is removed, and used again with its next heartbeat, often while requests of this host still run there. They were forgotten with it, so that it was sent its full room once more.

The load of a removed upstream is kept as long as requests of this host run there.

--- a/src/skylarkpitch/forwarding/upstream_selector.py
+++ b/src/skylarkpitch/forwarding/upstream_selector.py
@@ -61,6 +61,8 @@
         self._failure_domain = failure_domain
         self._region_of = region_of
         self._loads: dict[str, upstream_load.UpstreamLoad] = {}
+        # Of upstreams that were removed while requests of this host run there.
+        self._removed_loads: dict[str, upstream_load.UpstreamLoad] = {}
         self._pools: dict[str, service_pool.ServicePool] = {}
         self.measurements = measurements.Measurements()
         self.notices = upstream_notices.UpstreamNotices()
@@ -101,8 +103,10 @@
         ):
             self._pools[before.upstream.service].remove(name)
         if item is None:
+            if before is not None and before.running:
+                self._removed_loads[name] = before
             return
-        load = before
+        load = before or self._removed_loads.pop(name, None)
         if load is None or load.upstream.born_ms != item.born_ms:
             load = upstream_load.UpstreamLoad(
                 item, notices=self.notices.state_of(item), now_s=now_s
@@ -467,7 +471,11 @@
 
     def release(self, candidate: candidates.Candidate) -> None:
         """Release the slot of a request that has ended."""
-        candidate.load.running -= 1
+        load = candidate.load
+        load.running -= 1
+        name = load.upstream.upstream_id
+        if not load.running and self._removed_loads.get(name) is load:
+            del self._removed_loads[name]
 
     def record_response(
         self,
--- a/tests/test_forwarding_deciding.py
+++ b/tests/test_forwarding_deciding.py
@@ -1,5 +1,7 @@
 """Decisions of an entry host about a request, without any I/O."""
 
+import dataclasses
+
 import pytest
 
 from skylarkpitch.fleet import host_parts
@@ -496,3 +498,52 @@
     shares.apply_grant(0.1, now_s=1.0)
     assert shares.choose(affinity_fraction=0.5, now_s=1.1) == regions.REMOTE
     assert shares.choose(affinity_fraction=0.05, now_s=2.0) == regions.LOCAL
+
+
+def running_on(selector, name):
+    """Return how many more requests the only upstream may get at once."""
+    requests = 0
+    while not sentinels.is_absent(candidate := select(selector)):
+        assert candidate.load.upstream.upstream_id == name
+        selector.reserve(candidate, criteria(), now_s=0.0)
+        requests += 1
+    return requests
+
+
+# Guards against an upstream that is sent more than it has room for: it was
+# removed while control did not hear from it, and what it ran was forgotten.
+@pytest.mark.parametrize(
+    ('returned', 'ended', 'expected'),
+    [
+        (NEAR, 0, 0),
+        (NEAR, 2, 2),
+        (dataclasses.replace(NEAR, sequence=9), 0, 0),
+        (dataclasses.replace(NEAR, born_ms=2), 0, 6),
+    ],
+    ids=['none-ended', 'some-ended', 'later-report', 'started-again'],
+)
+def test_upstream_that_returns_still_runs_what_it_ran(
+    returned, ended, expected
+):
+    selector = new_selector([NEAR])
+    sent = [select(selector) for _number in range(6)]
+    for candidate in sent:
+        selector.reserve(candidate, criteria(), now_s=0.0)
+    assert selected_id(selector) == 'no_room'
+    update(selector, [])
+    assert selected_id(selector) == 'no_upstream'
+    for candidate in sent[:ended]:
+        selector.release(candidate)
+    update(selector, [returned])
+    assert running_on(selector, 'near') == expected
+
+
+def test_upstream_without_requests_is_forgotten():
+    selector = new_selector([NEAR])
+    candidate = select(selector)
+    selector.reserve(candidate, criteria(), now_s=0.0)
+    candidate.load.record_unreachable(now_s=0.0)
+    update(selector, [])
+    selector.release(candidate)
+    update(selector, [NEAR])
+    assert select(selector).load is not candidate.load
