Read on in the bodies of requests that run when a host stops

Cause: once a connection is told to close, both aiohttp and our data_received dropped whatever arrives on it, also the rest of the body of the request that is handled. The handler waited for it until it was aborted.

Change, in listening and so for every port: such bytes are still given to the parser, for that body only. No further request is taken, and what cannot be read behind the body is ignored. An entry host refuses (503, `stopping`, not run) a request whose body has not arrived shortly before the end of its grace, and one that is not expected to end by then, by the measured mean time of its service: once passed on and aborted, it could have run. A time-out of the route that is earlier still answers 408.

--- a/src/skylarkpitch/forwarding/admission.py
+++ b/src/skylarkpitch/forwarding/admission.py
@@ -18,7 +18,7 @@
 from skylarkpitch.forwarding import routing
 from skylarkpitch.requests import headers as header_rules
 
-__all__ = ['Admission', 'caller_timeout_s']
+__all__ = ['Admission', 'caller_timeout_s', 'refuse_stopping']
 
 DEFAULT_DEADLINE_S = 30.0
 RETRY_AFTER_S = 0.3
@@ -65,6 +65,8 @@
         self._splitter = routing.Splitter()
         self._key_table = callers.KeyTable(())
         self._requires_api_key = True
+        self._reading: set[asyncio.Timeout] = set()
+        self._read_until_s = float('inf')
         self.rates = callers.RateLimits(tolerance=rate_tolerance, rng=rng)
 
     def apply_view_changes(self, changed: frozenset[str]) -> None:
@@ -79,6 +81,15 @@
             self._key_table = callers.KeyTable(self._view.organisations)
         self._requires_api_key = self._view.requires_api_key
 
+    def stop_reading(self, *, at_s: float) -> None:
+        """Refuse the requests whose bodies have not arrived by ``at_s``."""
+        self._read_until_s = at_s
+        left_s = max(0.0, at_s - self._clock())
+        end_s = asyncio.get_running_loop().time() + left_s
+        for timeout in self._reading:
+            if not timeout.expired():
+                timeout.reschedule(min(timeout.when(), end_s))
+
     async def admit(self, call: calls.Call) -> refusals.Refusal | None:
         """Set the route, service, body and other fields of a call.
 
@@ -171,11 +182,18 @@
     async def _receive_body(
         self, call: calls.Call, max_bytes: int
     ) -> refusals.Refusal | None:
-        left_s = max(0.0, call.deadline_s - self._clock())
+        until_s = min(call.deadline_s, self._read_until_s)
+        left_s = max(0.0, until_s - self._clock())
         try:
-            async with asyncio.timeout(left_s):
-                return await self._receive_blocks(call, max_bytes)
+            async with asyncio.timeout(left_s) as timeout:
+                self._reading.add(timeout)
+                try:
+                    return await self._receive_blocks(call, max_bytes)
+                finally:
+                    self._reading.discard(timeout)
         except TimeoutError:
+            if self._read_until_s < call.deadline_s:
+                return refuse_stopping()
             return refusals.refuse(refusals.Reason.BODY_LATE)
         except web.RequestPayloadError as error:
             return refusals.refuse(refusals.Reason.MALFORMED, str(error))
@@ -207,6 +225,13 @@
         return True
 
 
+def refuse_stopping() -> refusals.Refusal:
+    """Refuse a request that this host cannot end before it stops."""
+    return refusals.refuse(
+        refusals.Reason.STOPPING, retry_after_s=RETRY_AFTER_S
+    )
+
+
 def _no_memory() -> refusals.Refusal:
     return refusals.refuse(
         refusals.Reason.NO_MEMORY, retry_after_s=BODY_RETRY_AFTER_S
--- a/src/skylarkpitch/forwarding/refusals.py
+++ b/src/skylarkpitch/forwarding/refusals.py
@@ -25,6 +25,7 @@
     BODY_TOO_LARGE = 'body_too_large'
     BODY_LATE = 'body_late'
     NO_MEMORY = 'no_memory'
+    STOPPING = 'stopping'
     OVER_RATE = 'over_rate'
     NO_UPSTREAM = 'no_upstream'
     NO_CAPACITY = 'no_room'
@@ -45,6 +46,7 @@
     Reason.BODY_TOO_LARGE: 413,
     Reason.BODY_LATE: 408,
     Reason.NO_MEMORY: 503,
+    Reason.STOPPING: 503,
     Reason.OVER_RATE: 429,
     Reason.NO_UPSTREAM: 503,
     Reason.NO_CAPACITY: 503,
@@ -65,6 +67,7 @@
     Reason.BODY_TOO_LARGE: 'send a smaller body',
     Reason.BODY_LATE: 'send the whole body sooner',
     Reason.NO_MEMORY: 'come back at the time given',
+    Reason.STOPPING: 'send it to another entry host',
     Reason.OVER_RATE: 'come back at the time given',
     Reason.NO_UPSTREAM: 'come back at the time given',
     Reason.NO_CAPACITY: 'come back at the time given',
--- a/src/skylarkpitch/forwarding/request_handler.py
+++ b/src/skylarkpitch/forwarding/request_handler.py
@@ -123,12 +123,22 @@
             clock=clock,
             unix_clock=unix_clock,
         )
+        self._stops_s = float('inf')
         self.running = 0
 
     def open(self) -> None:
         """Open the client for upstreams; needs a running event loop."""
         self._sender.open()
 
+    def stop(self, *, at_s: float) -> None:
+        """Refuse requests that cannot end before ``at_s``, by their bodies.
+
+        A request that is refused has not run, which its caller learns; one
+        that is aborted later may have.
+        """
+        self._stops_s = at_s
+        self._admission.stop_reading(at_s=at_s)
+
     async def close(self) -> None:
         """Close the connections to upstreams."""
         await self._sender.close()
@@ -280,11 +290,18 @@
         refusal = await self._admission.admit(call)
         if refusal is not None:
             return refusal
+        if not self._has_time(call):
+            return admission.refuse_stopping()
         refusal = self._exchanges.quarantine_refusal(call)
         if refusal is not None:
             return refusal
         return await self._exchanges.send_until_response(call)
 
+    def _has_time(self, call: calls.Call) -> bool:
+        """Return whether a request may end before this host stops."""
+        left_s = self._stops_s - self._clock()
+        return self.selector.measurements.mean_work_s(call.service) < left_s
+
     def _close_if_stopping(
         self, response: web.StreamResponse
     ) -> web.StreamResponse:
--- a/src/skylarkpitch/forwarding/service.py
+++ b/src/skylarkpitch/forwarding/service.py
@@ -35,6 +35,8 @@
 MAX_VIEW_AGE_S = 1e6
 # Time that the process needs to exit after the last response.
 PROCESS_EXIT_S = 0.8
+# Time in which a last refusal is written before connections are aborted.
+REFUSAL_S = 0.2
 
 _log = structlog.get_logger(__name__)
 
@@ -148,11 +150,13 @@
         """Leave the fleet, drain the running requests, then close."""
         stopped_s = self._clock()
         _log.info('stopping', running=self._handler.running)
+        abort_s = stopped_s + self._settings.grace_s - PROCESS_EXIT_S
+        self._handler.stop(at_s=abort_s - REFUSAL_S)
         await self._subscriber.leave()
         left_s = self._settings.drain_s - (self._clock() - stopped_s)
         await asyncio.sleep(max(0.0, left_s))
-        left_s = self._settings.grace_s - (self._clock() - stopped_s)
-        await self._listener.close(timeout_s=max(0.1, left_s - PROCESS_EXIT_S))
+        left_s = abort_s - self._clock()
+        await self._listener.close(timeout_s=max(0.1, left_s))
         await self._handler.close()
         self._ready_tcp_server.close()
         await self._ready_web_server.shutdown(0.1)
--- a/src/skylarkpitch/listening/client_connection.py
+++ b/src/skylarkpitch/listening/client_connection.py
@@ -126,7 +126,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, within the limits of a head."""
-        if self._is_refused or self._force_close or self._close:
+        if self._is_refused:
+            return
+        if self._force_close or self._close:
+            self._read_rest_of_body(data)
             return
         was_in_head = self._last_body is None or self._last_body.is_eof()
         seen = self._request_count
@@ -136,6 +139,22 @@
         elif was_in_head and data:
             self._check_head(data)
 
+    def _read_rest_of_body(self, data: bytes) -> None:
+        """Read on in the body of a request that is still handled.
+
+        A connection that is told to close answers it first. No further
+        request is taken from it.
+        """
+        body = self._last_body
+        if not data or body is None or body.is_eof() or self._messages:
+            return
+        try:
+            self._parser.feed_data(data)
+        except http_exceptions.HttpProcessingError as error:
+            # What cannot be read may be behind the body.
+            if not body.is_eof():
+                body.set_exception(web.RequestPayloadError(error.message))
+
     def pause_writing(self) -> None:
         """Record that the client does not take its answer."""
         super().pause_writing()
--- a/tests/test_forwarding_exchange.py
+++ b/tests/test_forwarding_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gzip
+import time
 import zlib
 
 import aiohttp
@@ -132,6 +133,10 @@
     def counter(self, name):
         return self._handler.counters()[name]
 
+    def stop_in(self, left_s):
+        """Let the host abort its requests after a time."""
+        self._handler.stop(at_s=time.monotonic() + left_s)
+
     def replace_upstream(self, number, upstream_id, *, born_ms):
         """Let another instance take the address of an upstream."""
         record = fleet_fixtures.record(
