End a process once its answers are taken, and not a second later

The listener of callers now waits until connections have closed, at most until the time at which requests are aborted, and the worker waits 0.1 s.

--- a/src/skylarkpitch/daemon/runner.py
+++ b/src/skylarkpitch/daemon/runner.py
@@ -11,6 +11,9 @@
 
 __all__ = ['Process', 'run']
 
+# Time for what was written last to leave the process.
+LAST_WRITES_S = 0.1
+
 
 class Process(mode.Service):
     """Root service, which starts and stops all others of the process.
@@ -31,6 +34,17 @@
             raise
 
 
+class _Worker(mode.Worker):
+    """Worker whose process ends as soon as its services have stopped.
+
+    The one of ``mode`` waits for another second, by a name that is not
+    public, so that its version is fixed in the requirements.
+    """
+
+    async def _sentinel_task(self) -> None:
+        await asyncio.sleep(LAST_WRITES_S)
+
+
 def run(create_process: Callable[[], Process]) -> None:
     """Create a process on a new event loop and run it until it stops.
 
@@ -39,7 +53,7 @@
     loop.use('uvloop')
     asyncio.set_event_loop(asyncio.new_event_loop())
     process = create_process()
-    worker = mode.Worker(
+    worker = _Worker(
         process,
         quiet=True,
         override_logging=False,
--- a/src/skylarkpitch/forwarding/callers_listener.py
+++ b/src/skylarkpitch/forwarding/callers_listener.py
@@ -21,6 +21,7 @@
 ARRIVED_S = 0.05
 # How long connections may take to close once their requests are aborted.
 ABORT_TIMEOUT_S = 0.05
+TAKEN_CHECK_INTERVAL_S = 0.02
 MS_PER_S = 1000
 
 _log = structlog.get_logger(__name__)
@@ -111,8 +112,10 @@
 
         Requests that have arrived before this call are answered. Then idle
         connections are closed at once. Requests that have not ended within
-        ``timeout_s`` are aborted.
+        ``timeout_s`` are aborted, as are answers that have not been taken.
         """
+        loop = asyncio.get_running_loop()
+        abort_s = loop.time() + 2 * ARRIVED_S + timeout_s
         await asyncio.sleep(ARRIVED_S)
         self.stop_listening()
         await asyncio.sleep(ARRIVED_S)
@@ -120,6 +123,8 @@
         if not await self._wait_closed(timeout_s):
             _log.warning('requests_broken_off', timeout_s=round(timeout_s, 2))
             await self._wait_closed(ABORT_TIMEOUT_S)
+        while self._guard.connections and loop.time() < abort_s:
+            await asyncio.sleep(TAKEN_CHECK_INTERVAL_S)
 
     async def _wait_closed(self, timeout_s: float) -> bool:
         """Return whether all connections closed within the time-out."""
--- a/src/skylarkpitch/listening/guard.py
+++ b/src/skylarkpitch/listening/guard.py
@@ -67,6 +67,11 @@
         """Return the limits that are in force."""
         return self._limits
 
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._table)
+
     def set_limits(self, limits: connection_limits.ConnectionLimits) -> None:
         """Set the limits.
 
--- a/tests/test_forwarding_stop.py
+++ b/tests/test_forwarding_stop.py
@@ -1,6 +1,7 @@
 """Connections of callers during a planned stop of an entry host."""
 
 import asyncio
+import socket
 
 import aiohttp
 from aiohttp import web
@@ -184,3 +185,39 @@
         await asyncio.wait_for(closing, 10.0)
 
     asyncio.run(check())
+
+
+# Guards against answers that are cut by the end of the process: they were
+# written, and waited for their readers.
+def test_stop_waits_until_answers_are_taken():
+    # Less than what a handler leaves to the event loop.
+    size = 60_000
+    handled = asyncio.Event()
+
+    async def handler(request):
+        handled.set()
+        own_socket = request.transport.get_extra_info('socket')
+        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return web.Response(body=b'a' * size)
+
+    async def check():
+        listener, address = await listen(handler)
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setblocking(False)
+        host, port = address.split(':')
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, (host, int(port)))
+        await loop.sock_sendall(client, REQUEST)
+        await handled.wait()
+        closing = asyncio.create_task(listener.close(timeout_s=LONG_S))
+        await asyncio.sleep(0.5)
+        assert not closing.done()
+        answer = b''
+        while chunk := await loop.sock_recv(client, 4096):
+            answer += chunk
+        assert answer.endswith(b'\r\n\r\n' + b'a' * size)
+        await asyncio.wait_for(closing, 10.0)
+        client.close()
+
+    asyncio.run(check())
